--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+PYTHON = .venv/bin/python
+SOURCES = plantainwood plantainctl standins experiments tests
+SEED ?= 1
+STEPS ?= 200
+
+.PHONY: demo test lint fuzz mutants bench capacity experiment clean
+
+.venv/ready: requirements.txt
+	python3 -m venv .venv
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	touch $@
+
+demo: .venv/ready
+	$(PYTHON) -m standins.demo
+
+test: .venv/ready
+	$(PYTHON) -m tests.run
+
+lint: .venv/ready
+	$(PYTHON) -m black --quiet --check $(SOURCES)
+	$(PYTHON) -m isort --quiet --check $(SOURCES)
+	$(PYTHON) -m flake8 $(SOURCES)
+
+fuzz: .venv/ready
+	FUZZ_SEED=$(SEED) FUZZ_STEPS=$(STEPS) $(PYTHON) -m pytest tests/proofs
+
+mutants: .venv/ready
+	$(PYTHON) -m experiments.mutants
+
+bench: .venv/ready
+	$(PYTHON) -m experiments.bench
+
+capacity: .venv/ready
+	$(PYTHON) -m experiments.slopes
+	$(PYTHON) -m experiments.capacity
+
+experiment: .venv/ready
+	$(PYTHON) -m experiments.experiment
+
+clean:
+	rm -rf .venv build
--- /dev/null
+++ b/plantainctl/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command-line tool."""
--- /dev/null
+++ b/plantainctl/__main__.py
@@ -0,0 +1,5 @@
+"""Run the tool as `python -m plantainctl`."""
+
+from plantainctl.main import run
+
+run()
--- /dev/null
+++ b/plantainctl/main.py
@@ -0,0 +1,212 @@
+"""Command line of the operators' tool.
+
+Examples:
+  plantainctl catalogue diff catalogue.yaml
+  plantainctl catalogue apply catalogue.yaml --wait
+  plantainctl key grant paseos-rounds
+  plantainctl key withdraw 5f0c3a --wait
+  plantainctl --output json status
+"""
+
+import argparse
+import getpass
+import os
+import sys
+from typing import Any, Callable
+
+from absl import app
+from absl.flags import argparse_flags
+
+from plantainctl.client import ApiError, Client
+from plantainctl.output import Format, render
+from plantainctl.waiting import wait_in_force
+
+EXIT_OK = 0
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+EXIT_NOT_IN_FORCE = 3
+EXIT_UNREACHABLE = 4
+EXIT_CONFLICT = 5
+
+ADDRESS_VARIABLE = "PLANTAINCTL_ADDRESSES"
+KEY_VARIABLE = "PLANTAINCTL_KEY"
+DEFAULT_WAIT_S = 10.0
+
+Result = tuple[int, Any]
+
+
+def show_catalogue(client: Client, args: argparse.Namespace) -> Result:
+    """Show the catalogue with its revision."""
+    return EXIT_OK, client.get("/admin/catalogue")
+
+
+def _read_edit(args: argparse.Namespace) -> dict[str, Any]:
+    with open(args.file, encoding="utf-8") as file:
+        return {"text": file.read(), "author": args.author}
+
+
+def diff_catalogue(client: Client, args: argparse.Namespace) -> Result:
+    """Show what a file would change."""
+    body = {**_read_edit(args), "dry_run": True}
+    return EXIT_OK, _make_rows(client.post("/admin/catalogue", body))
+
+
+def apply_catalogue(client: Client, args: argparse.Namespace) -> Result:
+    """Apply a file; refused whole, or accepted whole."""
+    body = {**_read_edit(args), "base_revision": args.base}
+    answer = client.post("/admin/catalogue", body)
+    print(f"accepted as revision {answer['revision']}", file=sys.stderr)
+    return _finish(client, args, answer["revision"], _make_rows(answer))
+
+
+def _make_rows(answer: dict[str, Any]) -> list[dict[str, Any]]:
+    rows: list[dict[str, Any]] = []
+    for change in answer["changes"]:
+        kind = "change"
+        if change["before"] is None:
+            kind = "add"
+        if change["after"] is None:
+            kind = "delete"
+        rows.append({"change": kind, "entry": change["path"], "to": change["after"]})
+    return rows
+
+
+def _finish(
+    client: Client, args: argparse.Namespace, revision: int, data: Any
+) -> Result:
+    """Wait where that was asked for, and name the VMs that lack the revision."""
+    if not args.wait:
+        return EXIT_OK, data
+    missing = wait_in_force(client, revision, args.wait_s)
+    if not missing:
+        return EXIT_OK, data
+    print(f"not in force on: {', '.join(missing)}", file=sys.stderr)
+    return EXIT_NOT_IN_FORCE, data
+
+
+def show_history(client: Client, args: argparse.Namespace) -> Result:
+    """Show the accepted edits."""
+    return EXIT_OK, client.get("/admin/history")["history"]
+
+
+def grant_key(client: Client, args: argparse.Namespace) -> Result:
+    """Grant a key to a customer and show it once."""
+    body = {"customer": args.customer, "author": args.author}
+    answer = client.post("/admin/keys", body)
+    return _finish(client, args, answer["revision"], answer)
+
+
+def withdraw_key(client: Client, args: argparse.Namespace) -> Result:
+    """Withdraw a key by its id."""
+    answer = client.post(f"/admin/keys/{args.id}/withdraw?author={args.author}", {})
+    print(f"accepted as revision {answer['revision']}", file=sys.stderr)
+    return _finish(client, args, answer["revision"], answer)
+
+
+def list_keys(client: Client, args: argparse.Namespace) -> Result:
+    """List the keys."""
+    return EXIT_OK, client.get("/admin/keys")["keys"]
+
+
+def show_status(client: Client, args: argparse.Namespace) -> Result:
+    """Show what each VM has in force."""
+    status = client.get("/admin/status")
+    if args.output is Format.TABLE:
+        return EXIT_OK, status["vms"]
+    return EXIT_OK, status
+
+
+def show_upstreams(client: Client, args: argparse.Namespace) -> Result:
+    """Show the upstreams as the asked VM sees them."""
+    return EXIT_OK, client.get("/admin/upstreams")["upstreams"]
+
+
+def show_usage(client: Client, args: argparse.Namespace) -> Result:
+    """Show the usage by window."""
+    return EXIT_OK, client.get("/admin/usage")["usage"]
+
+
+def parse_flags(argv: list[str]) -> argparse.Namespace:
+    """Return the parsed command line."""
+    parser = argparse_flags.ArgumentParser(
+        prog="plantainctl",
+        description=__doc__,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--addresses",
+        default=os.environ.get(ADDRESS_VARIABLE, ""),
+        help=f"administration addresses, by comma; default ${ADDRESS_VARIABLE}",
+    )
+    parser.add_argument("--ca_file", default="", help="certificates to trust")
+    parser.add_argument(
+        "--output", type=Format, choices=list(Format), default=Format.TABLE
+    )
+    parser.add_argument("--author", default=getpass.getuser(), help="for the history")
+    commands = parser.add_subparsers(dest="command", required=True)
+    _add_catalogue(commands)
+    _add_key(commands)
+    _add(commands, "status", show_status)
+    _add(commands, "upstreams", show_upstreams)
+    _add(commands, "usage", show_usage)
+    return parser.parse_args(argv[1:])
+
+
+def _add(
+    commands: Any, name: str, function: Callable[..., Result], waits: bool = False
+) -> argparse.ArgumentParser:
+    command = commands.add_parser(name, help=function.__doc__)
+    command.set_defaults(function=function)
+    if waits:
+        command.add_argument(
+            "--wait", action="store_true", help="until each live VM has it in force"
+        )
+        command.add_argument("--wait_s", type=float, default=DEFAULT_WAIT_S)
+    return command
+
+
+def _add_catalogue(commands: Any) -> None:
+    parser = commands.add_parser("catalogue", help="show and edit the catalogue")
+    actions = parser.add_subparsers(dest="action", required=True)
+    _add(actions, "show", show_catalogue)
+    _add(actions, "history", show_history)
+    _add(actions, "diff", diff_catalogue).add_argument("file")
+    apply = _add(actions, "apply", apply_catalogue, waits=True)
+    apply.add_argument("file")
+    apply.add_argument(
+        "--base", type=int, default=None, help="the revision that the file is based on"
+    )
+
+
+def _add_key(commands: Any) -> None:
+    parser = commands.add_parser("key", help="grant and withdraw keys")
+    actions = parser.add_subparsers(dest="action", required=True)
+    _add(actions, "list", list_keys)
+    _add(actions, "grant", grant_key, waits=True).add_argument("customer")
+    _add(actions, "withdraw", withdraw_key, waits=True).add_argument("id")
+
+
+def main(args: argparse.Namespace) -> int:
+    """Run one command and return its exit code."""
+    addresses = [item for item in args.addresses.split(",") if item]
+    key = os.environ.get(KEY_VARIABLE, "")
+    if not addresses or not key:
+        print(f"set --addresses and ${KEY_VARIABLE}", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        code, data = args.function(Client(addresses, key, args.ca_file), args)
+    except OSError as error:
+        print(error, file=sys.stderr)
+        return EXIT_USAGE
+    except ApiError as error:
+        print(error, file=sys.stderr)
+        if error.code == "unreachable":
+            return EXIT_UNREACHABLE
+        return EXIT_CONFLICT if error.code == "conflict" else EXIT_REFUSED
+    print(render(data, args.output))
+    return code
+
+
+def run() -> None:
+    """Run the command."""
+    app.run(main, flags_parser=parse_flags)
--- /dev/null
+++ b/plantainwood/__init__.py
@@ -0,0 +1,3 @@
+"""Router for language-model traffic with service levels and priorities."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/plantainwood/__main__.py
@@ -0,0 +1,5 @@
+"""Run the daemon as `python -m plantainwood`."""
+
+from plantainwood.daemon import run
+
+run()
--- /dev/null
+++ b/plantainwood/admin.py
@@ -0,0 +1,322 @@
+"""The administration API and the metrics, on an address and key of their own."""
+
+import hmac
+import secrets
+
+import msgspec
+from aiohttp import web
+from mode import Service
+
+from plantainwood.answers import make_error_response, render_error
+from plantainwood.callers import make_tls_context
+from plantainwood.catalogue_texts import CatalogueTextError, parse_catalogue
+from plantainwood.core.catalogue import (
+    EDITABLE_SECTIONS,
+    Catalogue,
+    Change,
+    Entry,
+    diff_catalogue,
+)
+from plantainwood.core.editing import (
+    HISTORY_PREFIX,
+    Edit,
+    HistoryItem,
+    InvalidEdit,
+    apply_edit,
+)
+from plantainwood.core.errors import ErrorCode, RequestError, StoreError
+from plantainwood.core.keys import SALT_BYTES, SECRET_BYTES, make_key
+from plantainwood.core.usage import USAGE_PREFIX, Line, UsageRecord
+from plantainwood.node import Node
+from plantainwood.watcher import refresh_catalogue
+
+KEY_ID_BYTES = 6
+MAX_BODY_BYTES = 4_000_000
+
+
+class ApplyBody(msgspec.Struct, forbid_unknown_fields=True):
+    """An edit of the whole catalogue, as YAML text."""
+
+    text: str
+    author: str = "unknown"
+    base_revision: int | None = None
+    """The revision that the editor read; None takes the current one."""
+    change_id: str = ""
+    dry_run: bool = False
+
+
+class GrantBody(msgspec.Struct, forbid_unknown_fields=True):
+    """A customer to grant a new key to."""
+
+    customer: str
+    author: str = "unknown"
+
+
+class AdminServer(Service):
+    """Serve operators."""
+
+    def __init__(self, node: Node, **kwargs) -> None:
+        self.node = node
+        self._runner: web.AppRunner | None = None
+        super().__init__(**kwargs)
+
+    async def on_start(self) -> None:
+        """Listen on the administration address."""
+        admin = self.node.settings.admin
+        app = web.Application(
+            middlewares=[self._check_key], client_max_size=MAX_BODY_BYTES
+        )
+        app.router.add_get("/metrics", self.handle_metrics)
+        app.router.add_get("/admin/status", self.handle_status)
+        app.router.add_get("/admin/catalogue", self.handle_show)
+        app.router.add_post("/admin/catalogue", self.handle_apply)
+        app.router.add_get("/admin/history", self.handle_history)
+        app.router.add_get("/admin/keys", self.handle_keys)
+        app.router.add_post("/admin/keys", self.handle_grant)
+        app.router.add_post("/admin/keys/{id}/withdraw", self.handle_withdraw)
+        app.router.add_get("/admin/upstreams", self.handle_upstreams)
+        app.router.add_get("/admin/usage", self.handle_usage)
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        context = make_tls_context(admin.tls)
+        await web.TCPSite(
+            self._runner, admin.host, admin.port, ssl_context=context
+        ).start()
+
+    async def on_stop(self) -> None:
+        """Close the address."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    @web.middleware
+    async def _check_key(self, request: web.Request, handler) -> web.StreamResponse:
+        """Refuse a wrong administration key; turn coded errors into responses."""
+        given = request.headers.get("Authorization", "")
+        wanted = f"Bearer {str(self.node.settings.admin.key)}"
+        try:
+            if not hmac.compare_digest(given.encode(), wanted.encode()):
+                raise RequestError(ErrorCode.NO_KEY, "wrong administration key")
+            return await handler(request)
+        except InvalidEdit as error:
+            body = render_error(error, "")
+            body["error"]["problems"] = [
+                {"path": item.path, "reason": item.reason} for item in error.problems
+            ]
+            return web.json_response(body, status=error.status)
+        except RequestError as error:
+            return make_error_response(error, "")
+        except StoreError as error:
+            failure = RequestError(
+                ErrorCode.STORE_UNAVAILABLE, str(error), retry_after_ms=2_000
+            )
+            return make_error_response(failure, "")
+
+    async def handle_metrics(self, request: web.Request) -> web.Response:
+        """Answer with the metrics."""
+        content, headers = self.node.metrics.render(
+            request.headers.getall("Accept", [])
+        )
+        return web.Response(body=content, headers=headers)
+
+    async def handle_status(self, request: web.Request) -> web.Response:
+        """Answer with what each VM that this one hears of has in force."""
+        node = self.node
+        now_ms = node.clock.now_ms()
+        vms = [
+            {
+                "node": node.settings.node,
+                "domain": node.settings.domain,
+                "revision": node.catalogue.revision,
+                "state": node.state.name.lower(),
+                "heard_ms": 0,
+                "alive": True,
+            }
+        ]
+        for member in node.members.known():
+            if member.beat is None:
+                continue
+            vms.append(
+                {
+                    "node": member.profile.origin,
+                    "domain": member.profile.domain,
+                    "revision": member.beat.revision,
+                    "state": member.beat.state.name.lower(),
+                    "heard_ms": now_ms - member.heard_ms,
+                    "alive": node.members.is_alive(member.profile.origin, now_ms),
+                }
+            )
+        duties = []
+        for lease in node.leases.values():
+            duties.append(
+                {"duty": lease.duty, "held": lease.holds(), "fence": lease.fence}
+            )
+        body = {
+            "revision": node.catalogue.revision,
+            "confirm_age_ms": node.confirmation.age_ms(now_ms),
+            "may_serve": node.may_serve(),
+            "vms": sorted(vms, key=lambda vm: str(vm["node"])),
+            "duties": duties,
+        }
+        return web.json_response(body)
+
+    async def handle_show(self, request: web.Request) -> web.Response:
+        """Answer with the current catalogue, without keys."""
+        await refresh_catalogue(self.node)
+        catalogue = self.node.catalogue
+        sections: dict[str, dict] = {}
+        for entry in catalogue.entries.values():
+            if entry.section in EDITABLE_SECTIONS and entry.body is not None:
+                sections.setdefault(entry.section, {})[entry.name] = entry.body
+        return web.json_response(
+            {"revision": catalogue.revision, "catalogue": sections}
+        )
+
+    async def handle_apply(self, request: web.Request) -> web.Response:
+        """Apply an edit, or with dry_run only say what it would change."""
+        body = _decode(await request.read(), ApplyBody)
+        await refresh_catalogue(self.node)
+        try:
+            wanted = parse_catalogue(body.text)
+        except CatalogueTextError as error:
+            raise RequestError(ErrorCode.INVALID_CATALOGUE, str(error)) from error
+        current = self.node.catalogue
+        base = body.base_revision
+        if base is None:
+            base = current.revision
+        changes = _render_changes(current, diff_catalogue(current, wanted))
+        if body.dry_run:
+            answer = {"revision": current.revision, "changes": changes}
+            return web.json_response(answer)
+        edit = Edit(
+            change_id=body.change_id or secrets.token_hex(8),
+            author=body.author,
+            wall_ms=self.node.clock.wall_ms(),
+            base_revision=base,
+            plan=lambda catalogue: diff_catalogue(catalogue, wanted),
+        )
+        revision = await self._run(edit)
+        return web.json_response({"revision": revision, "changes": changes})
+
+    async def _run(self, edit: Edit) -> int:
+        revision = await self.node.clients.driver.run(apply_edit(edit))
+        await refresh_catalogue(self.node)
+        return revision
+
+    async def handle_history(self, request: web.Request) -> web.Response:
+        """Answer with the accepted edits, oldest first."""
+        stored = await self.node.clients.driver.store.scan(HISTORY_PREFIX)
+        items = [
+            msgspec.json.decode(item.value, type=HistoryItem)
+            for _, item in sorted(stored.items())
+        ]
+        return web.json_response({"history": msgspec.to_builtins(items)})
+
+    async def handle_keys(self, request: web.Request) -> web.Response:
+        """Answer with the keys' ids and owners; secrets are not kept anywhere."""
+        keys = []
+        for key_id, key in self.node.catalogue.keys.items():
+            keys.append(
+                {"id": key_id, "customer": key.customer, "withdrawn": key.withdrawn}
+            )
+        return web.json_response({"keys": keys})
+
+    async def handle_grant(self, request: web.Request) -> web.Response:
+        """Grant a key; its text is shown here once and kept nowhere."""
+        body = _decode(await request.read(), GrantBody)
+        key_id = secrets.token_hex(KEY_ID_BYTES)
+        secret = secrets.token_hex(SECRET_BYTES)
+        salt = secrets.token_hex(SALT_BYTES)
+        text, key = make_key(body.customer, key_id, secret, salt)
+        change = Change("keys", key_id, msgspec.to_builtins(key))
+        revision = await self._run(self._make_key_edit(body.author, [change]))
+        return web.json_response({"key": text, "id": key_id, "revision": revision})
+
+    async def handle_withdraw(self, request: web.Request) -> web.Response:
+        """Withdraw a key; accepted once the key-value service has it."""
+        key_id = request.match_info["id"]
+        await refresh_catalogue(self.node)
+        entry = self.node.catalogue.entries.get(f"keys/{key_id}")
+        if entry is None or entry.body is None:
+            raise RequestError(ErrorCode.NOT_FOUND, f"no key {key_id!r}")
+        change = Change("keys", key_id, {**entry.body, "withdrawn": True})
+        author = request.query.get("author", "unknown")
+        revision = await self._run(self._make_key_edit(author, [change]))
+        return web.json_response({"id": key_id, "revision": revision})
+
+    def _make_key_edit(self, author: str, changes: list[Change]) -> Edit:
+        return Edit(
+            change_id=secrets.token_hex(8),
+            author=author,
+            wall_ms=self.node.clock.wall_ms(),
+            base_revision=self.node.catalogue.revision,
+            plan=lambda catalogue: _drop_done(catalogue, changes),
+        )
+
+    async def handle_upstreams(self, request: web.Request) -> web.Response:
+        """Answer with what this VM believes about each upstream."""
+        now_ms = self.node.clock.now_ms()
+        upstreams = []
+        for name, load in self.node.board.dispatcher.loads.items():
+            upstreams.append(
+                {
+                    "upstream": name,
+                    "domain": load.entry.domain,
+                    "slots": load.entry.slots,
+                    "load": load.estimate(9, now_ms),
+                    "leaving": load.leaving,
+                    "straggler": load.ejected,
+                    "first_token_ms": round(load.first_token_ms, 1),
+                }
+            )
+        return web.json_response({"upstreams": upstreams})
+
+    async def handle_usage(self, request: web.Request) -> web.Response:
+        """Answer with the usage that the key-value service holds, by window."""
+        stored = await self.node.clients.driver.store.scan(USAGE_PREFIX)
+        windows: dict[int, dict[str, Line]] = {}
+        for item in stored.values():
+            record = msgspec.json.decode(item.value, type=UsageRecord)
+            lines = windows.setdefault(record.window, {})
+            for key, line in record.lines.items():
+                total = lines.setdefault(key, Line())
+                total.requests += line.requests
+                total.tokens += line.tokens
+        usage = []
+        for window, lines in sorted(windows.items()):
+            for key, line in sorted(lines.items()):
+                usage.append(
+                    {
+                        "window": window,
+                        "line": key,
+                        "requests": line.requests,
+                        "tokens": line.tokens,
+                    }
+                )
+        return web.json_response({"usage": usage})
+
+
+def _decode(data: bytes, kind: type):
+    try:
+        return msgspec.json.decode(data, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise RequestError(ErrorCode.BAD_REQUEST, str(error)) from error
+
+
+def _drop_done(catalogue: Catalogue, changes: list[Change]) -> list[Change]:
+    """Return the changes that the catalogue does not show yet."""
+    left: list[Change] = []
+    for change in changes:
+        entry: Entry | None = catalogue.entries.get(change.path)
+        if entry is None or entry.body != change.body:
+            left.append(change)
+    return left
+
+
+def _render_changes(current: Catalogue, changes: list[Change]) -> list[dict]:
+    """Return changes with their entries before and after."""
+    rendered: list[dict] = []
+    for change in changes:
+        entry = current.entries.get(change.path)
+        before = entry.body if entry is not None else None
+        rendered.append({"path": change.path, "before": before, "after": change.body})
+    return rendered
--- /dev/null
+++ b/plantainwood/board.py
@@ -0,0 +1,59 @@
+"""The board: carries events to the request core and its decisions to requests."""
+
+import asyncio
+from typing import Callable
+
+from plantainwood.core import events as ev
+from plantainwood.core.clock import Clock
+from plantainwood.core.dispatcher import Dispatcher
+from plantainwood.core.keys import Identity
+
+
+class Ticket:
+    """A waiting or running request's inbox of decisions."""
+
+    __slots__ = ("request_id", "identity", "open_to_all", "decisions")
+
+    def __init__(self, request_id: str, identity: Identity, open_to_all: bool) -> None:
+        self.request_id = request_id
+        self.identity = identity
+        self.open_to_all = open_to_all
+        self.decisions: asyncio.Queue[ev.Decision] = asyncio.Queue()
+
+
+class Board:
+    """Feed one dispatcher and hand its decisions out."""
+
+    __slots__ = ("dispatcher", "tickets", "_clock", "_on_mark")
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        clock: Clock,
+        on_mark: Callable[[ev.MarkCrash], None],
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.tickets: dict[str, Ticket] = {}
+        self._clock = clock
+        self._on_mark = on_mark
+
+    def open(self, ticket: Ticket) -> None:
+        """Register a request before its arrival is fed."""
+        self.tickets[ticket.request_id] = ticket
+
+    def close(self, ticket: Ticket) -> None:
+        """Forget a request; what it still has running is cancelled."""
+        if self.tickets.pop(ticket.request_id, None) is None:
+            return
+        if ticket.request_id in self.dispatcher.requests:
+            self.feed(ev.CallerLeft(ticket.request_id))
+
+    def feed(self, event: ev.Event) -> None:
+        """Let the core decide on an event now."""
+        for decision in self.dispatcher.decide(event, self._clock.now_ms()):
+            if isinstance(decision, ev.MarkCrash):
+                self._on_mark(decision)
+                continue
+            ticket = self.tickets.get(decision.request_id)
+            if ticket is not None:
+                ticket.decisions.put_nowait(decision)
--- /dev/null
+++ b/plantainwood/callers.py
@@ -0,0 +1,229 @@
+"""The address that callers connect to."""
+
+import asyncio
+import secrets
+import ssl
+
+import msgspec
+from aiohttp import web
+from mode import Service
+
+from plantainwood.answers import CollectSink, StreamSink, make_error_response
+from plantainwood.core.errors import ErrorCode, Outcome, RequestError
+from plantainwood.core.keys import check_key
+from plantainwood.core.messages import NodeState
+from plantainwood.core.placement import (
+    LIFETIME_MS,
+    Candidate,
+    pick_handouts,
+    spread_for,
+)
+from plantainwood.logs import log_event
+from plantainwood.node import Node
+from plantainwood.pipeline.exchange import Exchange, Kind
+from plantainwood.pipeline.path import run_path
+from plantainwood.settings import Callers, Tls
+from plantainwood.traces import read_context
+
+MAX_REQUEST_ID = 64
+
+
+def make_tls_context(tls: Tls) -> ssl.SSLContext | None:
+    """Return the TLS context of an address, or None where TLS is off."""
+    if not tls.certificate:
+        return None
+    context = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    context.minimum_version = ssl.TLSVersion.TLSv1_2
+    context.load_cert_chain(tls.certificate, tls.key)
+    return context
+
+
+class CallerServer(Service):
+    """Serve callers until the daemon has drained."""
+
+    def __init__(self, node: Node, **kwargs) -> None:
+        self.node = node
+        self._runner: web.AppRunner | None = None
+        super().__init__(**kwargs)
+
+    async def on_start(self) -> None:
+        """Listen on the callers' address."""
+        callers: Callers = self.node.settings.callers
+        app = web.Application(client_max_size=callers.max_body_bytes)
+        app.router.add_get("/healthz", self.handle_health)
+        app.router.add_get("/readyz", self.handle_ready)
+        app.router.add_get("/v1/addresses", self.handle_addresses)
+        app.router.add_post("/v1/chat/completions", self.handle_chat)
+        app.router.add_post("/v1/completions", self.handle_completion)
+        app.router.add_route("*", "/services/{service}/{path:.*}", self.handle_plain)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handler_cancellation=True,
+            max_line_size=callers.max_header_bytes,
+            max_field_size=callers.max_header_bytes,
+            keepalive_timeout=callers.idle_timeout_ms / 1_000,
+        )
+        await self._runner.setup()
+        context = make_tls_context(callers.tls)
+        site = web.TCPSite(
+            self._runner, callers.host, callers.port, ssl_context=context
+        )
+        await site.start()
+
+    async def on_stop(self) -> None:
+        """Close the address."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    async def handle_health(self, request: web.Request) -> web.Response:
+        """Answer that the process runs."""
+        return web.json_response({"status": "ok"})
+
+    async def handle_ready(self, request: web.Request) -> web.Response:
+        """Answer whether this VM takes new requests."""
+        node = self.node
+        ready = node.state is NodeState.LIVE and node.may_serve()
+        body = {"ready": ready, "revision": node.catalogue.revision}
+        return web.json_response(body, status=200 if ready else 503)
+
+    async def handle_addresses(self, request: web.Request) -> web.Response:
+        """Tell a caller which VMs to use, and for how long."""
+        node = self.node
+        try:
+            identity = check_key(node.catalogue, request.headers.get("Authorization"))
+        except RequestError as error:
+            return make_error_response(error, _make_request_id(request))
+        customers = node.catalogue.customers
+        weight = customers[identity.customer].weight
+        total = sum(customer.weight for customer in customers.values())
+        candidates = find_candidates(node)
+        handouts = pick_handouts(
+            candidates,
+            identity.customer,
+            request.query.get("domain", node.settings.domain),
+            spread_for(weight, total, len(candidates)),
+            request.query.get("conversation", ""),
+        )
+        addresses = [{"address": h.address, "weight": h.weight} for h in handouts]
+        body = {"addresses": addresses, "lifetime_ms": LIFETIME_MS}
+        return web.json_response(body)
+
+    async def handle_chat(self, request: web.Request) -> web.StreamResponse:
+        """Serve the chat route."""
+        return await self._serve(request, Kind.CHAT)
+
+    async def handle_completion(self, request: web.Request) -> web.StreamResponse:
+        """Serve the completions route."""
+        return await self._serve(request, Kind.COMPLETION)
+
+    async def handle_plain(self, request: web.Request) -> web.StreamResponse:
+        """Serve a call of a plain service."""
+        return await self._serve(request, Kind.PLAIN)
+
+    async def _serve(self, request: web.Request, kind: Kind) -> web.StreamResponse:
+        request_id = _make_request_id(request)
+        try:
+            body = await self._read_body(request)
+        except RequestError as error:
+            return make_error_response(error, request_id)
+        exchange = Exchange(self.node, request, request_id, kind, body)
+        if kind is Kind.PLAIN:
+            # The call may not be cut off half-way by a caller that goes away.
+            task = asyncio.ensure_future(self._answer(exchange))
+            self.node.background.add(task)
+            task.add_done_callback(self.node.background.discard)
+            return await asyncio.shield(task)
+        return await self._answer(exchange)
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        timeout_s = self.node.settings.callers.body_timeout_ms / 1_000
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await request.read()
+        except web.HTTPRequestEntityTooLarge as error:
+            limit = self.node.settings.callers.max_body_bytes
+            message = f"the body is larger than {limit} bytes"
+            raise RequestError(ErrorCode.BODY_TOO_LARGE, message) from error
+        except TimeoutError as error:
+            message = "the body did not come in time"
+            raise RequestError(ErrorCode.BAD_REQUEST, message) from error
+
+    async def _answer(self, exchange: Exchange) -> web.StreamResponse:
+        """Run the path and return its answer in the form that was asked for."""
+        sink = _make_sink(exchange)
+        exchange.sink = sink
+        context = read_context(exchange.request.headers.get("traceparent"))
+        try:
+            with self.node.tracer.start_as_current_span("request", context=context):
+                await run_path(exchange)
+        except RequestError as error:
+            log_event("refused", request=exchange.request_id, code=error.code.value)
+            if isinstance(sink, StreamSink) and sink.response is not None:
+                await sink.fail(error)
+                return sink.response
+            return make_error_response(error, exchange.request_id)
+        if exchange.kind is Kind.PLAIN:
+            return _make_plain_response(exchange)
+        assert sink.response is not None
+        return sink.response
+
+
+def find_candidates(node: Node) -> list[Candidate]:
+    """Return the live VMs, this one included, that callers may be sent to."""
+    candidates: list[Candidate] = []
+    profiles = [(node.make_profile(), node.state, 0)]
+    for member in node.members.alive(node.clock.now_ms()):
+        if member.beat is None:
+            continue
+        beat = member.beat
+        profiles.append((member.profile, beat.state, beat.busy_percent))
+    for profile, state, busy_percent in profiles:
+        if state is NodeState.LEAVING or profile.origin in node.departed:
+            continue
+        candidates.append(
+            Candidate(
+                profile.origin, profile.caller_address, profile.domain, busy_percent
+            )
+        )
+    return candidates
+
+
+def _make_request_id(request: web.Request) -> str:
+    """Return an id that is unique here, whatever the caller sent as its own."""
+    own = secrets.token_hex(8)
+    given = request.headers.get("X-Request-Id", "")[:MAX_REQUEST_ID]
+    if given and given.isascii() and given.replace("-", "").isalnum():
+        return f"{given}.{own}"
+    return own
+
+
+def _make_sink(exchange: Exchange) -> StreamSink | CollectSink:
+    if b'"stream"' in exchange.body and _wants_stream(exchange.body):
+        return StreamSink(exchange)
+    return CollectSink(exchange)
+
+
+def _wants_stream(body: bytes) -> bool:
+    """Tell whether a body asks for a stream; a malformed one is refused later."""
+    try:
+        return msgspec.json.decode(body, type=StreamFlag).stream
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return False
+
+
+class StreamFlag(msgspec.Struct):
+    """The field that says which form of answer is wanted."""
+
+    stream: bool = False
+
+
+def _make_plain_response(exchange: Exchange) -> web.Response:
+    answer = exchange.plain_answer
+    if answer is None:
+        error = RequestError(ErrorCode.INTERNAL, "no answer", Outcome.UNKNOWN)
+        return make_error_response(error, exchange.request_id)
+    headers = {"X-Request-Id": exchange.request_id}
+    if answer.content_type:
+        headers["Content-Type"] = answer.content_type
+    return web.Response(status=answer.status, body=answer.body, headers=headers)
--- /dev/null
+++ b/plantainwood/catalogue_texts.py
@@ -0,0 +1,69 @@
+"""Catalogue texts: the YAML form that operators edit."""
+
+from plantainwood.core.catalogue import (
+    EDITABLE_SECTIONS,
+    SECTIONS,
+    Catalogue,
+    Change,
+    Problem,
+    apply_changes,
+    check_catalogue,
+)
+from plantainwood.core.checks import check_struct
+from plantainwood.documents import DocumentError, Source, read_yaml
+
+
+class CatalogueTextError(Exception):
+    """Report every problem of a catalogue text, each with its line."""
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+def parse_catalogue(text: str) -> dict[str, dict]:
+    """Return the sections of a valid catalogue text; refuse it whole otherwise."""
+    try:
+        source = read_yaml(text)
+    except DocumentError as error:
+        raise CatalogueTextError([str(error)]) from error
+    problems = _check_entries(source)
+    if not problems:
+        problems = _check_whole(source.data)
+    if problems:
+        raise CatalogueTextError([source.describe(problem) for problem in problems])
+    return source.data
+
+
+def _check_entries(source: Source) -> list[Problem]:
+    """Return the problems of each entry by itself."""
+    if not isinstance(source.data, dict):
+        return [Problem("", "expected a mapping of sections")]
+    problems: list[Problem] = []
+    for section, entries in source.data.items():
+        if section not in EDITABLE_SECTIONS:
+            allowed = ", ".join(EDITABLE_SECTIONS)
+            reason = f"unknown section; allowed are: {allowed}"
+            problems.append(Problem(str(section), reason))
+            continue
+        if not isinstance(entries, dict):
+            problems.append(Problem(section, "expected a mapping of names to entries"))
+            continue
+        for name, body in entries.items():
+            path = f"{section}.{name}"
+            problems.extend(check_struct(body, SECTIONS[section], path))
+    return problems
+
+
+def _check_whole(data: dict[str, dict]) -> list[Problem]:
+    """Return the problems that only show between entries."""
+    changes: list[Change] = []
+    for section, entries in data.items():
+        for name, body in entries.items():
+            changes.append(Change(section, name, body))
+    catalogue = apply_changes(Catalogue(), changes, "")
+    problems: list[Problem] = []
+    for problem in check_catalogue(catalogue):
+        path = problem.path.replace("/", ".")
+        problems.append(Problem(path, problem.reason))
+    return problems
--- /dev/null
+++ b/plantainwood/core/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions: typed values in, typed values out, time and randomness given."""
--- /dev/null
+++ b/plantainwood/core/affinity.py
@@ -0,0 +1,34 @@
+"""Hints about which upstream holds a prompt's prefix; they expire."""
+
+from collections import OrderedDict
+
+HINT_LIFETIME_MS = 120_000
+MAX_HINTS = 20_000
+
+
+class PrefixHints:
+    """Remember, for a bounded time and number, where a prefix was last served."""
+
+    __slots__ = ("_hints",)
+
+    def __init__(self) -> None:
+        self._hints: OrderedDict[str, tuple[str, int]] = OrderedDict()
+
+    def note(self, prefix: str, upstream: str, now_ms: int) -> None:
+        """Note that an upstream holds a prefix, by own dispatch or a cache event."""
+        if not prefix:
+            return
+        self._hints[prefix] = (upstream, now_ms + HINT_LIFETIME_MS)
+        self._hints.move_to_end(prefix)
+        while len(self._hints) > MAX_HINTS:
+            self._hints.popitem(last=False)
+
+    def forget(self, prefix: str, upstream: str) -> None:
+        """Drop a hint that a cache event contradicts."""
+        if self._hints.get(prefix, ("", 0))[0] == upstream:
+            del self._hints[prefix]
+
+    def find(self, prefix: str, now_ms: int) -> str:
+        """Return the hinted upstream, or an empty string."""
+        upstream, until_ms = self._hints.get(prefix, ("", 0))
+        return upstream if now_ms < until_ms else ""
--- /dev/null
+++ b/plantainwood/core/catalogue.py
@@ -0,0 +1,373 @@
+"""The catalogue: typed entries, revisions, deltas, and whole validation."""
+
+from enum import Enum
+from typing import Iterator
+
+import msgspec
+
+MAX_DOCUMENT_BYTES = 1_000_000
+MAX_TOMBSTONES = 2_000
+MAX_CHANGE_IDS = 64
+
+
+class UpstreamKind(Enum):
+    """Tell model engines from plain services."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+
+
+class EntryBase(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Carry the rules that all catalogue entries share."""
+
+
+class ServiceClass(EntryBase, frozen=True):
+    """A class of service; tier 0 is the most urgent."""
+
+    owner: str
+    tier: int
+    first_token_ms: int = 600
+    between_tokens_ms: int = 50
+    completion_ms: int = 60_000
+    queue_timeout_ms: int = 30_000
+    starvation_ms: int = 10_000
+    min_share: float = 0.05
+    repeatable: bool = True
+
+
+class Customer(EntryBase, frozen=True):
+    """A customer, its weight and its limits over the whole fleet."""
+
+    owner: str
+    classes: list[str]
+    weight: float = 1.0
+    requests_per_s: float = 100.0
+    tokens_per_s: float = 10_000.0
+    concurrent: int = 100
+
+
+class Model(EntryBase, frozen=True):
+    """A model by the name that callers use."""
+
+    owner: str
+    max_tokens: int = 4_096
+
+
+class Service(EntryBase, frozen=True):
+    """A plain service; calls of a service that is not repeatable run at most once."""
+
+    owner: str
+    repeatable: bool = True
+    open_to_all: bool = False
+
+
+class Upstream(EntryBase, frozen=True):
+    """An engine or plain service process that requests are sent to."""
+
+    owner: str
+    kind: UpstreamKind
+    address: str
+    domain: str
+    models: list[str] = []
+    service: str = ""
+    slots: int = 8
+    cost_per_hour: float = 1.0
+    cheap: bool = False
+    checks_fencing: bool = True
+
+
+class Key(EntryBase, frozen=True):
+    """A caller's key, kept as a salted hash only."""
+
+    customer: str
+    salt: str
+    digest: str
+    withdrawn: bool = False
+
+
+Value = ServiceClass | Customer | Model | Service | Upstream | Key
+
+SECTIONS: dict[str, type] = {
+    "classes": ServiceClass,
+    "customers": Customer,
+    "models": Model,
+    "services": Service,
+    "upstreams": Upstream,
+    "keys": Key,
+}
+EDITABLE_SECTIONS = ("classes", "customers", "models", "services", "upstreams")
+
+
+class Entry(msgspec.Struct, frozen=True):
+    """One entry as stored: its section, name, revision and body."""
+
+    section: str
+    name: str
+    revision: int
+    body: dict | None
+    """The plain body, or None for a deleted entry (a tombstone)."""
+
+    @property
+    def path(self) -> str:
+        """Return the unique path of the entry."""
+        return f"{self.section}/{self.name}"
+
+
+class Problem(msgspec.Struct, frozen=True):
+    """A reason why a catalogue is refused."""
+
+    path: str
+    reason: str
+
+
+class Catalogue:
+    """Hold one revision of the whole catalogue, decoded for look-up."""
+
+    __slots__ = ("revision", "change_ids", "entries", "_typed", "floor")
+
+    def __init__(
+        self,
+        revision: int = 0,
+        entries: dict[str, Entry] | None = None,
+        change_ids: tuple[str, ...] = (),
+        floor: int = 0,
+    ) -> None:
+        self.revision = revision
+        self.change_ids = change_ids
+        self.entries = entries or {}
+        self.floor = floor
+        self._typed: dict[str, dict[str, Value]] = {name: {} for name in SECTIONS}
+        for entry in self.entries.values():
+            if entry.body is None:
+                continue
+            typed = msgspec.convert(entry.body, SECTIONS[entry.section])
+            self._typed[entry.section][entry.name] = typed
+
+    @property
+    def classes(self) -> dict[str, ServiceClass]:
+        """Return the service classes by name."""
+        return self._typed["classes"]  # type: ignore[return-value]
+
+    @property
+    def customers(self) -> dict[str, Customer]:
+        """Return the customers by name."""
+        return self._typed["customers"]  # type: ignore[return-value]
+
+    @property
+    def models(self) -> dict[str, Model]:
+        """Return the models by name."""
+        return self._typed["models"]  # type: ignore[return-value]
+
+    @property
+    def services(self) -> dict[str, Service]:
+        """Return the plain services by name."""
+        return self._typed["services"]  # type: ignore[return-value]
+
+    @property
+    def upstreams(self) -> dict[str, Upstream]:
+        """Return the upstreams by name."""
+        return self._typed["upstreams"]  # type: ignore[return-value]
+
+    @property
+    def keys(self) -> dict[str, Key]:
+        """Return the keys by their public id."""
+        return self._typed["keys"]  # type: ignore[return-value]
+
+    def delta_since(self, revision: int) -> list[Entry] | None:
+        """Return the entries newer than a revision, or None if it is too old."""
+        if revision < self.floor:
+            return None
+        return [entry for entry in self.entries.values() if entry.revision > revision]
+
+
+class Document(msgspec.Struct, frozen=True):
+    """The stored and transmitted form of a catalogue, or of a delta to one."""
+
+    revision: int
+    base: int
+    """Zero for a whole document, else the revision that the delta applies to."""
+    floor: int
+    change_ids: tuple[str, ...]
+    entries: list[Entry]
+
+
+def encode_catalogue(catalogue: Catalogue) -> bytes:
+    """Return the whole catalogue as JSON bytes."""
+    document = Document(
+        revision=catalogue.revision,
+        base=0,
+        floor=catalogue.floor,
+        change_ids=catalogue.change_ids,
+        entries=list(catalogue.entries.values()),
+    )
+    return msgspec.json.encode(document)
+
+
+def decode_document(data: bytes) -> Document:
+    """Return the document in some JSON bytes; raise ValueError if it is malformed."""
+    try:
+        return msgspec.json.decode(data, type=Document)
+    except msgspec.DecodeError as error:
+        raise ValueError(f"malformed catalogue document: {error}") from error
+
+
+def make_delta(catalogue: Catalogue, base: int) -> Document:
+    """Return what turns the catalogue at a base revision into this one."""
+    entries = catalogue.delta_since(base)
+    if entries is None or base == 0:
+        entries = list(catalogue.entries.values())
+        base = 0
+    return Document(
+        revision=catalogue.revision,
+        base=base,
+        floor=catalogue.floor,
+        change_ids=catalogue.change_ids,
+        entries=entries,
+    )
+
+
+def merge_document(current: Catalogue, document: Document) -> Catalogue | None:
+    """Return the newer catalogue, or None when the document adds nothing.
+
+    A revision never goes backwards, and a delta applies only to its own base or
+    to a later revision.
+    """
+    if document.revision <= current.revision:
+        return None
+    if document.base > current.revision:
+        return None
+    entries: dict[str, Entry] = {}
+    if document.base:
+        entries.update(current.entries)
+    for entry in document.entries:
+        entries[entry.path] = entry
+    merged = Catalogue(
+        document.revision, entries, document.change_ids, floor=document.floor
+    )
+    if check_catalogue(merged):
+        return None
+    return merged
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A wanted change of one entry; a None body deletes it."""
+
+    section: str
+    name: str
+    body: dict | None
+
+    @property
+    def path(self) -> str:
+        """Return the path of the entry to change."""
+        return f"{self.section}/{self.name}"
+
+
+def diff_catalogue(catalogue: Catalogue, wanted: dict[str, dict]) -> list[Change]:
+    """Return the changes that make the editable sections equal to the wanted ones."""
+    changes: list[Change] = []
+    for section in EDITABLE_SECTIONS:
+        bodies = wanted.get(section, {})
+        for name, body in bodies.items():
+            entry = catalogue.entries.get(f"{section}/{name}")
+            if entry is not None and entry.body == body:
+                continue
+            changes.append(Change(section, name, body))
+        for name in catalogue._typed[section]:
+            if name in bodies:
+                continue
+            changes.append(Change(section, name, None))
+    return changes
+
+
+def apply_changes(
+    current: Catalogue, changes: list[Change], change_id: str
+) -> Catalogue:
+    """Return the next revision with the changes in it; entries keep their revisions."""
+    revision = current.revision + 1
+    entries = dict(current.entries)
+    for change in changes:
+        entries[change.path] = Entry(change.section, change.name, revision, change.body)
+    floor = _trim_tombstones(entries, current.floor)
+    change_ids = (*current.change_ids, change_id)[-MAX_CHANGE_IDS:]
+    return Catalogue(revision, entries, change_ids, floor)
+
+
+def _trim_tombstones(entries: dict[str, Entry], floor: int) -> int:
+    """Drop the oldest tombstones beyond the bound; return the new floor."""
+    dead = [entry for entry in entries.values() if entry.body is None]
+    dead.sort(key=lambda entry: entry.revision)
+    while len(dead) > MAX_TOMBSTONES:
+        oldest = dead.pop(0)
+        floor = max(floor, oldest.revision)
+        del entries[oldest.path]
+    return floor
+
+
+def find_conflicts(
+    current: Catalogue, changes: list[Change], base_revision: int
+) -> list[str]:
+    """Return the paths that someone else changed after the editor read them."""
+    conflicts: list[str] = []
+    for change in changes:
+        entry = current.entries.get(change.path)
+        if entry is None or entry.revision <= base_revision:
+            continue
+        conflicts.append(change.path)
+    return conflicts
+
+
+def check_catalogue(catalogue: Catalogue) -> list[Problem]:
+    """Return every reason for which the whole catalogue must be refused."""
+    problems: list[Problem] = []
+    problems.extend(_check_classes(catalogue))
+    problems.extend(_check_customers(catalogue))
+    problems.extend(_check_upstreams(catalogue))
+    for name, key in catalogue.keys.items():
+        if key.customer not in catalogue.customers:
+            reason = f"unknown customer {key.customer!r}; withdraw the key first"
+            if not key.withdrawn:
+                problems.append(Problem(f"keys/{name}", reason))
+    return problems
+
+
+def _check_classes(catalogue: Catalogue) -> Iterator[Problem]:
+    shares: dict[int, float] = {}
+    for name, item in catalogue.classes.items():
+        path = f"classes/{name}"
+        if not 0 <= item.tier <= 9:
+            yield Problem(f"{path}/tier", f"{item.tier} is not within 0 to 9")
+        if not 0 < item.min_share <= 0.25:
+            yield Problem(f"{path}/min_share", "must be above 0 and at most 0.25")
+        if item.queue_timeout_ms <= 0 or item.starvation_ms <= 0:
+            yield Problem(path, "queue_timeout_ms and starvation_ms must be above 0")
+        shares[item.tier] = max(shares.get(item.tier, 0.0), item.min_share)
+    if sum(shares.values()) > 0.9:
+        yield Problem("classes", "min_share over all tiers must stay within 0.9")
+
+
+def _check_customers(catalogue: Catalogue) -> Iterator[Problem]:
+    for name, item in catalogue.customers.items():
+        path = f"customers/{name}"
+        if item.weight <= 0:
+            yield Problem(f"{path}/weight", f"{item.weight} must be above 0")
+        if item.requests_per_s <= 0 or item.tokens_per_s <= 0 or item.concurrent <= 0:
+            yield Problem(path, "limits must be above 0")
+        if not item.classes:
+            yield Problem(f"{path}/classes", "must name at least one class")
+        for wanted in item.classes:
+            if wanted not in catalogue.classes:
+                yield Problem(f"{path}/classes", f"unknown class {wanted!r}")
+
+
+def _check_upstreams(catalogue: Catalogue) -> Iterator[Problem]:
+    for name, item in catalogue.upstreams.items():
+        path = f"upstreams/{name}"
+        if not item.address.startswith(("http://", "https://")):
+            yield Problem(f"{path}/address", f"{item.address!r} is not an http(s) URL")
+        if item.slots <= 0:
+            yield Problem(f"{path}/slots", f"{item.slots} must be above 0")
+        if item.kind is UpstreamKind.PLAIN and item.service not in catalogue.services:
+            yield Problem(f"{path}/service", f"unknown service {item.service!r}")
+        for model in item.models:
+            if model not in catalogue.models:
+                yield Problem(f"{path}/models", f"unknown model {model!r}")
--- /dev/null
+++ b/plantainwood/core/digests.py
@@ -0,0 +1,82 @@
+"""Digests: soft state that spreads by rumour; the newest version wins."""
+
+from plantainwood.core.messages import AnyDigest
+
+MAX_DIGESTS = 40_000
+
+
+class DigestTable:
+    """Hold the newest digest of each key and what each partner still lacks.
+
+    Merging is idempotent and commutative, so loss, repetition, reordering and
+    two paths at once do no harm.
+    """
+
+    __slots__ = ("_digests", "_missing")
+
+    def __init__(self) -> None:
+        self._digests: dict[tuple[str, ...], AnyDigest] = {}
+        self._missing: dict[str, dict[tuple[str, ...], None]] = {}
+
+    def set_partners(self, partners: list[str]) -> None:
+        """Use these partners; a new one lacks everything."""
+        for partner in list(self._missing):
+            if partner not in partners:
+                del self._missing[partner]
+        for partner in partners:
+            if partner not in self._missing:
+                self.resend(partner)
+
+    def resend(self, partner: str) -> None:
+        """Treat a partner as knowing nothing."""
+        self._missing[partner] = dict.fromkeys(self._digests)
+
+    def merge(self, digest: AnyDigest, source: str) -> bool:
+        """Take a digest in; return whether it is news."""
+        current = self._digests.get(digest.key)
+        missing = self._missing.get(source)
+        if current is not None and current.version >= digest.version:
+            if missing is not None and current.version == digest.version:
+                missing.pop(digest.key, None)
+            return False
+        if current is None and len(self._digests) >= MAX_DIGESTS:
+            return False
+        self._digests[digest.key] = digest
+        for partner, keys in self._missing.items():
+            if partner != source:
+                keys[digest.key] = None
+        if missing is not None:
+            missing.pop(digest.key, None)
+        return True
+
+    def take_missing(self, partner: str) -> list[AnyDigest]:
+        """Return what a partner lacks and regard it as sent."""
+        keys = self._missing.get(partner)
+        if not keys:
+            return []
+        digests: list[AnyDigest] = []
+        for key in keys:
+            digest = self._digests.get(key)
+            if digest is not None:
+                digests.append(digest)
+        keys.clear()
+        return digests
+
+    def drop_origin(self, origin: str) -> None:
+        """Forget what a node that is long gone said about itself and its polls."""
+        for key in list(self._digests):
+            if key[0] in ("beat", "profile", "waiting") and key[1] == origin:
+                del self._digests[key]
+            elif key[0] == "load" and key[2] == origin:
+                del self._digests[key]
+
+    def find(self, *key: str) -> AnyDigest | None:
+        """Return the digest of a key."""
+        return self._digests.get(key)
+
+    def all(self) -> list[AnyDigest]:
+        """Return the newest digest of every key."""
+        return list(self._digests.values())
+
+    def __len__(self) -> int:
+        return len(self._digests)
--- /dev/null
+++ b/plantainwood/core/editing.py
@@ -0,0 +1,124 @@
+"""Editing of the catalogue: accepted whole by compare-and-swap, or not at all."""
+
+from typing import Callable
+
+import msgspec
+
+from plantainwood.core.catalogue import (
+    MAX_DOCUMENT_BYTES,
+    Catalogue,
+    Change,
+    Problem,
+    apply_changes,
+    check_catalogue,
+    decode_document,
+    encode_catalogue,
+    find_conflicts,
+    merge_document,
+)
+from plantainwood.core.errors import ErrorCode, Outcome, RequestError, StoreError
+from plantainwood.core.steps import Read, Steps, Stored, Swap
+
+CATALOGUE_KEY = "catalogue/current"
+HISTORY_PREFIX = "catalogue/history/"
+MAX_EDIT_TRIES = 6
+
+
+class HistoryItem(msgspec.Struct, frozen=True):
+    """What one accepted edit changed."""
+
+    revision: int
+    author: str
+    wall_ms: int
+    changes: list[str]
+
+
+class Edit(msgspec.Struct, frozen=True):
+    """A wanted edit, based on the revision that its author had read.
+
+    `plan` computes the changes from the current catalogue at each try.
+    """
+
+    change_id: str
+    author: str
+    wall_ms: int
+    base_revision: int
+    plan: Callable[[Catalogue], list[Change]]
+
+
+class InvalidEdit(RequestError):
+    """Refuse an edit with every problem found in the whole catalogue."""
+
+    def __init__(self, problems: list[Problem]) -> None:
+        text = "; ".join(f"{item.path}: {item.reason}" for item in problems)
+        super().__init__(ErrorCode.INVALID_CATALOGUE, text)
+        self.problems = problems
+
+
+def load_catalogue(stored: Stored | None) -> Catalogue:
+    """Return the stored catalogue, empty where there is none yet."""
+    empty = Catalogue()
+    if stored is None:
+        return empty
+    return merge_document(empty, decode_document(stored.value)) or empty
+
+
+def apply_edit(edit: Edit) -> Steps:
+    """Apply an edit; return the revision that holds it, or the current one if empty.
+
+    An edit whose reply was lost is looked for by its change id, so it is never
+    applied twice and never reported as refused once it has taken effect.
+    """
+    for _ in range(MAX_EDIT_TRIES):
+        try:
+            stored = yield Read(CATALOGUE_KEY)
+        except StoreError:
+            continue
+        current = load_catalogue(stored if isinstance(stored, Stored) else None)
+        if edit.change_id in current.change_ids:
+            return current.revision
+        changes = edit.plan(current)
+        if not changes:
+            return current.revision
+        wanted = _build(edit, current, changes)
+        expected = stored.revision if isinstance(stored, Stored) else 0
+        try:
+            if not (yield Swap(CATALOGUE_KEY, encode_catalogue(wanted), expected)):
+                continue
+        except StoreError:
+            continue
+        yield from _note_history(edit, wanted.revision, changes)
+        return wanted.revision
+    message = "the edit could not be confirmed; it may have been accepted"
+    raise RequestError(ErrorCode.STORE_UNAVAILABLE, message, Outcome.UNKNOWN, 2_000)
+
+
+def _build(edit: Edit, current: Catalogue, changes: list[Change]) -> Catalogue:
+    """Return the next catalogue, or refuse the edit."""
+    conflicts = find_conflicts(current, changes, edit.base_revision)
+    if conflicts:
+        message = f"changed since revision {edit.base_revision}: {', '.join(conflicts)}"
+        raise RequestError(ErrorCode.CONFLICT, message)
+    try:
+        wanted = apply_changes(current, changes, edit.change_id)
+    except msgspec.ValidationError as error:
+        raise InvalidEdit([Problem("catalogue", str(error))]) from error
+    problems = check_catalogue(wanted)
+    if problems:
+        raise InvalidEdit(problems)
+    if len(encode_catalogue(wanted)) > MAX_DOCUMENT_BYTES:
+        reason = f"the catalogue would exceed {MAX_DOCUMENT_BYTES} bytes"
+        raise InvalidEdit([Problem("catalogue", reason)])
+    return wanted
+
+
+def _note_history(edit: Edit, revision: int, changes: list[Change]) -> Steps:
+    """Keep what the edit changed; the edit stands even where this fails."""
+    item = HistoryItem(
+        revision, edit.author, edit.wall_ms, [change.path for change in changes]
+    )
+    try:
+        yield Swap(f"{HISTORY_PREFIX}{revision:012d}", msgspec.json.encode(item), 0)
+    except StoreError:
+        pass
+    return None
--- /dev/null
+++ b/plantainwood/core/events.py
@@ -0,0 +1,140 @@
+"""Events that the request core decides on, and the decisions it returns."""
+
+import msgspec
+
+from plantainwood.core.errors import ErrorCode, RequestError
+
+
+class Arrival(msgspec.Struct, frozen=True):
+    """A request passed authentication, classification and its claim."""
+
+    request_id: str
+    customer: str
+    class_name: str
+    pool: str
+    """'model/<name>' for engines, 'service/<name>' for plain services."""
+    fingerprint: str = ""
+    prefix: str = ""
+    repeatable: bool = True
+
+
+class AttemptStarted(msgspec.Struct, frozen=True):
+    """An upstream sent the first token or byte of an attempt."""
+
+    request_id: str
+    attempt: int
+
+
+class TokensRelayed(msgspec.Struct, frozen=True):
+    """Tokens of the current attempt went to the caller."""
+
+    request_id: str
+    attempt: int
+    count: int
+
+
+class AttemptDone(msgspec.Struct, frozen=True):
+    """An attempt gave the whole answer."""
+
+    request_id: str
+    attempt: int
+
+
+class AttemptFailed(msgspec.Struct, frozen=True):
+    """An attempt ended without the whole answer."""
+
+    request_id: str
+    attempt: int
+    crashed: bool
+    """The connection broke, as it does when the upstream process dies."""
+    proved_not_run: bool
+    """No byte was written, or the upstream proved that it did not run it."""
+
+
+class CallerLeft(msgspec.Struct, frozen=True):
+    """The caller closed its connection."""
+
+    request_id: str
+
+
+class AuthorityLost(msgspec.Struct, frozen=True):
+    """The right to run a request ended: its key is withdrawn, or may well be."""
+
+    request_id: str
+    code: ErrorCode = ErrorCode.KEY_WITHDRAWN
+
+
+class LoadReported(msgspec.Struct, frozen=True):
+    """An upstream's own, late, count of running and queued work by tier."""
+
+    upstream: str
+    by_tier: tuple[int, ...]
+    lag_ms: int
+
+
+class UpstreamLeaving(msgspec.Struct, frozen=True):
+    """An upstream is leaving; the fact never reverts for its address."""
+
+    upstream: str
+
+
+class CrashHeard(msgspec.Struct, frozen=True):
+    """Another node tells of a fingerprint's crash marks."""
+
+    fingerprint: str
+    upstream: str
+
+
+class Tick(msgspec.Struct, frozen=True):
+    """Time passed; waiting requests may have run out of time."""
+
+
+Event = (
+    Arrival
+    | AttemptStarted
+    | TokensRelayed
+    | AttemptDone
+    | AttemptFailed
+    | CallerLeft
+    | AuthorityLost
+    | LoadReported
+    | UpstreamLeaving
+    | CrashHeard
+    | Tick
+)
+
+
+class Dispatch(msgspec.Struct, frozen=True):
+    """Start an attempt on an upstream, resuming after the tokens so far."""
+
+    request_id: str
+    attempt: int
+    upstream: str
+    priority: int
+
+
+class Cancel(msgspec.Struct, frozen=True):
+    """Stop an attempt; the request itself goes on waiting or has ended."""
+
+    request_id: str
+    attempt: int
+    upstream: str
+    beneficiary: str = ""
+    """The more urgent request that it makes room for, if any."""
+
+
+class Refuse(msgspec.Struct, frozen=True):
+    """End a request with an error."""
+
+    request_id: str
+    error: RequestError
+
+
+class MarkCrash(msgspec.Struct, frozen=True):
+    """Tell every node that a fingerprint was running when an upstream crashed."""
+
+    fingerprint: str
+    upstream: str
+
+
+Decision = Dispatch | Cancel | Refuse | MarkCrash
--- /dev/null
+++ b/plantainwood/core/fairness.py
@@ -0,0 +1,190 @@
+"""Fair queueing among customers by tokens served.
+
+After "Fairness in Serving Large Language Models" (Sheng et al., OSDI 2024):
+answer lengths are unknown, so a customer is charged as its tokens are made.
+"""
+
+import heapq
+from abc import ABC, abstractmethod
+from collections import OrderedDict, deque
+from typing import Iterator
+
+from plantainwood.core.requests import Request
+
+REQUEST_CHARGE_TOKENS = 16
+
+
+class WaitingQueue(ABC):
+    """Hold the waiting requests of one tier in one pool."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def push(self, request: Request, front: bool = False) -> None:
+        """Add a request; front puts it before its customer's others."""
+
+    @abstractmethod
+    def pop(self) -> Request | None:
+        """Remove and return the request to serve next."""
+
+    @abstractmethod
+    def remove(self, request_id: str) -> bool:
+        """Remove a request that no longer waits; return whether it was here."""
+
+    @abstractmethod
+    def requests(self) -> Iterator[Request]:
+        """Yield the waiting requests, oldest in the queue first."""
+
+    @abstractmethod
+    def __len__(self) -> int: ...
+
+    def newest_unstarted(self) -> Request | None:
+        """Return the newest request that has had no attempt."""
+        newest = None
+        for request in self.requests():
+            if request.attempts_made == 0:
+                newest = request
+        return newest
+
+    def oldest(self) -> Request | None:
+        """Return the request that has waited longest."""
+        return next(self.requests(), None)
+
+
+class TokenCounters:
+    """Tokens served to each customer of a tier, divided by its weight."""
+
+    __slots__ = ("_counters", "_weights", "_floor")
+
+    def __init__(self) -> None:
+        self._counters: dict[str, float] = {}
+        self._weights: dict[str, float] = {}
+        self._floor = 0.0
+
+    def value(self, customer: str) -> float:
+        """Return a customer's counter."""
+        return self._counters.get(customer, self._floor)
+
+    def set_weight(self, customer: str, weight: float) -> None:
+        """Set the share that a customer is due relative to others."""
+        self._weights[customer] = weight
+
+    def charge(self, customer: str, tokens: float) -> None:
+        """Add service that a customer received, here or on another node."""
+        weight = self._weights.get(customer, 1.0)
+        self._counters[customer] = self.value(customer) + tokens / weight
+
+    def lift(self, customer: str, minimum: float) -> None:
+        """Raise a customer that returns from idle, so that it can't bank credit."""
+        self._floor = max(self._floor, minimum)
+        self._counters[customer] = max(self.value(customer), minimum)
+
+
+class FairQueue(WaitingQueue):
+    """Serve the customer with the least service first; in order within each."""
+
+    __slots__ = ("_counters", "_queues", "_heap", "_order", "_last")
+
+    def __init__(self, counters: TokenCounters) -> None:
+        self._counters = counters
+        self._queues: dict[str, deque[Request]] = {}
+        self._heap: list[tuple[float, str]] = []
+        self._order: OrderedDict[str, Request] = OrderedDict()
+        self._last = 0.0
+
+    def push(self, request: Request, front: bool = False) -> None:
+        """Add a request, lifting its customer if it had none waiting."""
+        queue = self._queues.get(request.customer)
+        if queue is None:
+            queue = self._queues[request.customer] = deque()
+            self._counters.lift(request.customer, self._minimum())
+            value = self._counters.value(request.customer)
+            heapq.heappush(self._heap, (value, request.customer))
+        if front:
+            queue.appendleft(request)
+        else:
+            queue.append(request)
+        self._order[request.id] = request
+
+    def _minimum(self) -> float:
+        self._settle()
+        return self._heap[0][0] if self._heap else self._last
+
+    def _settle(self) -> None:
+        """Bring the heap's first item up to date; counters only ever grow."""
+        while self._heap:
+            value, customer = self._heap[0]
+            self._skip_removed(customer)
+            if customer not in self._queues:
+                heapq.heappop(self._heap)
+                continue
+            current = self._counters.value(customer)
+            if current == value:
+                return
+            heapq.heapreplace(self._heap, (current, customer))
+
+    def _skip_removed(self, customer: str) -> None:
+        queue = self._queues.get(customer)
+        if queue is None:
+            return
+        while queue and queue[0].id not in self._order:
+            queue.popleft()
+        if not queue:
+            del self._queues[customer]
+
+    def pop(self) -> Request | None:
+        """Remove and return the first request of the least served customer."""
+        self._settle()
+        if not self._heap:
+            return None
+        value, customer = self._heap[0]
+        self._last = value
+        request = self._queues[customer].popleft()
+        del self._order[request.id]
+        self._skip_removed(customer)
+        if customer not in self._queues:
+            heapq.heappop(self._heap)
+        return request
+
+    def remove(self, request_id: str) -> bool:
+        """Forget a request; its place in its customer's queue is skipped later."""
+        return self._order.pop(request_id, None) is not None
+
+    def requests(self) -> Iterator[Request]:
+        """Yield the waiting requests in the order in which they were queued."""
+        return iter(self._order.values())
+
+    def __len__(self) -> int:
+        return len(self._order)
+
+
+class FirstComeQueue(WaitingQueue):
+    """Serve in order of arrival; the baseline without fairness."""
+
+    __slots__ = ("_order",)
+
+    def __init__(self) -> None:
+        self._order: OrderedDict[str, Request] = OrderedDict()
+
+    def push(self, request: Request, front: bool = False) -> None:
+        """Add a request at the end, or at the front."""
+        self._order[request.id] = request
+        if front:
+            self._order.move_to_end(request.id, last=False)
+
+    def pop(self) -> Request | None:
+        """Remove and return the oldest request."""
+        if not self._order:
+            return None
+        return self._order.popitem(last=False)[1]
+
+    def remove(self, request_id: str) -> bool:
+        """Remove a request."""
+        return self._order.pop(request_id, None) is not None
+
+    def requests(self) -> Iterator[Request]:
+        """Yield the waiting requests in order."""
+        return iter(self._order.values())
+
+    def __len__(self) -> int:
+        return len(self._order)
--- /dev/null
+++ b/plantainwood/core/frames.py
@@ -0,0 +1,41 @@
+"""Frames between daemons: a version, an authentication code, a message."""
+
+import hashlib
+import hmac
+
+import msgspec
+
+from plantainwood.core.messages import WIRE_VERSION, Message
+
+MAC_BYTES = 16
+HEADER_BYTES = 1 + MAC_BYTES
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Message)
+
+
+class FrameError(Exception):
+    """Report a frame that must be dropped."""
+
+
+def _sign(secret: bytes, payload: bytes) -> bytes:
+    return hmac.digest(secret, payload, hashlib.sha256)[:MAC_BYTES]
+
+
+def encode_frame(message: Message, secret: bytes) -> bytes:
+    """Return the bytes of a message, signed with the fleet's key."""
+    payload = _encoder.encode(message)
+    return bytes([WIRE_VERSION]) + _sign(secret, payload) + payload
+
+
+def decode_frame(frame: bytes, secret: bytes) -> Message:
+    """Return the message in a frame; refuse one that is not from the fleet."""
+    if len(frame) <= HEADER_BYTES or frame[0] != WIRE_VERSION:
+        raise FrameError("short frame or unknown version")
+    payload = frame[HEADER_BYTES:]
+    if not hmac.compare_digest(frame[1:HEADER_BYTES], _sign(secret, payload)):
+        raise FrameError("wrong authentication code")
+    try:
+        return _decoder.decode(payload)
+    except msgspec.DecodeError as error:
+        raise FrameError(str(error)) from error
--- /dev/null
+++ b/plantainwood/core/hashing.py
@@ -0,0 +1,34 @@
+"""Rendezvous hashing: the same ranking on every node without agreement."""
+
+import xxhash
+
+
+def rank_hash(key: str, member: str) -> int:
+    """Return a 64-bit rank of a member for a key."""
+    return xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode())
+
+
+def rank_members(key: str, members: list[str]) -> list[str]:
+    """Return the members, highest rank first."""
+    return sorted(members, key=lambda member: (rank_hash(key, member), member))[::-1]
+
+
+def pick_subset(node: str, domains: dict[str, str], size: int) -> list[str]:
+    """Return a node's bounded subset of members, spread evenly over domains.
+
+    `domains` maps each member to its failure domain.
+    """
+    by_domain: dict[str, list[str]] = {}
+    for member, domain in domains.items():
+        by_domain.setdefault(domain, []).append(member)
+    ranked: list[list[str]] = []
+    for domain in sorted(by_domain):
+        ranked.append(rank_members(node, by_domain[domain]))
+    subset: list[str] = []
+    depth = 0
+    while len(subset) < min(size, len(domains)):
+        for members in ranked:
+            if depth < len(members) and len(subset) < size:
+                subset.append(members[depth])
+        depth += 1
+    return subset
--- /dev/null
+++ b/plantainwood/core/leases.py
@@ -0,0 +1,183 @@
+"""Leases: at most one process at a time believes that it holds a duty."""
+
+import msgspec
+
+from plantainwood.core.clock import Clock
+from plantainwood.core.errors import StoreError
+from plantainwood.core.steps import Read, Steps, Stored, Swap
+
+LEASE_PREFIX = "leases/"
+DRIFT_PERCENT = 10
+
+
+class LeaseRecord(msgspec.Struct, frozen=True):
+    """The stored record of a lease; every write carries a fresh nonce."""
+
+    holder: str
+    incarnation: int
+    fence: int
+    nonce: int
+    released: bool = False
+
+
+class LeaseTimes(msgspec.Struct, frozen=True):
+    """The durations of a lease in milliseconds."""
+
+    term_ms: int = 9_000
+    margin_ms: int = 1_000
+    flight_ms: int = 2_000
+
+    @property
+    def takeover_ms(self) -> int:
+        """Return how long an unchanged record must be seen before it is taken.
+
+        It covers the holder's term on a clock that runs slow, the margin, and an
+        order sent at the last allowed moment.
+        """
+        covered = self.term_ms + self.margin_ms + self.flight_ms
+        return covered * (100 + DRIFT_PERCENT) // 100
+
+
+class Lease:
+    """Take part in holding one duty, as holder or as candidate.
+
+    The holder counts its term from before it asked. A candidate counts, on its
+    own clock, how long the record stayed unchanged: no clock is ever compared
+    with another, and the key-value service's clock plays no part.
+    """
+
+    __slots__ = (
+        "duty",
+        "node",
+        "incarnation",
+        "fence",
+        "previous_holder",
+        "taken_at_ms",
+        "_times",
+        "_clock",
+        "_revision",
+        "_held_until_ms",
+        "_seen_revision",
+        "_seen_at_ms",
+        "_nonce",
+    )
+
+    def __init__(
+        self, duty: str, node: str, incarnation: int, clock: Clock, times: LeaseTimes
+    ) -> None:
+        self.duty = duty
+        self.node = node
+        self.incarnation = incarnation
+        self.fence = 0
+        self.previous_holder: str | None = None
+        """Whom the duty was taken from without a release, if anyone."""
+        self.taken_at_ms = 0
+        self._times = times
+        self._clock = clock
+        self._revision = 0
+        self._held_until_ms = 0
+        self._seen_revision = -1
+        self._seen_at_ms = 0
+        self._nonce = 0
+
+    @property
+    def key(self) -> str:
+        """Return the key of the record."""
+        return LEASE_PREFIX + self.duty
+
+    def holds(self) -> bool:
+        """Tell whether this process may act for the duty at this moment."""
+        return self._clock.now_ms() < self.deadline_ms()
+
+    def deadline_ms(self) -> int:
+        """Return the time from which on nothing may be sent for the duty."""
+        return self._held_until_ms - self._times.margin_ms
+
+    def step(self) -> Steps:
+        """Renew the lease if held, else try to take it; return whether it is held."""
+        try:
+            if self._revision:
+                yield from self._renew()
+            else:
+                yield from self._contend()
+        except StoreError:
+            pass
+        return self.holds()
+
+    def _make_record(self, fence: int, released: bool = False) -> LeaseRecord:
+        self._nonce += 1
+        return LeaseRecord(self.node, self.incarnation, fence, self._nonce, released)
+
+    def _renew(self) -> Steps:
+        asked_ms = self._clock.now_ms()
+        record = self._make_record(self.fence)
+        revision = yield from self._write(record, self._revision)
+        if revision:
+            self._revision = revision
+            self._held_until_ms = asked_ms + self._times.term_ms
+        else:
+            self._lose()
+
+    def _write(self, record: LeaseRecord, expected: int) -> Steps:
+        """Write the record; after a lost reply, read back and compare the nonce."""
+        try:
+            return (yield Swap(self.key, msgspec.json.encode(record), expected))
+        except StoreError:
+            pass
+        found = yield Read(self.key)
+        if not isinstance(found, Stored):
+            return 0
+        if msgspec.json.decode(found.value, type=LeaseRecord) == record:
+            return found.revision
+        if found.revision == expected:
+            raise StoreError("the write was lost, or is still on its way")
+        return 0
+
+    def _lose(self) -> None:
+        self._revision = 0
+        self._held_until_ms = 0
+        self._seen_revision = -1
+
+    def _contend(self) -> Steps:
+        found = yield Read(self.key)
+        if not isinstance(found, Stored):
+            yield from self._take(0, 1, None)
+            return
+        record = msgspec.json.decode(found.value, type=LeaseRecord)
+        now_ms = self._clock.now_ms()
+        if found.revision != self._seen_revision:
+            self._seen_revision = found.revision
+            self._seen_at_ms = now_ms
+        if record.released:
+            yield from self._take(found.revision, record.fence + 1, None)
+            return
+        if record.holder == self.node and record.incarnation == self.incarnation:
+            # A delayed write of this very process landed; nobody else can act on it.
+            yield from self._take(found.revision, record.fence, self.previous_holder)
+            return
+        if now_ms - self._seen_at_ms < self._times.takeover_ms:
+            return
+        yield from self._take(found.revision, record.fence + 1, record.holder)
+
+    def _take(self, expected: int, fence: int, previous: str | None) -> Steps:
+        asked_ms = self._clock.now_ms()
+        revision = yield from self._write(self._make_record(fence), expected)
+        if not revision:
+            return
+        self.fence = fence
+        self.previous_holder = previous
+        self.taken_at_ms = self._clock.now_ms()
+        self._revision = revision
+        self._held_until_ms = asked_ms + self._times.term_ms
+
+    def release(self) -> Steps:
+        """Give the duty up; call it only when no order or report is in flight."""
+        if not self._revision:
+            return True
+        record = self._make_record(self.fence, released=True)
+        expected = self._revision
+        self._lose()
+        try:
+            return bool((yield from self._write(record, expected)))
+        except StoreError:
+            return False
--- /dev/null
+++ b/plantainwood/core/limits.py
@@ -0,0 +1,161 @@
+"""Limits over the fleet: each node holds a leased share of each customer's limits."""
+
+import msgspec
+
+from plantainwood.core.catalogue import Customer
+
+BURST_S = 2.0
+SHARE_LIFETIME_MS = 5_000
+MIN_RETRY_MS = 200
+
+
+class Bucket:
+    """A token bucket whose level may go below zero when charged afterwards."""
+
+    __slots__ = ("level", "_at_ms")
+
+    def __init__(self, level: float, now_ms: int) -> None:
+        self.level = level
+        self._at_ms = now_ms
+
+    def refill(self, rate_per_s: float, now_ms: int) -> None:
+        """Add what the rate gave since the last call, up to the burst."""
+        gained = rate_per_s * (now_ms - self._at_ms) / 1_000
+        self.level = min(max(1.0, rate_per_s * BURST_S), self.level + gained)
+        self._at_ms = now_ms
+
+
+class CustomerLimit:
+    """One customer's limits on one node.
+
+    The node admits at most share * limit, where share is leased from the
+    customer's home node; without a valid lease the floor applies.
+    """
+
+    __slots__ = (
+        "running",
+        "demand",
+        "_customer",
+        "_share",
+        "_until_ms",
+        "_req",
+        "_tok",
+    )
+
+    def __init__(self, customer: Customer, now_ms: int) -> None:
+        self.running = 0
+        self.demand = 0.0
+        self._customer = customer
+        self._share = 0.0
+        self._until_ms = 0
+        self._req = Bucket(customer.requests_per_s * BURST_S, now_ms)
+        self._tok = Bucket(customer.tokens_per_s * BURST_S, now_ms)
+
+    def set_customer(self, customer: Customer) -> None:
+        """Use the limits of a newer catalogue."""
+        self._customer = customer
+
+    def set_share(self, share: float, now_ms: int) -> None:
+        """Take a leased share, between 0 and 1."""
+        self._share = share
+        self._until_ms = now_ms + SHARE_LIFETIME_MS
+
+    def share(self, floor: float, now_ms: int) -> float:
+        """Return the share in force."""
+        if now_ms < self._until_ms:
+            return max(self._share, floor)
+        return floor
+
+    def admit(self, floor: float, now_ms: int) -> int | None:
+        """Take one request; return None, or the time in ms after which to come back."""
+        share = self.share(floor, now_ms)
+        self.demand += 1.0
+        request_rate = self._customer.requests_per_s * share
+        token_rate = self._customer.tokens_per_s * share
+        self._req.refill(request_rate, now_ms)
+        self._tok.refill(token_rate, now_ms)
+        if self.running >= max(1, round(self._customer.concurrent * share)):
+            return MIN_RETRY_MS
+        if self._req.level < 1.0:
+            wait_s = (1.0 - self._req.level) / request_rate
+            return max(MIN_RETRY_MS, round(wait_s * 1_000))
+        if self._tok.level < 0.0:
+            wait_s = -self._tok.level / token_rate
+            return max(MIN_RETRY_MS, round(wait_s * 1_000))
+        self._req.level -= 1.0
+        self.running += 1
+        return None
+
+    def charge_tokens(self, count: int) -> None:
+        """Charge tokens as they are made."""
+        self._tok.level -= count
+
+    def end(self) -> None:
+        """Count a request as ended."""
+        self.running -= 1
+
+
+class Grant(msgspec.Struct, frozen=True):
+    """A share leased to a node until a time on the home's clock."""
+
+    share: float
+    until_ms: int
+
+
+class ShareHome:
+    """Lease shares of one customer's limits to the nodes that serve it.
+
+    The shares granted and not yet expired never sum to more than 1, also where
+    the reply that lowered one is lost. With H nodes that each believe to be home
+    and N nodes at the floor, a customer gets at most H + N * floor times its limit.
+    """
+
+    __slots__ = ("_demand", "_grants", "_owed")
+
+    def __init__(self) -> None:
+        self._demand: dict[str, tuple[float, int]] = {}
+        self._grants: dict[str, list[Grant]] = {}
+        self._owed: dict[str, dict[int, int]] = {}
+
+    def grant(self, node: str, demand: float, now_ms: int) -> float:
+        """Note a node's demand (requests since its last call); return its share."""
+        self._demand[node] = (demand + 1.0, now_ms)
+        wanted = (demand + 1.0) / self._total_demand(now_ms)
+        taken = 0.0
+        for name in list(self._grants):
+            if name != node:
+                taken += self._held(name, now_ms)
+        share = max(0.0, min(wanted, 1.0 - taken))
+        # The node's own use of it starts on arrival, so the home counts it longer.
+        grant = Grant(share, now_ms + 2 * SHARE_LIFETIME_MS)
+        self._grants.setdefault(node, []).append(grant)
+        return share
+
+    def _total_demand(self, now_ms: int) -> float:
+        total = 0.0
+        for name, (wanted, at_ms) in list(self._demand.items()):
+            if now_ms - at_ms > SHARE_LIFETIME_MS:
+                del self._demand[name]
+                continue
+            total += wanted
+        return total
+
+    def _held(self, node: str, now_ms: int) -> float:
+        """Return the largest unexpired share of a node."""
+        alive = [grant for grant in self._grants[node] if grant.until_ms > now_ms]
+        if not alive:
+            del self._grants[node]
+            return 0.0
+        self._grants[node] = alive
+        return max(grant.share for grant in alive)
+
+    def exchange_service(self, node: str, by_tier: dict[int, int]) -> dict[int, int]:
+        """Take tokens that a node served; return those of others it was not told."""
+        owed = self._owed.setdefault(node, {})
+        for name, pending in self._owed.items():
+            if name == node:
+                continue
+            for tier, tokens in by_tier.items():
+                pending[tier] = pending.get(tier, 0) + tokens
+        self._owed[node] = {}
+        return owed
--- /dev/null
+++ b/plantainwood/core/membership.py
@@ -0,0 +1,114 @@
+"""Membership: who is alive, and which few partners a node talks to."""
+
+from plantainwood.core.hashing import rank_hash
+from plantainwood.core.messages import Beat, NodeState, Profile
+
+DEAD_MS = 10_000
+FORGET_MS = 120_000
+
+
+class Member:
+    """What a node knows of another."""
+
+    __slots__ = ("profile", "beat", "heard_ms")
+
+    def __init__(self, profile: Profile) -> None:
+        self.profile = profile
+        self.beat: Beat | None = None
+        self.heard_ms = 0
+
+
+class Members:
+    """The nodes heard of, by name; the time is when news of them arrived."""
+
+    __slots__ = ("node", "_members", "_early")
+
+    def __init__(self, node: str) -> None:
+        self.node = node
+        self._members: dict[str, Member] = {}
+        self._early: dict[str, Beat] = {}
+
+    def note_profile(self, profile: Profile, now_ms: int) -> None:
+        """Take a profile in; a newer incarnation replaces an older one."""
+        if profile.origin == self.node:
+            return
+        member = self._members.get(profile.origin)
+        if member is None or member.profile.incarnation < profile.incarnation:
+            self._members[profile.origin] = Member(profile)
+            early = self._early.pop(profile.origin, None)
+            if early is not None:
+                self.note_beat(early, now_ms)
+
+    def note_beat(self, beat: Beat, now_ms: int) -> None:
+        """Take a new beat in."""
+        if beat.origin == self.node:
+            return
+        member = self._members.get(beat.origin)
+        if member is None or beat.incarnation > member.profile.incarnation:
+            self._early[beat.origin] = beat
+            return
+        member.beat = beat
+        member.heard_ms = now_ms
+
+    def is_alive(self, name: str, now_ms: int, within_ms: int = DEAD_MS) -> bool:
+        """Tell whether a node was heard of within a time."""
+        if name == self.node:
+            return True
+        member = self._members.get(name)
+        if member is None or member.beat is None:
+            return False
+        return now_ms - member.heard_ms <= within_ms
+
+    def alive(self, now_ms: int, within_ms: int = DEAD_MS) -> list[Member]:
+        """Return the other nodes that were heard of within a time."""
+        found: list[Member] = []
+        for name, member in self._members.items():
+            if self.is_alive(name, now_ms, within_ms):
+                found.append(member)
+        return found
+
+    def find(self, name: str) -> Member | None:
+        """Return a member by name."""
+        return self._members.get(name)
+
+    def known(self) -> list[Member]:
+        """Return all other nodes that were heard of and not yet forgotten."""
+        return list(self._members.values())
+
+    def forget_gone(self, now_ms: int) -> list[str]:
+        """Forget the nodes that left, or were silent for long; return their names."""
+        gone: list[str] = []
+        for name, member in list(self._members.items()):
+            silent_ms = now_ms - member.heard_ms
+            leaving = member.beat is not None and member.beat.state is NodeState.LEAVING
+            if silent_ms > FORGET_MS or (leaving and silent_ms > DEAD_MS):
+                del self._members[name]
+                gone.append(name)
+        return gone
+
+    def live_ids(self, now_ms: int) -> set[tuple[str, int]]:
+        """Return (node, incarnation) of the other nodes that are alive."""
+        found: set[tuple[str, int]] = set()
+        for member in self.alive(now_ms):
+            found.add((member.profile.origin, member.profile.incarnation))
+        return found
+
+
+def pick_partners(node: str, domains: dict[str, str]) -> list[str]:
+    """Return a node's partners: its neighbours on two rings, at most four.
+
+    Every node computes the same rings from the same members, and a link is chosen
+    from both ends, so the degree is bounded. One ring is ordered by failure
+    domain, so that most links stay inside one; the other is random, so that the
+    graph has a small diameter. `domains` maps each node to its failure domain.
+    """
+    partners: list[str] = []
+    by_domain = sorted(domains, key=lambda name: (domains[name], rank_hash("a", name)))
+    by_chance = sorted(domains, key=lambda name: (rank_hash("b", name), name))
+    for ring in (by_domain, by_chance):
+        position = ring.index(node)
+        for offset in (-1, 1):
+            partner = ring[(position + offset) % len(ring)]
+            if partner != node and partner not in partners:
+                partners.append(partner)
+    return partners
--- /dev/null
+++ b/plantainwood/core/messages.py
@@ -0,0 +1,214 @@
+"""Messages between daemons; arrays on the wire, unknown trailing fields ignored."""
+
+from enum import IntEnum
+
+import msgspec
+
+from plantainwood.core.usage import UsageRecord
+
+WIRE_VERSION = 1
+
+
+class NodeState(IntEnum):
+    """What a node says about itself."""
+
+    LIVE = 0
+    LEAVING = 1
+
+
+class Digest(msgspec.Struct, array_like=True, frozen=True):
+    """A fact that is spread from node to node; a newer version replaces it."""
+
+    @property
+    def key(self) -> tuple[str, ...]:
+        """Return what the digest is about."""
+        raise TypeError("a plain Digest is never sent")
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return the (incarnation, sequence) that orders digests of one key."""
+        raise TypeError("a plain Digest is never sent")
+
+
+class Beat(Digest, tag=1, array_like=True, frozen=True):
+    """A node's heartbeat, with the catalogue revision that it has in force."""
+
+    origin: str
+    incarnation: int
+    sequence: int
+    state: NodeState
+    revision: int
+    busy_percent: int
+
+    @property
+    def key(self) -> tuple[str, ...]:
+        """Return the key: one beat per node."""
+        return ("beat", self.origin)
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return the beat's version."""
+        return (self.incarnation, self.sequence)
+
+
+class Profile(Digest, tag=2, array_like=True, frozen=True):
+    """Where a node is and how it is reached; sent once per incarnation."""
+
+    origin: str
+    incarnation: int
+    domain: str
+    caller_address: str
+    link_address: str
+
+    @property
+    def key(self) -> tuple[str, ...]:
+        """Return the key: one profile per node."""
+        return ("profile", self.origin)
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return the profile's version."""
+        return (self.incarnation, 0)
+
+
+class LoadNews(Digest, tag=3, array_like=True, frozen=True):
+    """An upstream's load as its poller read it."""
+
+    upstream: str
+    origin: str
+    incarnation: int
+    sequence: int
+    by_tier: tuple[int, ...]
+
+    @property
+    def key(self) -> tuple[str, ...]:
+        """Return the key: one report per upstream and poller."""
+        return ("load", self.upstream, self.origin)
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return the report's version."""
+        return (self.incarnation, self.sequence)
+
+
+class LeavingNews(Digest, tag=4, array_like=True, frozen=True):
+    """An upstream at an address is leaving; this is never taken back."""
+
+    upstream: str
+    address: str
+
+    @property
+    def key(self) -> tuple[str, ...]:
+        """Return the key: one fact per upstream and address."""
+        return ("leaving", self.upstream, self.address)
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return a constant: the fact has no versions."""
+        return (0, 0)
+
+
+class CrashNews(Digest, tag=5, array_like=True, frozen=True):
+    """A fingerprint was running when an upstream crashed."""
+
+    fingerprint: str
+    upstream: str
+
+    @property
+    def key(self) -> tuple[str, ...]:
+        """Return the key: one mark per fingerprint and upstream."""
+        return ("crash", self.fingerprint, self.upstream)
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return a constant: a mark has no versions."""
+        return (0, 0)
+
+
+class WaitingNews(Digest, tag=6, array_like=True, frozen=True):
+    """How many requests wait on a node for a pool, by tier."""
+
+    origin: str
+    incarnation: int
+    sequence: int
+    pool: str
+    by_tier: tuple[int, ...]
+
+    @property
+    def key(self) -> tuple[str, ...]:
+        """Return the key: one count per node and pool."""
+        return ("waiting", self.origin, self.pool)
+
+    @property
+    def version(self) -> tuple[int, int]:
+        """Return the count's version."""
+        return (self.incarnation, self.sequence)
+
+
+AnyDigest = Beat | Profile | LoadNews | LeavingNews | CrashNews | WaitingNews
+URGENT_DIGESTS = (LeavingNews, CrashNews)
+
+
+class Batch(msgspec.Struct, tag=20, array_like=True, frozen=True):
+    """Digests that the receiver is not known to have, with the sender's standing."""
+
+    sender: str
+    incarnation: int
+    revision: int
+    confirm_age_ms: int
+    """How long ago the revision was last known to be current; -1 if never."""
+    digests: list[AnyDigest]
+    full: bool = False
+    """Ask the receiver to send all that it knows, as after a restart."""
+
+
+class CatalogueNews(msgspec.Struct, tag=21, array_like=True, frozen=True):
+    """A catalogue document, whole or as a delta."""
+
+    sender: str
+    document: bytes
+
+
+class CatalogueAsk(msgspec.Struct, tag=22, array_like=True, frozen=True):
+    """Ask for what is newer than a revision."""
+
+    sender: str
+    revision: int
+
+
+class UsageCopy(msgspec.Struct, tag=23, array_like=True, frozen=True):
+    """A copy of a usage record, to be kept until the key-value service has it."""
+
+    sender: str
+    record: UsageRecord
+
+
+class UsageKept(msgspec.Struct, tag=24, array_like=True, frozen=True):
+    """The key-value service holds a record up to a sequence."""
+
+    sender: str
+    key: str
+    sequence: int
+
+
+class ShareAsk(msgspec.Struct, tag=25, array_like=True, frozen=True):
+    """A node's demand and service for customers whose home the receiver is."""
+
+    sender: str
+    demand: dict[str, float]
+    """Requests of each customer since the last call."""
+    served: dict[str, dict[int, int]]
+    """Tokens of each customer by tier since the last call."""
+
+
+class ShareGrant(msgspec.Struct, tag=26, array_like=True, frozen=True):
+    """Shares of limits for a node, and what other nodes served meanwhile."""
+
+    sender: str
+    shares: dict[str, float]
+    served_elsewhere: dict[str, dict[int, int]]
+
+
+Message = (
+    Batch | CatalogueNews | CatalogueAsk | UsageCopy | UsageKept | ShareAsk | ShareGrant
+)
--- /dev/null
+++ b/plantainwood/core/orders.py
@@ -0,0 +1,88 @@
+"""Start and stop orders: recorded before they are sent, and fenced."""
+
+from enum import Enum
+
+import msgspec
+
+from plantainwood.core.clock import Clock
+from plantainwood.core.errors import StoreError
+from plantainwood.core.leases import Lease
+from plantainwood.core.steps import Read, SendOrder, Steps, Stored, Swap
+
+ORDER_PREFIX = "orders/"
+UNFENCED_WAIT_MS = 600_000
+
+
+class Action(Enum):
+    """What may be ordered of an upstream."""
+
+    START = "start"
+    STOP = "stop"
+
+
+class Intent(msgspec.Struct, frozen=True):
+    """The stored intent behind the last order for an upstream."""
+
+    action: Action
+    fence: int
+    done: bool
+
+
+class Order(msgspec.Struct, frozen=True):
+    """An order that the plan asks for."""
+
+    action: Action
+    upstream: str
+    domain: str
+    checks_fencing: bool
+
+
+def may_send_unfenced(lease: Lease, departed: set[str], now_ms: int) -> bool:
+    """Tell whether an order may go to a receiver that ignores fencing numbers.
+
+    A holder frozen just before its write can't be stopped by its own clock, so
+    the successor waits until the previous holder released the duty, has left
+    the list of live VMs, or has been silent for UNFENCED_WAIT_MS.
+    """
+    if lease.previous_holder is None or lease.previous_holder in departed:
+        return True
+    return now_ms - lease.taken_at_ms >= UNFENCED_WAIT_MS
+
+
+def issue_order(order: Order, lease: Lease, clock: Clock, departed: set[str]) -> Steps:
+    """Record the intent, then send the order; return True when it was taken.
+
+    The lease is checked last, with nothing between that check and the sending.
+    """
+    if not lease.holds():
+        return False
+    if not order.checks_fencing:
+        if not may_send_unfenced(lease, departed, clock.now_ms()):
+            return False
+    key = ORDER_PREFIX + order.upstream
+    try:
+        found = yield Read(key)
+        expected = 0
+        if isinstance(found, Stored):
+            earlier = msgspec.json.decode(found.value, type=Intent)
+            if earlier.fence > lease.fence:
+                return False
+            expected = found.revision
+        intent = Intent(order.action, lease.fence, done=False)
+        revision = yield Swap(key, msgspec.json.encode(intent), expected)
+        if not revision or not lease.holds():
+            return False
+        taken = yield SendOrder(
+            action=order.action.value,
+            upstream=order.upstream,
+            domain=order.domain,
+            fence=lease.fence,
+            deadline_ms=lease.deadline_ms(),
+        )
+        if not taken:
+            return False
+        done = Intent(order.action, lease.fence, done=True)
+        yield Swap(key, msgspec.json.encode(done), revision)
+    except StoreError:
+        return False
+    return True
--- /dev/null
+++ b/plantainwood/core/placement.py
@@ -0,0 +1,62 @@
+"""Placement: which VMs a caller is told to use."""
+
+import msgspec
+
+from plantainwood.core.hashing import rank_members
+
+LIST_LENGTH = 3
+LIFETIME_MS = 30_000
+MIN_WEIGHT = 1
+
+
+class Candidate(msgspec.Struct, frozen=True):
+    """A VM that may be handed out."""
+
+    node: str
+    address: str
+    domain: str
+    busy_percent: int
+
+
+class Handout(msgspec.Struct, frozen=True):
+    """An address with its weight among those handed out."""
+
+    address: str
+    weight: int
+
+
+def pick_handouts(
+    candidates: list[Candidate],
+    customer: str,
+    domain: str,
+    spread: int = LIST_LENGTH,
+    conversation: str = "",
+) -> list[Handout]:
+    """Return a short weighted list of VMs for a customer.
+
+    The customer's VMs are ranked by rendezvous hashing, so its conversations meet
+    the same VMs and prefixes again, and it fills no more than `spread` of them.
+    Those of the caller's failure domain weigh double; a busy VM weighs less.
+    """
+    by_node = {candidate.node: candidate for candidate in candidates}
+    ranked = rank_members(customer, sorted(by_node))[:spread]
+    if conversation:
+        ranked = rank_members(f"{customer}\0{conversation}", ranked)
+    handouts: list[Handout] = []
+    for position, node in enumerate(ranked):
+        candidate = by_node[node]
+        weight = max(MIN_WEIGHT, 100 - candidate.busy_percent)
+        if candidate.domain == domain:
+            weight *= 2
+        if conversation and position == 0:
+            weight *= 4
+        handouts.append(Handout(candidate.address, weight))
+    return handouts
+
+
+def spread_for(weight: float, total_weight: float, nodes: int) -> int:
+    """Return over how many VMs a customer of some weight is spread."""
+    if total_weight <= 0:
+        return LIST_LENGTH
+    wanted = round(2 * nodes * weight / total_weight)
+    return max(LIST_LENGTH, min(nodes, wanted))
--- /dev/null
+++ b/plantainwood/core/planner.py
@@ -0,0 +1,151 @@
+"""Planning of which upstreams run: worth against cost, forecast, hysteresis."""
+
+from abc import ABC, abstractmethod
+
+import msgspec
+
+HEADROOM = 1.15
+SMOOTHING = 0.3
+STOP_AFTER_MS = 120_000
+START_RETRY_MS = 60_000
+
+
+class UpstreamState(msgspec.Struct, frozen=True):
+    """What the planner knows of one upstream of a pool."""
+
+    name: str
+    domain: str
+    slots: int
+    cost_per_hour: float
+    cheap: bool
+    running: bool
+
+
+class Demand(msgspec.Struct, frozen=True):
+    """Slots wanted in a pool now: in use and waiting, urgent and in all."""
+
+    urgent: float
+    total: float
+
+
+class Plan(msgspec.Struct, frozen=True):
+    """Upstreams to start and to stop."""
+
+    start: list[str]
+    stop: list[str]
+
+
+class Planner(ABC):
+    """Decide, for one pool, which upstreams should run."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def plan(self, states: list[UpstreamState], demand: Demand, now_ms: int) -> Plan:
+        """Return the orders that the demand asks for."""
+
+    def note_unavailable(self, upstream: str, now_ms: int) -> None:
+        """Note that an upstream could not be started."""
+
+
+class StaticPlanner(Planner):
+    """Keep everything running; the baseline."""
+
+    __slots__ = ()
+
+    def plan(self, states: list[UpstreamState], demand: Demand, now_ms: int) -> Plan:
+        """Start whatever does not run."""
+        return Plan([state.name for state in states if not state.running], [])
+
+
+class CostPlanner(Planner):
+    """Run the cheapest set that carries the forecast demand.
+
+    Urgent demand is carried by upstreams that can't be evicted, plus cheap ones up
+    to what the rest absorbs; the last running upstream of a pool is never stopped.
+    """
+
+    __slots__ = ("_urgent", "_total", "_trend", "_surplus_since_ms", "_unavailable")
+
+    def __init__(self) -> None:
+        self._urgent = 0.0
+        self._total = 0.0
+        self._trend = 0.0
+        self._surplus_since_ms: dict[str, int] = {}
+        self._unavailable: dict[str, int] = {}
+
+    def note_unavailable(self, upstream: str, now_ms: int) -> None:
+        """Leave an upstream out for a while; others take its place."""
+        self._unavailable[upstream] = now_ms + START_RETRY_MS
+
+    def plan(self, states: list[UpstreamState], demand: Demand, now_ms: int) -> Plan:
+        """Start at once what the forecast needs; stop what was surplus for long."""
+        self._forecast(demand)
+        wanted = self._choose(states, now_ms)
+        start: list[str] = []
+        stop: list[str] = []
+        for state in states:
+            if state.name in wanted:
+                self._surplus_since_ms.pop(state.name, None)
+                if not state.running:
+                    start.append(state.name)
+                continue
+            if not state.running:
+                continue
+            since_ms = self._surplus_since_ms.setdefault(state.name, now_ms)
+            if now_ms - since_ms >= STOP_AFTER_MS:
+                stop.append(state.name)
+        running = sum(1 for state in states if state.running)
+        while stop and len(stop) >= running + len(start):
+            stop.pop()
+        return Plan(start, stop)
+
+    def _forecast(self, demand: Demand) -> None:
+        """Follow demand upwards at once and downwards smoothly, with its trend."""
+        change = demand.total - self._total
+        self._trend += SMOOTHING * (max(0.0, change) - self._trend)
+        self._total = _follow(self._total, demand.total)
+        self._urgent = _follow(self._urgent, demand.urgent)
+
+    def _choose(self, states: list[UpstreamState], now_ms: int) -> set[str]:
+        available: list[UpstreamState] = []
+        for state in states:
+            if state.running or self._unavailable.get(state.name, 0) <= now_ms:
+                available.append(state)
+        available.sort(key=_cost_per_slot)
+        wanted: set[str] = set()
+        urgent = self._urgent * HEADROOM
+        total = (self._total + self._trend) * HEADROOM
+        safe_slots = _take(wanted, [s for s in available if not s.cheap], urgent)
+        cheap_slots = 0.0
+        missing = total - safe_slots
+        if missing > 0:
+            cheap_slots = _take(wanted, [s for s in available if s.cheap], missing)
+        missing -= cheap_slots
+        rest = [s for s in available if not s.cheap and s.name not in wanted]
+        if missing > 0:
+            _take(wanted, rest, missing)
+        if not wanted and available:
+            wanted.add(available[0].name)
+        return wanted
+
+
+def _follow(value: float, target: float) -> float:
+    if target >= value:
+        return target
+    return value + SMOOTHING * (target - value)
+
+
+def _cost_per_slot(state: UpstreamState) -> tuple[float, bool, str]:
+    return (state.cost_per_hour / state.slots, not state.running, state.name)
+
+
+def _take(wanted: set[str], ordered: list[UpstreamState], slots: float) -> float:
+    """Add upstreams in order until they carry the slots; return the slots added."""
+    taken = 0.0
+    for state in ordered:
+        if taken >= slots:
+            break
+        wanted.add(state.name)
+        taken += state.slots
+    return taken
--- /dev/null
+++ b/plantainwood/core/pools.py
@@ -0,0 +1,156 @@
+"""Pools: the waiting requests and upstreams of one model or plain service."""
+
+from plantainwood.core.catalogue import ServiceClass
+from plantainwood.core.fairness import WaitingQueue
+from plantainwood.core.loads import UpstreamLoad
+from plantainwood.core.requests import Request
+
+MAX_CREDIT = 2.0
+RATE_DECAY_MS = 10_000
+MAX_RETRY_MS = 60_000
+MIN_RETRY_MS = 500
+
+
+class TierQueue:
+    """The waiting requests of one tier and its reserved share."""
+
+    __slots__ = ("tier", "queue", "credit", "grants", "_grants_ms")
+
+    def __init__(self, tier: int, queue: WaitingQueue) -> None:
+        self.tier = tier
+        self.queue = queue
+        self.credit = 0.0
+        self.grants = 0.0
+        self._grants_ms = 0
+
+    def note_grant(self, now_ms: int) -> None:
+        """Count a grant in a sum that decays over RATE_DECAY_MS."""
+        self.grants = self._decayed(now_ms) + 1.0
+        self._grants_ms = now_ms
+
+    def _decayed(self, now_ms: int) -> float:
+        passed = now_ms - self._grants_ms
+        return self.grants * max(0.0, 1.0 - passed / RATE_DECAY_MS)
+
+    def wait_ms(self, now_ms: int) -> int | None:
+        """Return the estimated wait of a new request, or None when unknown."""
+        grants = self._decayed(now_ms)
+        if grants < 1.0:
+            return None
+        return round(len(self.queue) * RATE_DECAY_MS / 2 / grants)
+
+    def is_starved(self, now_ms: int) -> bool:
+        """Tell whether the next free slot is due to this tier by age and credit."""
+        if self.credit < 1.0:
+            return False
+        oldest = self.queue.oldest()
+        if oldest is None:
+            return False
+        return now_ms - oldest.queued_ms >= oldest.service_class.starvation_ms
+
+
+class Pool:
+    """All that waits for, and all that serves, one model or plain service."""
+
+    __slots__ = ("name", "tiers", "group", "closed_domains", "running")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.tiers: dict[int, TierQueue] = {}
+        self.group: list[UpstreamLoad] = []
+        self.closed_domains: set[str] = set()
+        self.running: dict[str, Request] = {}
+
+    def waiting(self) -> int:
+        """Return the number of waiting requests."""
+        return sum(len(tier.queue) for tier in self.tiers.values())
+
+    def add_tier(self, tier_queue: TierQueue) -> None:
+        """Add a tier, keeping the tiers in order of urgency."""
+        self.tiers[tier_queue.tier] = tier_queue
+        self.tiers = dict(sorted(self.tiers.items()))
+
+    def next_tier(self, now_ms: int, guard: bool) -> tuple[TierQueue, bool] | None:
+        """Return the tier to serve next and whether it is by its reserved share.
+
+        Strictly the most urgent first; but a tier whose oldest request waited
+        beyond its bound takes the next free slot when its credit allows.
+        """
+        if guard:
+            for tier in reversed(self.tiers.values()):
+                if tier.is_starved(now_ms):
+                    return tier, True
+        for tier in self.tiers.values():
+            if len(tier.queue):
+                return tier, False
+        return None
+
+    def note_grant(self, granted: TierQueue, reserved: bool, now_ms: int) -> None:
+        """Move the credits after a slot was granted."""
+        granted.note_grant(now_ms)
+        if reserved:
+            granted.credit -= 1.0
+            return
+        for tier in self.tiers.values():
+            if tier.tier <= granted.tier:
+                continue
+            oldest = tier.queue.oldest()
+            if oldest is None:
+                continue
+            earned = tier.credit + oldest.service_class.min_share
+            tier.credit = min(MAX_CREDIT, earned)
+
+    def least_urgent_waiting(self, above: int) -> Request | None:
+        """Return what to shed first among the tiers less urgent than the given one."""
+        for tier in reversed(self.tiers.values()):
+            if tier.tier <= above or not len(tier.queue):
+                continue
+            return tier.queue.newest_unstarted() or tier.queue.oldest()
+        return None
+
+    def least_urgent_running(self, above: int) -> Request | None:
+        """Return the running request to displace first, protected or not."""
+        best: Request | None = None
+        for request in self.running.values():
+            if request.tier <= above or not request.preemptible:
+                continue
+            if best is None or _is_cheaper_victim(request, best):
+                best = request
+        return best
+
+    def has_displaceable(self, above: int) -> bool:
+        """Tell whether less urgent work waits, or runs and could be cancelled."""
+        if self.least_urgent_waiting(above) is not None:
+            return True
+        return self.least_urgent_running(above) is not None
+
+    def retry_after_ms(self, service_class: ServiceClass, now_ms: int) -> int:
+        """Return when a refused request of a class should come back."""
+        tier = self.tiers.get(service_class.tier)
+        wait_ms = tier.wait_ms(now_ms) if tier is not None else None
+        if wait_ms is None:
+            wait_ms = 2_000
+        return min(MAX_RETRY_MS, max(MIN_RETRY_MS, wait_ms))
+
+
+def _is_cheaper_victim(request: Request, other: Request) -> bool:
+    """Tell whether cancelling one request loses less than cancelling another."""
+    if request.tier != other.tier:
+        return request.tier > other.tier
+    return request.tokens < other.tokens
+
+
+def find_victim(running: dict[str, Request], above: int, limit: int) -> Request | None:
+    """Return the request of an upstream to preempt for a more urgent tier.
+
+    Work on a reserved slot, and work preempted `limit` times, is left alone.
+    """
+    best: Request | None = None
+    for request in running.values():
+        if request.tier <= above or not request.preemptible:
+            continue
+        if request.protected or request.preempted >= limit:
+            continue
+        if best is None or _is_cheaper_victim(request, best):
+            best = request
+    return best
--- /dev/null
+++ b/plantainwood/core/requests.py
@@ -0,0 +1,71 @@
+"""The state of one request inside the request core."""
+
+from plantainwood.core.catalogue import ServiceClass
+from plantainwood.core.events import Arrival
+
+
+class Request:
+    """One request from arrival to its final answer."""
+
+    __slots__ = (
+        "id",
+        "customer",
+        "class_name",
+        "service_class",
+        "pool",
+        "fingerprint",
+        "prefix",
+        "repeatable",
+        "preemptible",
+        "arrived_ms",
+        "queued_ms",
+        "attempt",
+        "attempts_made",
+        "upstream",
+        "dispatched_ms",
+        "first_token_ms",
+        "tokens",
+        "protected",
+        "preempted",
+        "avoid_upstream",
+        "avoid_domain",
+    )
+
+    def __init__(
+        self,
+        arrival: Arrival,
+        service_class: ServiceClass,
+        preemptible: bool,
+        now_ms: int,
+    ) -> None:
+        self.id = arrival.request_id
+        self.customer = arrival.customer
+        self.class_name = arrival.class_name
+        self.service_class = service_class
+        self.pool = arrival.pool
+        self.fingerprint = arrival.fingerprint
+        self.prefix = arrival.prefix
+        self.repeatable = arrival.repeatable and service_class.repeatable
+        self.preemptible = preemptible and self.repeatable
+        self.arrived_ms = now_ms
+        self.queued_ms = now_ms
+        self.attempt = 0
+        self.attempts_made = 0
+        self.upstream = ""
+        self.dispatched_ms = 0
+        self.first_token_ms = 0
+        self.tokens = 0
+        self.protected = False
+        self.preempted = 0
+        self.avoid_upstream = ""
+        self.avoid_domain = ""
+
+    @property
+    def tier(self) -> int:
+        """Return the tier of the request's class; 0 is the most urgent."""
+        return self.service_class.tier
+
+    @property
+    def running(self) -> bool:
+        """Tell whether an attempt is in flight."""
+        return bool(self.upstream)
--- /dev/null
+++ b/plantainwood/core/router.py
@@ -0,0 +1,138 @@
+"""Choice of an upstream for one request."""
+
+import random
+from abc import ABC, abstractmethod
+
+from plantainwood.core.affinity import PrefixHints
+from plantainwood.core.loads import TIERS, UpstreamLoad
+from plantainwood.core.requests import Request
+
+AFFINITY_WORTH = 0.35
+SCAN_LIMIT = 16
+
+
+class Router(ABC):
+    """Choose among the upstreams of a node's subset."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def choose(
+        self, request: Request, group: list[UpstreamLoad], now_ms: int
+    ) -> UpstreamLoad | None:
+        """Return the upstream for a request, or None when it must wait."""
+
+
+def is_allowed(request: Request, load: UpstreamLoad, now_ms: int) -> bool:
+    """Tell whether an upstream may take a request at all.
+
+    A leaving upstream takes none, and a retry never goes to the upstream or the
+    failure domain that just failed it.
+    """
+    if load.leaving or now_ms < load.failed_until_ms:
+        return False
+    if load.name == request.avoid_upstream:
+        return False
+    return load.entry.domain != request.avoid_domain
+
+
+class TwoChoiceRouter(Router):
+    """Take the better of two random upstreams, with prefix affinity.
+
+    After "The Power of Two Choices in Randomized Load Balancing"
+    (Mitzenmacher, 1996): under late reports the least loaded one draws a herd.
+    """
+
+    __slots__ = ("_random", "_hints")
+
+    def __init__(self, generator: random.Random, hints: PrefixHints) -> None:
+        self._random = generator
+        self._hints = hints
+
+    def choose(
+        self, request: Request, group: list[UpstreamLoad], now_ms: int
+    ) -> UpstreamLoad | None:
+        """Return the better of two with a free slot, else scan the subset."""
+        if not group:
+            return None
+        hinted = self._hints.find(request.prefix, now_ms) if request.prefix else ""
+        drawn = [self._random.choice(group), self._random.choice(group)]
+        if hinted:
+            drawn.extend(load for load in group if load.name == hinted)
+        best = self._best(request, drawn, hinted, TIERS - 1, now_ms)
+        if best is None:
+            best = self._best(request, group, hinted, TIERS - 1, now_ms)
+        if best is None:
+            tier = 0 if request.protected else request.tier
+            best = self._best(request, group, hinted, tier, now_ms)
+        return best
+
+    def _best(
+        self,
+        request: Request,
+        loads: list[UpstreamLoad],
+        hinted: str,
+        tier: int,
+        now_ms: int,
+    ) -> UpstreamLoad | None:
+        best = None
+        best_score = 0.0
+        for load in loads:
+            if not is_allowed(request, load, now_ms):
+                continue
+            if load.ejected and load.own() > 0:
+                continue
+            used = load.estimate(tier, now_ms)
+            if used >= load.entry.slots:
+                continue
+            score = used / load.entry.slots
+            if load.ejected:
+                score += 1.0
+            if load.name == hinted:
+                score -= AFFINITY_WORTH
+            if best is None or score < best_score:
+                best = load
+                best_score = score
+        return best
+
+
+class RoundRobinRouter(Router):
+    """Take the next upstream in turn; a baseline."""
+
+    __slots__ = ("_next",)
+
+    def __init__(self) -> None:
+        self._next = 0
+
+    def choose(
+        self, request: Request, group: list[UpstreamLoad], now_ms: int
+    ) -> UpstreamLoad | None:
+        """Return the next allowed upstream with a free slot by own count."""
+        for _ in range(len(group)):
+            self._next += 1
+            load = group[self._next % len(group)]
+            if not is_allowed(request, load, now_ms):
+                continue
+            if load.free(TIERS - 1, now_ms) > 0:
+                return load
+        return None
+
+
+class LeastReportedRouter(Router):
+    """Take the upstream with the least estimated load; a baseline that herds."""
+
+    __slots__ = ()
+
+    def choose(
+        self, request: Request, group: list[UpstreamLoad], now_ms: int
+    ) -> UpstreamLoad | None:
+        """Return the allowed upstream with most free slots."""
+        best = None
+        for load in group:
+            if not is_allowed(request, load, now_ms):
+                continue
+            if load.free(TIERS - 1, now_ms) <= 0:
+                continue
+            if best is None or load.free(9, now_ms) > best.free(9, now_ms):
+                best = load
+        return best
--- /dev/null
+++ b/plantainwood/core/stragglers.py
@@ -0,0 +1,37 @@
+"""Stragglers: upstreams slower than their group by a node's own timings."""
+
+from statistics import median
+
+from plantainwood.core.loads import UpstreamLoad
+
+SLOW_RATIO = 2.0
+RECOVERED_RATIO = 1.5
+MIN_SAMPLES = 3
+MAX_EJECTED_SHARE = 1 / 3
+FLOOR_MS = 5.0
+
+
+def mark_stragglers(group: list[UpstreamLoad]) -> None:
+    """Eject the slow members of a group, at most a third of it; restore the rest.
+
+    A straggler keeps getting one request at a time, so that it can recover.
+    """
+    known = [load for load in group if load.samples >= MIN_SAMPLES]
+    allowed = int(len(group) * MAX_EJECTED_SHARE)
+    if len(known) < 3 or allowed < 1:
+        for load in group:
+            load.ejected = False
+        return
+    typical_first = max(FLOOR_MS, median(load.first_token_ms for load in known))
+    typical_between = max(FLOOR_MS, median(load.between_tokens_ms for load in known))
+    ranked: list[tuple[float, UpstreamLoad]] = []
+    for load in known:
+        ratio = max(
+            load.first_token_ms / typical_first,
+            load.between_tokens_ms / typical_between,
+        )
+        ranked.append((ratio, load))
+    ranked.sort(key=lambda pair: -pair[0])
+    for position, (ratio, load) in enumerate(ranked):
+        limit = RECOVERED_RATIO if load.ejected else SLOW_RATIO
+        load.ejected = position < allowed and ratio > limit
--- /dev/null
+++ b/plantainwood/daemon.py
@@ -0,0 +1,179 @@
+"""The daemon: starts the services, and drains them on SIGTERM."""
+
+import asyncio
+import signal
+import sys
+
+import aiohttp
+from absl import app, flags
+from mode import Service
+
+from plantainwood import __version__
+from plantainwood.admin import AdminServer
+from plantainwood.callers import CallerServer
+from plantainwood.core.messages import NodeState
+from plantainwood.documents import DocumentError
+from plantainwood.duties import Billing, LeaseKeeper, Orders
+from plantainwood.engines import OpenAiEngine, PlainClient
+from plantainwood.links import Links
+from plantainwood.logs import log_event, setup_logs
+from plantainwood.node import Clients, Node, make_node
+from plantainwood.platform import HttpPlatform, make_trace_config
+from plantainwood.poller import Poller
+from plantainwood.procedures import Driver
+from plantainwood.settings import Settings, SettingsError, load_settings
+from plantainwood.shares import Shares
+from plantainwood.store import EtcdClient
+from plantainwood.usageflow import UsageFlow
+from plantainwood.watcher import Watcher
+
+EXIT_OK = 0
+EXIT_DRAIN_CUT = 1
+EXIT_BAD_SETTINGS = 2
+DRAIN_POLL_MS = 50
+MAX_CONNECTIONS = 0
+
+_SETTINGS = flags.DEFINE_string("settings", None, "Path of the YAML settings.")
+_CHECK = flags.DEFINE_bool("check_settings", False, "Check the settings and exit.")
+
+
+class Daemon:
+    """All services of one node."""
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.node: Node = make_node(settings)
+        self._sessions: list[aiohttp.ClientSession] = []
+        self._services: list[Service] = []
+        self._usage: UsageFlow
+        self._links: Links
+        self._callers: CallerServer
+
+    async def start(self) -> None:
+        """Start everything; callers are let in last."""
+        node = self.node
+        self._make_clients()
+        self._links = Links(node)
+        self._usage = UsageFlow(node, self._links.send)
+        self._callers = CallerServer(node)
+        self._services = [
+            self._links,
+            Watcher(node),
+            Poller(node, self._links.learn_address),
+            Shares(node, self._links.send),
+            self._usage,
+            Orders(node),
+            Billing(node),
+            AdminServer(node),
+            self._callers,
+        ]
+        for lease in node.leases.values():
+            self._services.insert(1, LeaseKeeper(node, lease))
+        for service in self._services:
+            await service.start()
+        log_event("started", node=self.settings.node, version=__version__)
+
+    def _make_clients(self) -> None:
+        settings = self.settings
+        general = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS),
+            trace_configs=[make_trace_config(self.node.clock)],
+        )
+        plain = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=True),
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        self._sessions = [general, plain]
+        store = EtcdClient(
+            general,
+            settings.store.endpoints,
+            settings.store.timeout_ms,
+            settings.store.calls_per_s,
+            self.node.clock,
+            self.node.metrics,
+        )
+        platform = HttpPlatform(
+            general,
+            settings.platform.orders_url,
+            settings.platform.reports_url,
+            settings.platform.vms_url,
+            settings.platform.timeout_ms,
+        )
+        self.node.clients = Clients(
+            Driver(store, platform), OpenAiEngine(general), PlainClient(plain)
+        )
+
+    async def drain(self) -> bool:
+        """Stop without cutting a request; return whether that was within the bound.
+
+        First callers stop being sent here, while those that still hold the address
+        are served; then new requests are refused and the running ones finish; then
+        usage is flushed and the duties are given up.
+        """
+        node = self.node
+        node.state = NodeState.LEAVING
+        node.urgent.set()
+        log_event("draining", running=len(node.board.tickets))
+        await asyncio.sleep(self.settings.drain.linger_ms / 1_000)
+        node.board.dispatcher.draining = True
+        bound_ms = node.clock.now_ms() + self.settings.drain.bound_ms
+        while self._is_busy() and node.clock.now_ms() < bound_ms:
+            await asyncio.sleep(DRAIN_POLL_MS / 1_000)
+        clean = not self._is_busy()
+        while not await self._usage.flush() and node.clock.now_ms() < bound_ms:
+            await asyncio.sleep(DRAIN_POLL_MS / 1_000)
+        self._usage.copy()
+        for lease in node.leases.values():
+            await node.clients.driver.run(lease.release())
+        return clean
+
+    def _is_busy(self) -> bool:
+        return bool(self.node.board.tickets or self.node.background)
+
+    async def stop(self) -> None:
+        """Stop all services and close all connections."""
+        for service in reversed(self._services):
+            await service.stop()
+        for session in self._sessions:
+            await session.close()
+
+
+async def serve(settings: Settings) -> int:
+    """Run a daemon until SIGTERM or SIGINT; return its exit code."""
+    daemon = Daemon(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signum in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signum, stop.set)
+    await daemon.start()
+    await stop.wait()
+    clean = await daemon.drain()
+    await daemon.stop()
+    log_event("stopped", clean=clean)
+    return EXIT_OK if clean else EXIT_DRAIN_CUT
+
+
+def main(_: list[str]) -> None:
+    """Check the settings and serve."""
+    if not _SETTINGS.value:
+        print("plantainwood: --settings is required", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    try:
+        settings = load_settings(_SETTINGS.value)
+    except (SettingsError, DocumentError, OSError, UnicodeDecodeError) as error:
+        print(f"{_SETTINGS.value}: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if _CHECK.value:
+        print("settings are valid")
+        sys.exit(EXIT_OK)
+    setup_logs(settings.logs.level, settings.logs.json)
+    sys.exit(asyncio.run(serve(settings)))
+
+
+def run() -> None:
+    """Run the command."""
+    app.run(main)
+
+
+if __name__ == "__main__":
+    run()
--- /dev/null
+++ b/plantainwood/documents.py
@@ -0,0 +1,58 @@
+"""YAML texts with the line of each value, for messages that name the line."""
+
+from typing import Any
+
+import yaml
+
+from plantainwood.core.catalogue import Problem
+
+
+class Source:
+    """Plain data read from YAML, and the line of each path in it."""
+
+    __slots__ = ("data", "lines")
+
+    def __init__(self, data: Any, lines: dict[str, int]) -> None:
+        self.data = data
+        self.lines = lines
+
+    def line_of(self, path: str) -> int:
+        """Return the line of a path, or of the nearest parent that has one."""
+        while path:
+            if path in self.lines:
+                return self.lines[path]
+            path = path.rpartition(".")[0]
+        return 1
+
+    def describe(self, problem: Problem) -> str:
+        """Return a problem as one line of text with its line number."""
+        return f"line {self.line_of(problem.path)}: {problem.path}: {problem.reason}"
+
+
+class DocumentError(Exception):
+    """Report a text that is no YAML, or has the same name twice."""
+
+
+def read_yaml(text: str) -> Source:
+    """Return the data and lines of a YAML text; raise DocumentError if malformed."""
+    lines: dict[str, int] = {}
+    try:
+        root = yaml.compose(text, Loader=yaml.SafeLoader)
+        data = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise DocumentError(f"not valid YAML: {error}") from error
+    if root is not None:
+        _note_lines(root, "", lines)
+    return Source(data if data is not None else {}, lines)
+
+
+def _note_lines(node: yaml.Node, path: str, lines: dict[str, int]) -> None:
+    if not isinstance(node, yaml.MappingNode):
+        return
+    for key, value in node.value:
+        name = f"{path}.{key.value}" if path else str(key.value)
+        if name in lines:
+            line = key.start_mark.line + 1
+            raise DocumentError(f"line {line}: {name}: the name stands twice")
+        lines[name] = key.start_mark.line + 1
+        _note_lines(value, name, lines)
--- /dev/null
+++ b/plantainwood/duties.py
@@ -0,0 +1,196 @@
+"""Duties that one holder at a time does: orders to upstreams, and billing."""
+
+import asyncio
+
+from mode import Service
+
+from plantainwood.core.billing import close_window
+from plantainwood.core.catalogue import Upstream, UpstreamKind
+from plantainwood.core.hashing import rank_members
+from plantainwood.core.leases import Lease
+from plantainwood.core.messages import LoadNews, WaitingNews
+from plantainwood.core.orders import Action, Order, issue_order
+from plantainwood.core.planner import (
+    CostPlanner,
+    Demand,
+    Planner,
+    StaticPlanner,
+    UpstreamState,
+)
+from plantainwood.logs import log_event
+from plantainwood.node import BILLING_DUTY, ORDERS_DUTY, Node
+from plantainwood.settings import PlannerKind
+
+CANDIDATES = 3
+URGENT_TIER = 0
+RUNNING_MS = 15_000
+SAME_ORDER_MS = 60_000
+
+
+def is_candidate(node: Node, duty: str) -> bool:
+    """Tell whether this node is among the few that try to hold a duty."""
+    names = [node.settings.node]
+    for member in node.members.alive(node.clock.now_ms()):
+        names.append(member.profile.origin)
+    ranked = rank_members(f"duty\0{duty}", names)
+    return node.settings.node in ranked[:CANDIDATES]
+
+
+class LeaseKeeper(Service):
+    """Renew or try to take one duty's lease."""
+
+    def __init__(self, node: Node, lease: Lease, **kwargs) -> None:
+        self.node = node
+        self.lease = lease
+        super().__init__(**kwargs)
+
+    @Service.task
+    async def _keep(self) -> None:
+        every_ms = self.node.settings.duties.lease_term_ms / 3
+        held = False
+        while not self.should_stop:
+            if self.lease.holds() or is_candidate(self.node, self.lease.duty):
+                await self.node.clients.driver.run(self.lease.step())
+            if self.lease.holds() != held:
+                held = not held
+                log_event(
+                    "lease",
+                    duty=self.lease.duty,
+                    held=held,
+                    fence=self.lease.fence,
+                    previous=self.lease.previous_holder or "-",
+                )
+            self.node.metrics.leases.set({"duty": self.lease.duty}, int(held))
+            await asyncio.sleep(every_ms / 1_000)
+
+
+def make_planner(kind: PlannerKind) -> Planner:
+    """Return the planner that the settings name."""
+    if kind is PlannerKind.STATIC:
+        return StaticPlanner()
+    return CostPlanner()
+
+
+class Orders(Service):
+    """Start and stop upstreams as the planner asks, while the lease is held."""
+
+    def __init__(self, node: Node, **kwargs) -> None:
+        self.node = node
+        self._planners: dict[str, Planner] = {}
+        self._sent: dict[tuple[Action, str], int] = {}
+        super().__init__(**kwargs)
+
+    @Service.task
+    async def _run(self) -> None:
+        node = self.node
+        if node.settings.duties.planner is PlannerKind.NONE:
+            return
+        while not self.should_stop:
+            await asyncio.sleep(node.settings.duties.plan_every_ms / 1_000)
+            if node.leases[ORDERS_DUTY].holds():
+                for model in node.catalogue.models:
+                    await self._plan(f"model/{model}", model)
+
+    async def _plan(self, pool: str, model: str) -> None:
+        node = self.node
+        now_ms = node.clock.now_ms()
+        planner = self._planners.get(pool)
+        if planner is None:
+            planner = make_planner(node.settings.duties.planner)
+            self._planners[pool] = planner
+        states = self._find_states(model, now_ms)
+        plan = planner.plan(states, self._find_demand(pool, states), now_ms)
+        for name in plan.start:
+            if not await self._send(Action.START, name):
+                planner.note_unavailable(name, now_ms)
+        for name in plan.stop:
+            await self._send(Action.STOP, name)
+
+    async def _send(self, action: Action, upstream: str) -> bool:
+        """Send an order, unless the same was taken a short time ago."""
+        node = self.node
+        now_ms = node.clock.now_ms()
+        sent_ms = self._sent.get((action, upstream))
+        if sent_ms is not None and now_ms - sent_ms < SAME_ORDER_MS:
+            return True
+        entry = node.catalogue.upstreams[upstream]
+        order = Order(action, upstream, entry.domain, entry.checks_fencing)
+        lease = node.leases[ORDERS_DUTY]
+        taken = await node.clients.driver.run(
+            issue_order(order, lease, node.clock, node.departed)
+        )
+        if taken:
+            self._sent[(action, upstream)] = now_ms
+        log_event(
+            "order",
+            action=action.value,
+            upstream=upstream,
+            fence=lease.fence,
+            taken=taken,
+        )
+        return taken
+
+    def _find_states(self, model: str, now_ms: int) -> list[UpstreamState]:
+        states: list[UpstreamState] = []
+        for name, entry in self.node.catalogue.upstreams.items():
+            if entry.kind is UpstreamKind.ENGINE and model in entry.models:
+                states.append(self._make_state(name, entry, now_ms))
+        return states
+
+    def _make_state(self, name: str, entry: Upstream, now_ms: int) -> UpstreamState:
+        load = self.node.board.dispatcher.loads.get(name)
+        age_ms = load.report_age_ms(now_ms) if load is not None else None
+        running = age_ms is not None and age_ms <= RUNNING_MS
+        return UpstreamState(
+            name, entry.domain, entry.slots, entry.cost_per_hour, entry.cheap, running
+        )
+
+    def _find_demand(self, pool: str, states: list[UpstreamState]) -> Demand:
+        """Return the slots in use on a pool's upstreams and wanted by its queues."""
+        names = {state.name for state in states}
+        by_tier = [0] * 10
+        for digest in self.node.digests.all():
+            if isinstance(digest, LoadNews) and digest.upstream in names:
+                _add(by_tier, digest.by_tier)
+            if isinstance(digest, WaitingNews) and digest.pool == pool:
+                _add(by_tier, digest.by_tier)
+        return Demand(float(by_tier[URGENT_TIER]), float(sum(by_tier)))
+
+
+def _add(total: list[int], counts: tuple[int, ...]) -> None:
+    for tier, count in enumerate(counts[: len(total)]):
+        total[tier] += count
+
+
+class Billing(Service):
+    """Close and report the windows that have ended, while the lease is held."""
+
+    def __init__(self, node: Node, **kwargs) -> None:
+        self.node = node
+        self._reported: dict[str, int] = {}
+        super().__init__(**kwargs)
+
+    @Service.task
+    async def _run(self) -> None:
+        duties = self.node.settings.duties
+        pause_ms = min(5_000, duties.billing_window_ms / 4)
+        while not self.should_stop:
+            await asyncio.sleep(pause_ms / 1_000)
+            if self.node.leases[BILLING_DUTY].holds():
+                await self.close_ended()
+
+    async def close_ended(self) -> None:
+        """Close, for each firm, the newest window that ended a grace time ago."""
+        node = self.node
+        duties = node.settings.duties
+        ended_ms = node.clock.wall_ms() - duties.billing_grace_ms
+        window = node.ledger.window_of(ended_ms) - duties.billing_window_ms
+        firms = {customer.owner for customer in node.catalogue.customers.values()}
+        lease = node.leases[BILLING_DUTY]
+        for firm in sorted(firms):
+            if self._reported.get(firm) == window:
+                continue
+            steps = close_window(firm, window, duties.billing_window_ms, lease)
+            if await node.clients.driver.run(steps):
+                self._reported[firm] = window
+                log_event("window_reported", firm=firm, window=window)
--- /dev/null
+++ b/plantainwood/engines.py
@@ -0,0 +1,235 @@
+"""Clients of upstreams: model engines and plain services."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from typing import Any, AsyncIterator
+
+import aiohttp
+import msgspec
+
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 30.0
+MAX_EVENT_BYTES = 262_144
+MAX_ANSWER_BYTES = 8_388_608
+
+
+class Piece(msgspec.Struct, frozen=True):
+    """A part of an answer: a token, or the end with the whole count if known."""
+
+    token: str = ""
+    end: bool = False
+    count: int | None = None
+
+
+class EngineCall(msgspec.Struct, frozen=True):
+    """One attempt at one request, as an engine gets it."""
+
+    path: str
+    body: dict[str, Any]
+    priority: int
+    resume_from: int
+    resume_text: str
+    headers: dict[str, str]
+
+
+class PlainCall(msgspec.Struct, frozen=True):
+    """One call of a plain service."""
+
+    method: str
+    path: str
+    body: bytes
+    headers: dict[str, str]
+
+
+class PlainAnswer(msgspec.Struct, frozen=True):
+    """The whole answer of a plain service."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class AttemptError(Exception):
+    """Report a failed attempt and what is known of it."""
+
+    def __init__(self, reason: str, crashed: bool, proved_not_run: bool) -> None:
+        super().__init__(reason)
+        self.crashed = crashed
+        self.proved_not_run = proved_not_run
+
+
+class EngineClient(ABC):
+    """Call one kind of engine."""
+
+    @abstractmethod
+    def stream(self, address: str, call: EngineCall) -> AsyncIterator[Piece]:
+        """Yield the pieces of an answer; closing the iterator cancels the work."""
+
+    @abstractmethod
+    async def read_load(self, address: str) -> tuple[tuple[int, ...], int] | None:
+        """Return an upstream's work by tier and the report's lag in ms, or None."""
+
+
+class OpenAiEngine(EngineClient):
+    """Speak the OpenAI-style routes, with priority and resume as extra fields."""
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(
+            total=None, sock_connect=CONNECT_TIMEOUT_S, sock_read=READ_TIMEOUT_S
+        )
+
+    async def stream(self, address: str, call: EngineCall) -> AsyncIterator[Piece]:
+        """Yield tokens as they come."""
+        body = dict(call.body)
+        body["stream"] = True
+        body["priority"] = call.priority
+        if call.resume_from:
+            body["resume_from"] = call.resume_from
+            body["resume_text"] = call.resume_text
+        try:
+            async with self._session.post(
+                address + call.path,
+                data=msgspec.json.encode(body),
+                headers={**call.headers, "Content-Type": "application/json"},
+                timeout=self._timeout,
+            ) as response:
+                if response.status != 200:
+                    reason = f"the engine answered {response.status}"
+                    raise AttemptError(reason, crashed=False, proved_not_run=False)
+                async for piece in _read_events(response.content):
+                    yield piece
+        except aiohttp.ClientConnectorError as error:
+            raise AttemptError(repr(error), False, proved_not_run=True) from error
+        except aiohttp.ConnectionTimeoutError as error:
+            raise AttemptError(repr(error), False, proved_not_run=True) from error
+        except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError) as error:
+            crashed = not isinstance(error, asyncio.TimeoutError)
+            raise AttemptError(repr(error), crashed, False) from error
+
+    async def read_load(self, address: str) -> tuple[tuple[int, ...], int] | None:
+        """Get the load report."""
+        timeout = aiohttp.ClientTimeout(total=CONNECT_TIMEOUT_S)
+        try:
+            async with self._session.get(f"{address}/load", timeout=timeout) as answer:
+                report = msgspec.json.decode(await answer.read(), type=LoadReport)
+        except (aiohttp.ClientError, asyncio.TimeoutError, msgspec.DecodeError):
+            return None
+        return report.by_tier, report.lag_ms
+
+
+class LoadReport(msgspec.Struct, frozen=True):
+    """An upstream's own count of its work."""
+
+    by_tier: tuple[int, ...]
+    lag_ms: int = 0
+
+
+async def _read_events(content: aiohttp.StreamReader) -> AsyncIterator[Piece]:
+    """Yield the pieces in a stream of server-sent events; refuse anything else."""
+    count: int | None = None
+    finished = False
+    async for line in content:
+        if len(line) > MAX_EVENT_BYTES:
+            raise _garbage("an event is too long")
+        line = line.strip()
+        if not line or line.startswith(b":"):
+            continue
+        if not line.startswith(b"data:"):
+            raise _garbage("a line is no event")
+        data = line[len(b"data:") :].strip()
+        if data == b"[DONE]":
+            if not finished:
+                raise _garbage("the stream ended without a finish reason")
+            yield Piece(end=True, count=count)
+            return
+        chunk = _decode_chunk(data)
+        if chunk.usage is not None:
+            count = chunk.usage.completion_tokens
+        for choice in chunk.choices:
+            text = choice.delta.content or choice.text
+            if text:
+                yield Piece(token=text)
+            finished = finished or choice.finish_reason is not None
+    raise AttemptError("the stream broke off", crashed=True, proved_not_run=False)
+
+
+class Delta(msgspec.Struct, frozen=True):
+    """The new part of a chat message."""
+
+    content: str | None = None
+
+
+class Choice(msgspec.Struct, frozen=True):
+    """One choice of a chunk; text is used by the completions route."""
+
+    delta: Delta = Delta()
+    text: str = ""
+    finish_reason: str | None = None
+
+
+class UsageCount(msgspec.Struct, frozen=True):
+    """The engine's own count of an answer's tokens."""
+
+    completion_tokens: int
+
+
+class Chunk(msgspec.Struct, frozen=True):
+    """One event of an OpenAI-style stream."""
+
+    choices: list[Choice] = []
+    usage: UsageCount | None = None
+
+
+def _decode_chunk(data: bytes) -> Chunk:
+    try:
+        return msgspec.json.decode(data, type=Chunk)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise _garbage(str(error)) from error
+
+
+def _garbage(reason: str) -> AttemptError:
+    return AttemptError(f"garbage: {reason}", crashed=False, proved_not_run=False)
+
+
+async def _read_body(content: aiohttp.StreamReader) -> bytes:
+    """Return a whole body of bounded length."""
+    body = bytearray()
+    async for chunk in content.iter_any():
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            raise AttemptError("the answer is too long", False, False)
+    return bytes(body)
+
+
+class PlainClient:
+    """Call a plain service over HTTP.
+
+    Use it with a session that never reuses connections: on a reused one the
+    library itself repeats some methods after a disconnect.
+    """
+
+    def __init__(self, session: aiohttp.ClientSession) -> None:
+        self._session = session
+        self._timeout = aiohttp.ClientTimeout(
+            total=READ_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
+        )
+
+    async def call(self, address: str, call: PlainCall) -> PlainAnswer:
+        """Return the whole answer; raise AttemptError if it did not come."""
+        try:
+            async with self._session.request(
+                call.method,
+                address + call.path,
+                data=call.body,
+                headers=call.headers,
+                timeout=self._timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await _read_body(response.content)
+                content_type = response.headers.get("Content-Type", "")
+                return PlainAnswer(response.status, content_type, body)
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise AttemptError(repr(error), False, proved_not_run=True) from error
+        except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError) as error:
+            raise AttemptError(repr(error), True, proved_not_run=False) from error
--- /dev/null
+++ b/plantainwood/links.py
@@ -0,0 +1,269 @@
+"""Links between daemons: rounds of digests, catalogue news, usage copies, shares."""
+
+import asyncio
+import logging
+from abc import ABC, abstractmethod
+
+import msgspec
+import pynng
+from mode import Service
+
+from plantainwood.core.catalogue import decode_document, make_delta
+from plantainwood.core.frames import FrameError, decode_frame, encode_frame
+from plantainwood.core.membership import pick_partners
+from plantainwood.core.messages import (
+    Batch,
+    CatalogueAsk,
+    CatalogueNews,
+    Message,
+    ShareAsk,
+    ShareGrant,
+    UsageCopy,
+    UsageKept,
+)
+from plantainwood.logs import log_event
+from plantainwood.node import Node
+from plantainwood.shares import answer_ask, take_grant
+
+SEND_BUFFER_MESSAGES = 64
+IDLE_DIALER_ROUNDS = 30
+
+
+class Transport(ABC):
+    """Send frames to other daemons; a frame may be lost."""
+
+    @abstractmethod
+    def send(self, address: str, frame: bytes) -> None:
+        """Send a frame without waiting; drop it where it can't be buffered."""
+
+    @abstractmethod
+    async def receive(self) -> bytes:
+        """Return the next frame that came in."""
+
+    @abstractmethod
+    def close_idle(self, in_use: set[str]) -> None:
+        """Close the connections to addresses that are no longer used."""
+
+    @abstractmethod
+    def close(self) -> None:
+        """Close everything."""
+
+
+class NngTransport(Transport):
+    """Push frames over TCP with nng, one pull socket for all that comes in."""
+
+    def __init__(self, listen: str) -> None:
+        self._pull = pynng.Pull0(listen=listen, recv_buffer_size=1_024)
+        self._pushes: dict[str, pynng.Push0] = {}
+        self._idle: dict[str, int] = {}
+
+    def send(self, address: str, frame: bytes) -> None:
+        """Send a frame, dialling the address on first use."""
+        push = self._pushes.get(address)
+        if push is None:
+            push = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
+            push.dial(address, block=False)
+            self._pushes[address] = push
+        self._idle[address] = 0
+        try:
+            push.send(frame, block=False)
+        except pynng.exceptions.TryAgain:
+            log_event("link_full", logging.DEBUG, address=address)
+
+    async def receive(self) -> bytes:
+        """Return the next frame."""
+        return await self._pull.arecv()
+
+    def close_idle(self, in_use: set[str]) -> None:
+        """Close what was not used for some rounds."""
+        for address in list(self._pushes):
+            if address in in_use:
+                continue
+            self._idle[address] += 1
+            if self._idle[address] > IDLE_DIALER_ROUNDS:
+                self._pushes.pop(address).close()
+                del self._idle[address]
+
+    def close(self) -> None:
+        """Close all sockets."""
+        for push in self._pushes.values():
+            push.close()
+        self._pushes.clear()
+        self._pull.close()
+
+
+def make_transport(host: str, port: int) -> Transport:
+    """Return the transport that listens on an address."""
+    return NngTransport(f"tcp://{host}:{port}")
+
+
+class Links(Service):
+    """Exchange soft state with a few partners, and talk to others where needed."""
+
+    def __init__(self, node: Node, **kwargs) -> None:
+        self.node = node
+        self.transport: Transport | None = None
+        self._secret = node.settings.links.secret.encode()
+        self._partners: list[str] = []
+        self._addresses: dict[str, str] = {}
+        self._greeted: set[str] = set()
+        super().__init__(**kwargs)
+
+    async def on_start(self) -> None:
+        """Listen, and take in what this node says about itself."""
+        links = self.node.settings.links
+        self.transport = make_transport(links.host, links.port)
+        self.node.digests.merge(self.node.make_profile(), "")
+        for peer in self.node.settings.peers:
+            self._addresses[peer.node] = peer.link_address
+
+    async def on_stop(self) -> None:
+        """Close the sockets."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def send(self, name: str, message: Message) -> None:
+        """Send a message to a node by name; drop it where the node is not known."""
+        address = self._address_of(name)
+        if address is None or self.transport is None:
+            return
+        frame = encode_frame(message, self._secret)
+        metrics = self.node.metrics
+        metrics.link_bytes.add({"direction": "out"}, len(frame))
+        metrics.link_messages.inc({"direction": "out"})
+        self.transport.send(address, frame)
+
+    def _address_of(self, name: str) -> str | None:
+        member = self.node.members.find(name)
+        if member is not None:
+            return member.profile.link_address
+        return self._addresses.get(name)
+
+    def learn_address(self, name: str, address: str) -> None:
+        """Take an address from the platform's list of VMs."""
+        self._addresses[name] = address
+
+    @Service.task
+    async def _run_rounds(self) -> None:
+        node = self.node
+        round_s = node.settings.links.round_ms / 1_000
+        while not self.should_stop:
+            self.run_round()
+            try:
+                await asyncio.wait_for(node.urgent.wait(), round_s)
+            except TimeoutError:
+                pass
+            node.urgent.clear()
+
+    def run_round(self) -> None:
+        """Send each partner what it lacks, with this node's standing."""
+        node = self.node
+        now_ms = node.clock.now_ms()
+        for name in node.members.forget_gone(now_ms):
+            node.digests.drop_origin(name)
+            node.departed.discard(name)
+        node.digests.merge(node.make_beat(), "")
+        self._choose_partners(now_ms)
+        for partner in self._partners:
+            self._send_batch(partner, now_ms)
+        self._send_catalogue_news()
+        if self.transport is not None:
+            in_use = {self._address_of(name) or "" for name in self._partners}
+            self.transport.close_idle(in_use)
+        node.metrics.confirm_age.set({}, node.confirmation.age_ms(now_ms) / 1_000)
+
+    def _choose_partners(self, now_ms: int) -> None:
+        """Take the neighbours among the live nodes and those not heard of yet."""
+        node = self.node
+        domains = {node.settings.node: node.settings.domain}
+        for peer in node.settings.peers:
+            if node.members.find(peer.node) is None:
+                domains[peer.node] = peer.domain
+        for member in node.members.alive(now_ms):
+            domains[member.profile.origin] = member.profile.domain
+        self._partners = pick_partners(node.settings.node, domains)
+        node.digests.set_partners(self._partners)
+
+    def _send_batch(self, partner: str, now_ms: int) -> None:
+        node = self.node
+        batch = Batch(
+            sender=node.settings.node,
+            incarnation=node.incarnation,
+            revision=node.confirmation.revision,
+            confirm_age_ms=node.confirmation.age_ms(now_ms),
+            digests=node.digests.take_missing(partner),
+            full=partner not in self._greeted,
+        )
+        self.send(partner, batch)
+
+    def _send_catalogue_news(self) -> None:
+        """Send a new revision on at once, as a delta to the one before."""
+        node = self.node
+        if not node.catalogue_changed.is_set():
+            return
+        node.catalogue_changed.clear()
+        for partner in self._partners:
+            member = node.members.find(partner)
+            known = 0
+            if member is not None and member.beat is not None:
+                known = member.beat.revision
+            self.send_catalogue(partner, known)
+
+    def send_catalogue(self, partner: str, known_revision: int) -> None:
+        """Send what is newer than a revision that the receiver is known to have."""
+        catalogue = self.node.catalogue
+        if known_revision >= catalogue.revision:
+            return
+        document = make_delta(catalogue, known_revision)
+        data = msgspec.json.encode(document)
+        self.send(partner, CatalogueNews(self.node.settings.node, data))
+
+    @Service.task
+    async def _receive(self) -> None:
+        assert self.transport is not None
+        while not self.should_stop:
+            try:
+                frame = await self.transport.receive()
+            except pynng.exceptions.Closed:
+                return
+            metrics = self.node.metrics
+            metrics.link_bytes.add({"direction": "in"}, len(frame))
+            metrics.link_messages.inc({"direction": "in"})
+            try:
+                message = decode_frame(frame, self._secret)
+            except FrameError as error:
+                log_event("frame_dropped", logging.WARNING, reason=str(error))
+                continue
+            self.take(message)
+
+    def take(self, message: Message) -> None:
+        """Act on one message from another node."""
+        node = self.node
+        match message:
+            case Batch():
+                self._take_batch(message)
+            case CatalogueNews():
+                node.apply_document(decode_document(message.document))
+            case CatalogueAsk(sender, revision):
+                self.send_catalogue(sender, revision)
+            case UsageCopy(_, record):
+                node.shelf.put(record)
+            case UsageKept(_, key, sequence):
+                node.shelf.drop(key, sequence)
+            case ShareAsk():
+                self.send(message.sender, answer_ask(node, message))
+            case ShareGrant():
+                take_grant(node, message)
+
+    def _take_batch(self, batch: Batch) -> None:
+        node = self.node
+        now_ms = node.clock.now_ms()
+        for digest in batch.digests:
+            node.take_digest(digest, batch.sender)
+        if batch.full:
+            node.digests.resend(batch.sender)
+        self._greeted.add(batch.sender)
+        node.confirmation.note_partner(batch.revision, batch.confirm_age_ms, now_ms)
+        if batch.revision > node.catalogue.revision:
+            ask = CatalogueAsk(node.settings.node, node.catalogue.revision)
+            self.send(batch.sender, ask)
--- /dev/null
+++ b/plantainwood/metrics.py
@@ -0,0 +1,85 @@
+"""Metrics for Prometheus."""
+
+from aioprometheus import Counter, Gauge, Histogram
+from aioprometheus.collectors import Registry
+from aioprometheus.renderer import render
+
+FIRST_TOKEN_BUCKETS_S = [0.05, 0.1, 0.2, 0.4, 0.6, 1.0, 2.0, 5.0, 15.0, 60.0]
+
+
+class Metrics:
+    """All metrics of one daemon, in a registry of their own."""
+
+    __slots__ = (
+        "registry",
+        "requests",
+        "first_token",
+        "attained",
+        "tokens",
+        "wasted_tokens",
+        "waiting",
+        "running",
+        "customer_tokens",
+        "upstream_cost",
+        "leases",
+        "catalogue_revision",
+        "confirm_age",
+        "store_calls",
+        "link_bytes",
+        "link_messages",
+    )
+
+    def __init__(self) -> None:
+        self.registry = Registry()
+        self.requests = self._add(
+            Counter("pw_requests_total", "Requests by class, outcome and code.")
+        )
+        self.first_token = Histogram(
+            "pw_first_token_seconds",
+            "Time to the first token by class.",
+            buckets=FIRST_TOKEN_BUCKETS_S,
+        )
+        self._add(self.first_token)
+        self.attained = self._add(
+            Counter("pw_attained_total", "Requests by class that met their target.")
+        )
+        self.tokens = self._add(
+            Counter("pw_tokens_total", "Tokens relayed to callers, by class.")
+        )
+        self.wasted_tokens = self._add(
+            Counter("pw_wasted_tokens_total", "Tokens of requests that ended in error.")
+        )
+        self.waiting = self._add(Gauge("pw_waiting", "Waiting requests by pool."))
+        self.running = self._add(Gauge("pw_running", "Running requests by pool."))
+        self.customer_tokens = self._add(
+            Counter("pw_customer_tokens_total", "Tokens by customer.")
+        )
+        self.upstream_cost = self._add(
+            Gauge("pw_upstream_cost_per_hour", "Cost of running upstreams.")
+        )
+        self.leases = self._add(
+            Gauge("pw_lease_held", "1 where the duty is held here.")
+        )
+        self.catalogue_revision = self._add(
+            Gauge("pw_catalogue_revision", "The catalogue revision in force.")
+        )
+        self.confirm_age = self._add(
+            Gauge("pw_confirm_age_seconds", "Age of the last confirmation, -1 if none.")
+        )
+        self.store_calls = self._add(
+            Counter("pw_store_calls_total", "Key-value calls by kind and result.")
+        )
+        self.link_bytes = self._add(
+            Counter("pw_link_bytes_total", "Bytes between daemons by direction.")
+        )
+        self.link_messages = self._add(
+            Counter("pw_link_messages_total", "Messages between daemons by direction.")
+        )
+
+    def _add(self, collector):
+        self.registry.register(collector)
+        return collector
+
+    def render(self, accept: list[str]) -> tuple[bytes, dict]:
+        """Return the exposition of all metrics and its headers."""
+        return render(self.registry, accept)
--- /dev/null
+++ b/plantainwood/node.py
@@ -0,0 +1,236 @@
+"""The state of one daemon, shared by its services on one loop."""
+
+import asyncio
+import secrets
+from collections import deque
+
+from opentelemetry.trace import Tracer
+
+from plantainwood.board import Board
+from plantainwood.core import events as ev
+from plantainwood.core.catalogue import Catalogue, Document, merge_document
+from plantainwood.core.clock import Clock, SystemClock
+from plantainwood.core.confirmation import Confirmation
+from plantainwood.core.digests import DigestTable
+from plantainwood.core.dispatcher import Dispatcher, Options
+from plantainwood.core.errors import ErrorCode, RequestError
+from plantainwood.core.keys import check_identity
+from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.limits import ShareHome
+from plantainwood.core.membership import Members
+from plantainwood.core.messages import (
+    AnyDigest,
+    Beat,
+    CrashNews,
+    LeavingNews,
+    LoadNews,
+    NodeState,
+    Profile,
+)
+from plantainwood.core.usage import ReplicaShelf, UsageLedger
+from plantainwood.engines import OpenAiEngine, PlainClient
+from plantainwood.logs import log_event
+from plantainwood.metrics import Metrics
+from plantainwood.procedures import Driver
+from plantainwood.settings import Settings
+from plantainwood.traces import make_tracer
+
+ORDERS_DUTY = "orders"
+BILLING_DUTY = "billing"
+
+
+class Clients:
+    """The clients of outside systems."""
+
+    __slots__ = ("driver", "engine", "plain")
+
+    def __init__(
+        self, driver: Driver, engine: OpenAiEngine, plain: PlainClient
+    ) -> None:
+        self.driver = driver
+        self.engine = engine
+        self.plain = plain
+
+
+class Node:
+    """Everything that the services of a daemon share."""
+
+    __slots__ = (
+        "settings",
+        "clock",
+        "incarnation",
+        "catalogue",
+        "stored_revision",
+        "board",
+        "members",
+        "digests",
+        "confirmation",
+        "ledger",
+        "shelf",
+        "homes",
+        "served",
+        "leases",
+        "metrics",
+        "tracer",
+        "clients",
+        "state",
+        "departed",
+        "urgent",
+        "catalogue_changed",
+        "background",
+        "history",
+        "_sequence",
+    )
+
+    def __init__(self, settings: Settings, clock: Clock, metrics: Metrics) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.incarnation = clock.wall_ms()
+        self.catalogue = Catalogue()
+        self.stored_revision = 0
+        """The key-value revision of the catalogue that was last read."""
+        dispatcher = Dispatcher(settings.node, secrets.randbits(32), Options())
+        self.board = Board(dispatcher, clock, self._spread_mark)
+        self.members = Members(settings.node)
+        self.digests = DigestTable()
+        self.confirmation = Confirmation()
+        self.ledger = UsageLedger(
+            settings.node, self.incarnation, settings.duties.billing_window_ms
+        )
+        self.shelf = ReplicaShelf()
+        self.homes: dict[str, ShareHome] = {}
+        self.served: dict[str, dict[int, int]] = {}
+        """Tokens served here by customer and tier since the last share call."""
+        times = LeaseTimes(
+            settings.duties.lease_term_ms,
+            settings.duties.lease_margin_ms,
+            settings.platform.timeout_ms,
+        )
+        self.leases: dict[str, Lease] = {}
+        for duty in (ORDERS_DUTY, BILLING_DUTY):
+            self.leases[duty] = Lease(
+                duty, settings.node, self.incarnation, clock, times
+            )
+        self.metrics = metrics
+        self.tracer: Tracer = make_tracer(settings.node, settings.traces.exporter)
+        self.clients: Clients
+        self.state = NodeState.LIVE
+        self.departed: set[str] = set()
+        self.urgent = asyncio.Event()
+        self.catalogue_changed = asyncio.Event()
+        self.background: set[asyncio.Task] = set()
+        self.history: deque[str] = deque(maxlen=32)
+        self._sequence = 0
+
+    def next_sequence(self) -> int:
+        """Return the next sequence number of this incarnation's digests."""
+        self._sequence += 1
+        return self._sequence
+
+    def make_profile(self) -> Profile:
+        """Return this node's profile."""
+        callers = self.settings.callers
+        scheme = "https" if callers.tls.certificate else "http"
+        address = callers.public_address or f"{scheme}://{callers.host}:{callers.port}"
+        links = self.settings.links
+        return Profile(
+            self.settings.node,
+            self.incarnation,
+            self.settings.domain,
+            address,
+            f"tcp://{links.host}:{links.port}",
+        )
+
+    def make_beat(self) -> Beat:
+        """Return a new heartbeat of this node."""
+        running = len(self.board.dispatcher.requests)
+        return Beat(
+            self.settings.node,
+            self.incarnation,
+            self.next_sequence(),
+            self.state,
+            self.catalogue.revision,
+            min(100, running // 4),
+        )
+
+    def apply_document(self, document: Document) -> bool:
+        """Put a newer catalogue in force; return whether it was newer."""
+        merged = merge_document(self.catalogue, document)
+        if merged is None:
+            return False
+        now_ms = self.clock.now_ms()
+        self.catalogue = merged
+        self.clients.driver.catalogue = merged
+        self.confirmation.note_revision(merged.revision)
+        self.board.dispatcher.apply_catalogue(merged, now_ms)
+        self.metrics.catalogue_revision.set({}, merged.revision)
+        self.end_unauthorized()
+        self.catalogue_changed.set()
+        self.urgent.set()
+        log_event("catalogue_in_force", revision=merged.revision)
+        return True
+
+    def end_unauthorized(self) -> None:
+        """End every request whose key is no longer valid in the catalogue."""
+        for ticket in list(self.board.tickets.values()):
+            if ticket.open_to_all:
+                continue
+            try:
+                check_identity(self.catalogue, ticket.identity)
+            except RequestError as error:
+                self.board.feed(ev.AuthorityLost(ticket.request_id, error.code))
+
+    def may_serve(self) -> bool:
+        """Tell whether this node may serve on its catalogue."""
+        now_ms = self.clock.now_ms()
+        known = len(self.members.known())
+        heard = len(self.members.alive(now_ms))
+        return self.confirmation.may_serve(heard, known, now_ms)
+
+    def end_isolated(self) -> None:
+        """End every keyed request, since a withdrawal could not be heard here."""
+        for ticket in list(self.board.tickets.values()):
+            if ticket.open_to_all:
+                continue
+            event = ev.AuthorityLost(ticket.request_id, ErrorCode.ISOLATED)
+            self.board.feed(event)
+
+    def take_digest(self, digest: AnyDigest, source: str) -> None:
+        """Merge a digest and act on it if it is news."""
+        if not self.digests.merge(digest, source):
+            return
+        now_ms = self.clock.now_ms()
+        if isinstance(digest, Beat):
+            self.members.note_beat(digest, now_ms)
+        elif isinstance(digest, Profile):
+            self.members.note_profile(digest, now_ms)
+        elif isinstance(digest, LoadNews):
+            event = ev.LoadReported(digest.upstream, digest.by_tier, 1_000)
+            self.board.feed(event)
+        elif isinstance(digest, LeavingNews):
+            self._take_leaving(digest)
+        elif isinstance(digest, CrashNews):
+            self.board.feed(ev.CrashHeard(digest.fingerprint, digest.upstream))
+            self.urgent.set()
+
+    def _take_leaving(self, news: LeavingNews) -> None:
+        entry = self.catalogue.upstreams.get(news.upstream)
+        if entry is not None and entry.address == news.address:
+            self.board.feed(ev.UpstreamLeaving(news.upstream))
+        self.urgent.set()
+
+    def _spread_mark(self, mark: ev.MarkCrash) -> None:
+        log_event("crash_mark", fingerprint=mark.fingerprint, upstream=mark.upstream)
+        self.take_digest(CrashNews(mark.fingerprint, mark.upstream), "")
+        self.urgent.set()
+
+    def run_later(self, coroutine) -> None:
+        """Run a coroutine in the background, and finish it before a clean exit."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+
+def make_node(settings: Settings) -> Node:
+    """Return a new node on the system's clock."""
+    return Node(settings, SystemClock(), Metrics())
--- /dev/null
+++ b/plantainwood/pipeline/authenticate.py
@@ -0,0 +1,38 @@
+"""Authenticate: the customer comes from the key alone."""
+
+from plantainwood.core.errors import ErrorCode, RequestError
+from plantainwood.core.keys import Identity, check_key
+from plantainwood.pipeline.exchange import Exchange, Filter, Kind, Proceed
+
+OPEN_CUSTOMER = "open"
+
+
+class Authenticate(Filter):
+    """Find the identity behind the key, anew for every request."""
+
+    name = "authenticate"
+
+    async def apply(self, exchange: Exchange, proceed: Proceed) -> None:
+        """Proceed with an identity; refuse a key that stands anywhere else."""
+        catalogue = exchange.node.catalogue
+        authorization = exchange.request.headers.get("Authorization")
+        if _is_open(exchange) and authorization is None:
+            exchange.open_to_all = True
+            exchange.identity = Identity(OPEN_CUSTOMER, "")
+            await proceed()
+            return
+        exchange.identity = check_key(catalogue, authorization)
+        secret = authorization.rpartition("_")[2].strip() if authorization else ""
+        if secret.encode() in exchange.body or secret in exchange.request.raw_path:
+            message = "the key must stand in the Authorization header only"
+            raise RequestError(ErrorCode.BAD_REQUEST, message)
+        await proceed()
+
+
+def _is_open(exchange: Exchange) -> bool:
+    """Tell whether the route is one that is open to all."""
+    if exchange.kind is not Kind.PLAIN:
+        return False
+    name = exchange.request.match_info["service"]
+    service = exchange.node.catalogue.services.get(name)
+    return service is not None and service.open_to_all
--- /dev/null
+++ b/plantainwood/pipeline/exchange.py
@@ -0,0 +1,100 @@
+"""One request and its answer on their way through the filters."""
+
+from abc import ABC, abstractmethod
+from enum import Enum
+from typing import Any, Awaitable, Callable
+
+from aiohttp import web
+
+from plantainwood.board import Ticket
+from plantainwood.core.catalogue import ServiceClass
+from plantainwood.core.keys import Identity
+from plantainwood.core.relay import Answer
+from plantainwood.engines import PlainAnswer
+from plantainwood.node import Node
+
+
+class Kind(Enum):
+    """What a route calls."""
+
+    CHAT = "chat"
+    COMPLETION = "completion"
+    PLAIN = "plain"
+
+
+class Exchange:
+    """A request from a caller and what has become of it so far."""
+
+    __slots__ = (
+        "node",
+        "request",
+        "request_id",
+        "kind",
+        "body",
+        "document",
+        "identity",
+        "class_name",
+        "service_class",
+        "pool",
+        "open_to_all",
+        "repeatable",
+        "ticket",
+        "answer",
+        "sink",
+        "plain_answer",
+        "arrived_ms",
+        "first_token_ms",
+        "attempts",
+        "upstream",
+        "replayed",
+    )
+
+    def __init__(
+        self, node: Node, request: web.Request, request_id: str, kind: Kind, body: bytes
+    ) -> None:
+        self.node = node
+        self.request = request
+        self.request_id = request_id
+        self.kind = kind
+        self.body = body
+        self.document: dict[str, Any] = {}
+        self.identity: Identity
+        self.class_name = ""
+        self.service_class: ServiceClass
+        self.pool = ""
+        self.open_to_all = False
+        self.repeatable = True
+        self.ticket: Ticket
+        self.answer = Answer()
+        self.sink: Sink
+        self.plain_answer: PlainAnswer | None = None
+        self.arrived_ms = node.clock.now_ms()
+        self.first_token_ms = 0
+        self.attempts = 0
+        self.upstream = ""
+        self.replayed = False
+
+
+class Sink(ABC):
+    """Where the tokens of an answer go."""
+
+    @abstractmethod
+    async def write(self, token: str) -> None:
+        """Take one token."""
+
+    @abstractmethod
+    async def finish(self, answer: Answer) -> None:
+        """Take the end of a whole answer."""
+
+
+Proceed = Callable[[], Awaitable[None]]
+
+
+class Filter(ABC):
+    """One step of the path: refuse by raising RequestError, or proceed."""
+
+    name: str
+
+    @abstractmethod
+    async def apply(self, exchange: Exchange, proceed: Proceed) -> None:
+        """Do this step's part before, and where needed after, the later steps."""
--- /dev/null
+++ b/plantainwood/pipeline/gate.py
@@ -0,0 +1,25 @@
+"""Gate: a VM that may be cut off, or has no catalogue, refuses new work."""
+
+from plantainwood.core.errors import ErrorCode, RequestError
+from plantainwood.pipeline.exchange import Exchange, Filter, Proceed
+
+RETRY_MS = 2_000
+
+
+class Gate(Filter):
+    """Refuse where this node can't know that its catalogue is in force."""
+
+    name = "gate"
+
+    async def apply(self, exchange: Exchange, proceed: Proceed) -> None:
+        """Proceed where the catalogue is there and confirmed."""
+        node = exchange.node
+        if node.catalogue.revision == 0:
+            message = "this VM has no catalogue yet; use another"
+            raise RequestError(
+                ErrorCode.CATALOGUE_MISSING, message, retry_after_ms=RETRY_MS
+            )
+        if not node.may_serve():
+            message = "this VM may be cut off; use another"
+            raise RequestError(ErrorCode.ISOLATED, message, retry_after_ms=RETRY_MS)
+        await proceed()
--- /dev/null
+++ b/plantainwood/pipeline/meter.py
@@ -0,0 +1,80 @@
+"""Meter: count, log and bill the outcome of every classified request."""
+
+import asyncio
+
+from plantainwood.core.errors import ErrorCode, Outcome, RequestError
+from plantainwood.core.usage import Line, make_line_key
+from plantainwood.logs import log_event
+from plantainwood.pipeline.exchange import Exchange, Filter, Proceed
+
+
+class Meter(Filter):
+    """Record what became of a request."""
+
+    name = "meter"
+
+    async def apply(self, exchange: Exchange, proceed: Proceed) -> None:
+        """Proceed, then record the outcome, whichever it is."""
+        outcome, code = Outcome.UNKNOWN, ErrorCode.INTERNAL.value
+        try:
+            await proceed()
+            outcome, code = Outcome.RAN, "ok"
+        except RequestError as error:
+            outcome, code = error.outcome, error.code.value
+            raise
+        except asyncio.CancelledError:
+            code = ErrorCode.CALLER_LEFT.value
+            raise
+        finally:
+            _record(exchange, outcome, code)
+
+
+def bill_tokens(exchange: Exchange, count: int) -> None:
+    """Bill tokens as they are relayed."""
+    _bill(exchange, Line(tokens=count))
+    customer = exchange.identity.customer
+    tier = exchange.service_class.tier
+    by_tier = exchange.node.served.setdefault(customer, {})
+    by_tier[tier] = by_tier.get(tier, 0) + count
+
+
+def _bill(exchange: Exchange, line: Line) -> None:
+    node = exchange.node
+    customer = exchange.identity.customer
+    entry = node.catalogue.customers.get(customer)
+    firm = entry.owner if entry is not None else exchange.service_class.owner
+    key = make_line_key(firm, customer, exchange.class_name)
+    node.ledger.count(key, node.clock.wall_ms(), line)
+
+
+def _record(exchange: Exchange, outcome: Outcome, code: str) -> None:
+    node = exchange.node
+    metrics = node.metrics
+    labels = {"class": exchange.class_name}
+    tokens = len(exchange.answer.tokens)
+    if code == "ok" and not exchange.replayed:
+        _bill(exchange, Line(requests=1))
+        metrics.tokens.add(labels, tokens)
+    elif tokens:
+        metrics.wasted_tokens.add(labels, tokens)
+    metrics.requests.inc({**labels, "outcome": outcome.value, "code": code})
+    metrics.customer_tokens.add({"customer": exchange.identity.customer}, tokens)
+    now_ms = node.clock.now_ms()
+    first_ms = (exchange.first_token_ms or now_ms) - exchange.arrived_ms
+    if exchange.first_token_ms:
+        metrics.first_token.observe(labels, first_ms / 1_000)
+    if code == "ok" and first_ms <= exchange.service_class.first_token_ms:
+        metrics.attained.inc(labels)
+    log_event(
+        "request",
+        request=exchange.request_id,
+        customer=exchange.identity.customer,
+        **labels,
+        upstream=exchange.upstream or "-",
+        attempts=exchange.attempts,
+        tokens=tokens,
+        outcome=outcome.value,
+        code=code,
+        first_ms=first_ms,
+        total_ms=now_ms - exchange.arrived_ms,
+    )
--- /dev/null
+++ b/plantainwood/pipeline/relay.py
@@ -0,0 +1,186 @@
+"""Relay: run the attempts that the core decides on, and forward the answer."""
+
+import asyncio
+import logging
+from contextlib import aclosing
+
+from opentelemetry.trace import get_current_span
+
+from plantainwood.core import events as ev
+from plantainwood.core.errors import ErrorCode, Outcome, RequestError
+from plantainwood.core.relay import Step
+from plantainwood.engines import AttemptError, EngineCall, PlainCall
+from plantainwood.logs import log_event
+from plantainwood.pipeline.exchange import Exchange, Filter, Kind, Proceed
+from plantainwood.pipeline.meter import bill_tokens
+from plantainwood.traces import write_traceparent
+
+PLAIN_HEADERS = ("Content-Type", "Accept", "Accept-Language", "Idempotency-Key")
+"""The caller's headers that a plain service gets; all others are dropped."""
+ROUTES = {Kind.CHAT: "/v1/chat/completions", Kind.COMPLETION: "/v1/completions"}
+ENGINE_FIELDS = (
+    "model",
+    "messages",
+    "prompt",
+    "max_tokens",
+    "temperature",
+    "top_p",
+    "stop",
+    "seed",
+    "tools",
+    "tool_choice",
+    "response_format",
+)
+"""The fields of a caller's body that an engine gets; all others are dropped."""
+
+
+class Finished:
+    """Tell the relay that the whole answer has come."""
+
+    __slots__ = ()
+
+
+class Relay(Filter):
+    """Carry out the core's decisions on one request until its end."""
+
+    name = "relay"
+
+    async def apply(self, exchange: Exchange, proceed: Proceed) -> None:
+        """Forward the whole answer, or raise the core's refusal."""
+        inbox: asyncio.Queue = exchange.ticket.decisions
+        attempt: asyncio.Task | None = None
+        try:
+            while True:
+                decision = await inbox.get()
+                if isinstance(decision, Finished):
+                    break
+                if attempt is not None:
+                    await _stop(attempt)
+                    attempt = None
+                if isinstance(decision, ev.Refuse):
+                    raise decision.error
+                if isinstance(decision, ev.Dispatch):
+                    attempt = asyncio.create_task(_attempt(exchange, decision))
+        finally:
+            if attempt is not None:
+                await _stop(attempt)
+        if exchange.kind is not Kind.PLAIN:
+            await exchange.sink.finish(exchange.answer)
+        await proceed()
+
+
+async def _stop(task: asyncio.Task) -> None:
+    """Cancel an attempt and wait until it writes no more."""
+    task.cancel()
+    await asyncio.wait([task])
+    if not task.cancelled() and task.exception() is not None:
+        raise task.exception()
+
+
+async def _attempt(exchange: Exchange, dispatch: ev.Dispatch) -> None:
+    """Run one attempt and tell the core how it ended."""
+    board = exchange.node.board
+    exchange.attempts += 1
+    exchange.upstream = dispatch.upstream
+    entry = exchange.node.catalogue.upstreams.get(dispatch.upstream)
+    try:
+        if entry is None:
+            raise AttemptError("the upstream left the catalogue", False, True)
+        with exchange.node.tracer.start_as_current_span("attempt") as span:
+            span.set_attribute("upstream", dispatch.upstream)
+            if exchange.kind is Kind.PLAIN:
+                await _call_plain(exchange, dispatch, entry.address)
+            else:
+                await _stream(exchange, dispatch, entry.address)
+    except AttemptError as error:
+        board.feed(
+            ev.AttemptFailed(
+                dispatch.request_id,
+                dispatch.attempt,
+                error.crashed,
+                error.proved_not_run,
+            )
+        )
+        return
+    except ConnectionError:
+        error = RequestError(
+            ErrorCode.CALLER_LEFT, "the caller closed the connection", Outcome.UNKNOWN
+        )
+        exchange.ticket.decisions.put_nowait(ev.Refuse(dispatch.request_id, error))
+        return
+    except Exception as error:
+        log_event("attempt_error", logging.ERROR, error=repr(error))
+        failure = RequestError(ErrorCode.INTERNAL, "the router failed", Outcome.UNKNOWN)
+        exchange.ticket.decisions.put_nowait(ev.Refuse(dispatch.request_id, failure))
+        return
+    board.feed(ev.AttemptDone(dispatch.request_id, dispatch.attempt))
+    exchange.ticket.decisions.put_nowait(Finished())
+
+
+async def _stream(exchange: Exchange, dispatch: ev.Dispatch, address: str) -> None:
+    """Forward an engine's tokens, resuming after those that were forwarded."""
+    answer = exchange.answer
+    while answer.attempt < dispatch.attempt:
+        answer.begin_attempt()
+    index = len(answer.tokens)
+    call = _make_engine_call(exchange, dispatch)
+    engine = exchange.node.clients.engine
+    async with aclosing(engine.stream(address, call)) as pieces:
+        async for piece in pieces:
+            if piece.end:
+                count = piece.count if piece.count is not None else index
+                if answer.finish(dispatch.attempt, count) is not Step.FORWARD:
+                    raise AttemptError("tokens are missing", False, False)
+                return
+            step = answer.accept(dispatch.attempt, index, piece.token)
+            index += 1
+            if step is Step.FORWARD:
+                await _forward(exchange, dispatch, piece.token)
+
+
+async def _forward(exchange: Exchange, dispatch: ev.Dispatch, token: str) -> None:
+    board = exchange.node.board
+    if not exchange.first_token_ms:
+        exchange.first_token_ms = exchange.node.clock.now_ms()
+    request_id, attempt = dispatch.request_id, dispatch.attempt
+    board.feed(ev.AttemptStarted(request_id, attempt))
+    board.feed(ev.TokensRelayed(request_id, attempt, 1))
+    bill_tokens(exchange, 1)
+    await exchange.sink.write(token)
+
+
+def _make_engine_call(exchange: Exchange, dispatch: ev.Dispatch) -> EngineCall:
+    body = {}
+    for name in ENGINE_FIELDS:
+        if name in exchange.document:
+            body[name] = exchange.document[name]
+    return EngineCall(
+        path=ROUTES[exchange.kind],
+        body=body,
+        priority=dispatch.priority,
+        resume_from=len(exchange.answer.tokens),
+        resume_text="".join(exchange.answer.tokens),
+        headers=_hop_headers(exchange),
+    )
+
+
+def _hop_headers(exchange: Exchange) -> dict[str, str]:
+    headers = {"X-Request-Id": exchange.request_id}
+    traceparent = write_traceparent(get_current_span())
+    if traceparent:
+        headers["traceparent"] = traceparent
+    return headers
+
+
+async def _call_plain(exchange: Exchange, dispatch: ev.Dispatch, address: str) -> None:
+    """Call a plain service and keep its whole answer."""
+    request = exchange.request
+    headers = _hop_headers(exchange)
+    for name in PLAIN_HEADERS:
+        if name in request.headers:
+            headers[name] = request.headers[name]
+    path = "/" + request.match_info["path"]
+    if request.query_string:
+        path = f"{path}?{request.query_string}"
+    call = PlainCall(request.method, path, exchange.body, headers)
+    exchange.plain_answer = await exchange.node.clients.plain.call(address, call)
--- /dev/null
+++ b/plantainwood/platform.py
@@ -0,0 +1,125 @@
+"""The platform's other interfaces: orders, usage reports, the list of VMs."""
+
+import asyncio
+from abc import ABC, abstractmethod
+from types import SimpleNamespace
+
+import aiohttp
+import msgspec
+
+from plantainwood.core.clock import Clock
+from plantainwood.core.errors import StoreError, StoreUnsent
+from plantainwood.core.steps import SendOrder, SendReport
+
+
+class Vm(msgspec.Struct, frozen=True):
+    """One VM as the platform lists it, late."""
+
+    domain: str
+    link_address: str
+    leaving: bool = False
+
+
+class PlatformClient(ABC):
+    """Send orders and reports, and read the list of VMs."""
+
+    @abstractmethod
+    async def send_order(self, order: SendOrder, checks_fencing: bool) -> bool:
+        """Send an order unless its deadline has come; return whether it was taken."""
+
+    @abstractmethod
+    async def send_report(self, report: SendReport) -> bool:
+        """Send a report unless its deadline has come; return whether it was taken."""
+
+    @abstractmethod
+    async def list_vms(self) -> dict[str, Vm] | None:
+        """Return the listed VMs by node name, or None where there is no list."""
+
+
+class DeadlinePassed(Exception):
+    """Report that the lease behind an order ended before its bytes were written."""
+
+
+def make_trace_config(clock: Clock) -> aiohttp.TraceConfig:
+    """Return hooks that stop a request whose deadline came while it connected.
+
+    aiohttp writes a request right after it has a connection, so this check is the
+    last one before the write.
+    """
+
+    async def check(
+        session: aiohttp.ClientSession, context: SimpleNamespace, params: object
+    ) -> None:
+        deadline_ms = (context.trace_request_ctx or {}).get("deadline_ms")
+        if deadline_ms is not None and clock.now_ms() >= deadline_ms:
+            raise DeadlinePassed()
+
+    config = aiohttp.TraceConfig()
+    config.on_connection_create_end.append(check)
+    config.on_connection_reuseconn.append(check)
+    return config
+
+
+class HttpPlatform(PlatformClient):
+    """Speak JSON over HTTP to the platform."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        orders_url: str,
+        reports_url: str,
+        vms_url: str,
+        timeout_ms: int,
+    ) -> None:
+        self._session = session
+        self._orders_url = orders_url
+        self._reports_url = reports_url
+        self._vms_url = vms_url
+        self._timeout = aiohttp.ClientTimeout(total=timeout_ms / 1_000)
+
+    async def send_order(self, order: SendOrder, checks_fencing: bool) -> bool:
+        """Post an order."""
+        body = {
+            "action": order.action,
+            "upstream": order.upstream,
+            "domain": order.domain,
+            "fence": order.fence,
+            "checks_fencing": checks_fencing,
+        }
+        return await self._post(
+            self._orders_url, msgspec.json.encode(body), order.deadline_ms
+        )
+
+    async def send_report(self, report: SendReport) -> bool:
+        """Post the frozen body of a report."""
+        return await self._post(self._reports_url, report.body, report.deadline_ms)
+
+    async def _post(self, url: str, body: bytes, deadline_ms: int) -> bool:
+        if not url:
+            raise StoreUnsent("the platform's address is not set")
+        try:
+            async with self._session.post(
+                url,
+                data=body,
+                headers={"Content-Type": "application/json"},
+                timeout=self._timeout,
+                trace_request_ctx={"deadline_ms": deadline_ms},
+            ) as response:
+                return response.status == 200
+        except (aiohttp.ClientConnectorError, DeadlinePassed) as error:
+            raise StoreUnsent(repr(error)) from error
+        except (aiohttp.ClientError, asyncio.TimeoutError) as error:
+            raise StoreError(repr(error)) from error
+
+    async def list_vms(self) -> dict[str, Vm] | None:
+        """Get the list of VMs."""
+        if not self._vms_url:
+            return None
+        try:
+            async with self._session.get(
+                self._vms_url, timeout=self._timeout
+            ) as response:
+                data = await response.read()
+            return msgspec.json.decode(data, type=dict[str, Vm])
+        except (aiohttp.ClientError, asyncio.TimeoutError, msgspec.DecodeError):
+            return None
--- /dev/null
+++ b/plantainwood/procedures.py
@@ -0,0 +1,59 @@
+"""Driver of the core's procedures: performs the calls that they yield."""
+
+from typing import Any
+
+from plantainwood.core.catalogue import Catalogue
+from plantainwood.core.errors import StoreError
+from plantainwood.core.steps import (
+    Call,
+    Read,
+    Scan,
+    SendOrder,
+    SendReport,
+    Steps,
+    Swap,
+)
+from plantainwood.platform import PlatformClient
+from plantainwood.store import StoreClient
+
+
+class Driver:
+    """Perform calls against the real clients."""
+
+    __slots__ = ("store", "platform", "catalogue")
+
+    def __init__(self, store: StoreClient, platform: PlatformClient) -> None:
+        self.store = store
+        self.platform = platform
+        self.catalogue = Catalogue()
+
+    async def run(self, steps: Steps) -> Any:
+        """Run a procedure to its end and return its result."""
+        reply: object = None
+        failure: StoreError | None = None
+        while True:
+            try:
+                call = steps.throw(failure) if failure else steps.send(reply)
+            except StopIteration as stop:
+                return stop.value
+            failure = None
+            try:
+                reply = await self._perform(call)
+            except StoreError as error:
+                failure = error
+
+    async def _perform(self, call: Call) -> object:
+        match call:
+            case Read(key):
+                return await self.store.read(key)
+            case Scan(prefix):
+                return await self.store.scan(prefix)
+            case Swap(key, value, expected):
+                return await self.store.swap(key, value, expected)
+            case SendOrder():
+                entry = self.catalogue.upstreams.get(call.upstream)
+                checks = entry.checks_fencing if entry is not None else False
+                return await self.platform.send_order(call, checks)
+            case SendReport():
+                return await self.platform.send_report(call)
+        raise TypeError(f"unknown call {call!r}")
--- /dev/null
+++ b/plantainwood/settings.py
@@ -0,0 +1,206 @@
+"""Settings of a daemon: YAML, checked whole at the start."""
+
+import os
+from enum import Enum
+from typing import Annotated, Mapping
+
+import msgspec
+
+from plantainwood.core.catalogue import Problem
+from plantainwood.core.checks import check_struct
+from plantainwood.documents import Source, read_yaml
+
+ENV_PREFIX = "env:"
+MIN_SECRET_CHARS = 16
+
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+Millis = Annotated[int, msgspec.Meta(ge=1)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9.-]*$")]
+
+
+class Secret(str):
+    """A text that never shows in logs, traces or error messages."""
+
+    def __repr__(self) -> str:
+        return "Secret('***')"
+
+
+class Exporter(Enum):
+    """Where spans go."""
+
+    NONE = "none"
+    CONSOLE = "console"
+
+
+class PlannerKind(Enum):
+    """How the upstreams that run are chosen; none sends no orders."""
+
+    NONE = "none"
+    COST = "cost"
+    STATIC = "static"
+
+
+class Section(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """Carry the rules that all sections share."""
+
+
+class Tls(Section, frozen=True):
+    """Certificate and key files of an address; empty: no TLS."""
+
+    certificate: str = ""
+    key: str = ""
+
+
+class Callers(Section, frozen=True):
+    """The address that callers connect to, and its bounds."""
+
+    host: str
+    port: Port
+    public_address: str = ""
+    tls: Tls = Tls()
+    max_body_bytes: Count = 1_048_576
+    max_header_bytes: Count = 16_384
+    body_timeout_ms: Millis = 10_000
+    idle_timeout_ms: Millis = 75_000
+
+
+class Admin(Section, frozen=True):
+    """The address of the administration API and of the metrics."""
+
+    host: str
+    port: Port
+    key: str
+    tls: Tls = Tls()
+
+
+class Links(Section, frozen=True):
+    """The address that other daemons send to, and the fleet's secret."""
+
+    host: str
+    port: Port
+    secret: str
+    round_ms: Millis = 1_000
+
+
+class Peer(Section, frozen=True):
+    """Another daemon to start from while the list of VMs is not known."""
+
+    node: Name
+    domain: Name
+    link_address: str
+
+
+class Store(Section, frozen=True):
+    """The platform's key-value service."""
+
+    endpoints: list[str]
+    timeout_ms: Millis = 1_500
+    calls_per_s: Count = 50
+    poll_ms: Millis = 500
+
+
+class Platform(Section, frozen=True):
+    """The platform's other interfaces; an empty URL means not used."""
+
+    orders_url: str = ""
+    reports_url: str = ""
+    vms_url: str = ""
+    timeout_ms: Millis = 2_000
+
+
+class Duties(Section, frozen=True):
+    """What one holder at a time does."""
+
+    lease_term_ms: Millis = 9_000
+    lease_margin_ms: Millis = 1_000
+    planner: PlannerKind = PlannerKind.NONE
+    plan_every_ms: Millis = 5_000
+    billing_window_ms: Millis = 3_600_000
+    billing_grace_ms: Millis = 60_000
+    usage_copy_ms: Millis = 1_000
+    usage_flush_ms: Millis = 10_000
+
+
+class Drain(Section, frozen=True):
+    """How a daemon shuts down."""
+
+    linger_ms: Millis = 5_000
+    """How long new requests are still served after it stopped being handed out."""
+    bound_ms: Millis = 120_000
+
+
+class Logs(Section, frozen=True):
+    """What is logged, and how it is rendered."""
+
+    level: str = "INFO"
+    json: bool = False
+
+
+class Traces(Section, frozen=True):
+    """Where spans go."""
+
+    exporter: Exporter = Exporter.NONE
+
+
+class Settings(Section, frozen=True):
+    """Everything that a daemon is told at its start."""
+
+    node: Name
+    domain: Name
+    callers: Callers
+    admin: Admin
+    links: Links
+    store: Store
+    platform: Platform = Platform()
+    peers: list[Peer] = []
+    duties: Duties = Duties()
+    drain: Drain = Drain()
+    logs: Logs = Logs()
+    traces: Traces = Traces()
+
+
+class SettingsError(Exception):
+    """Report settings with every problem found in them."""
+
+    def __init__(self, problems: list[str]) -> None:
+        super().__init__("\n".join(problems))
+        self.problems = problems
+
+
+def parse_settings(text: str, environment: Mapping[str, str]) -> Settings:
+    """Return the settings in a YAML text; raise SettingsError with all problems."""
+    source = read_yaml(text)
+    problems = check_struct(source.data, Settings, "")
+    if problems:
+        raise SettingsError([source.describe(problem) for problem in problems])
+    settings = msgspec.convert(source.data, Settings)
+    admin_key = _resolve_secret(settings.admin.key, "admin.key", environment, source)
+    secret = _resolve_secret(settings.links.secret, "links.secret", environment, source)
+    return msgspec.structs.replace(
+        settings,
+        admin=msgspec.structs.replace(settings.admin, key=admin_key),
+        links=msgspec.structs.replace(settings.links, secret=secret),
+    )
+
+
+def _resolve_secret(
+    value: str, path: str, environment: Mapping[str, str], source: Source
+) -> Secret:
+    """Return a secret, taken from the environment where it says 'env:NAME'."""
+    if value.startswith(ENV_PREFIX):
+        name = value.removeprefix(ENV_PREFIX)
+        if name not in environment:
+            problem = Problem(path, f"environment variable {name} is not set")
+            raise SettingsError([source.describe(problem)])
+        value = environment[name]
+    if len(value) < MIN_SECRET_CHARS:
+        problem = Problem(path, f"must have at least {MIN_SECRET_CHARS} characters")
+        raise SettingsError([source.describe(problem)])
+    return Secret(value)
+
+
+def load_settings(path: str) -> Settings:
+    """Return the settings in a file, with secrets from this process's environment."""
+    with open(path, encoding="utf-8") as file:
+        return parse_settings(file.read(), os.environ)
--- /dev/null
+++ b/plantainwood/shares.py
@@ -0,0 +1,92 @@
+"""Shares of customers' limits, asked from and leased by each customer's home node."""
+
+import asyncio
+from typing import Callable
+
+from mode import Service
+
+from plantainwood.core.hashing import rank_members
+from plantainwood.core.limits import ShareHome
+from plantainwood.core.messages import Message, ShareAsk, ShareGrant
+from plantainwood.node import Node
+
+ASK_EVERY_MS = 1_500
+HOME_MEMORY_MS = 30_000
+
+
+def find_home(node: Node, customer: str) -> str:
+    """Return the home of a customer: the first live node in its ranking."""
+    names = [node.settings.node]
+    for member in node.members.alive(node.clock.now_ms()):
+        names.append(member.profile.origin)
+    return rank_members(f"home\0{customer}", names)[0]
+
+
+def collect_asks(node: Node) -> dict[str, ShareAsk]:
+    """Return this node's demand and service since the last call, by home."""
+    asks: dict[str, ShareAsk] = {}
+    served, node.served = node.served, {}
+    for customer, limit in node.board.dispatcher.limits.items():
+        if not limit.demand and not limit.running and customer not in served:
+            continue
+        home = find_home(node, customer)
+        ask = asks.setdefault(home, ShareAsk(node.settings.node, {}, {}))
+        ask.demand[customer] = limit.demand + limit.running
+        ask.served[customer] = served.get(customer, {})
+        limit.demand = 0.0
+    return asks
+
+
+def answer_ask(node: Node, ask: ShareAsk) -> ShareGrant:
+    """Return the shares for a node's demand, as the home of its customers."""
+    now_ms = node.clock.now_ms()
+    shares: dict[str, float] = {}
+    elsewhere: dict[str, dict[int, int]] = {}
+    for customer, demand in ask.demand.items():
+        home = node.homes.setdefault(customer, ShareHome())
+        shares[customer] = home.grant(ask.sender, demand, now_ms)
+        others = home.exchange_service(ask.sender, ask.served.get(customer, {}))
+        if others:
+            elsewhere[customer] = others
+    return ShareGrant(node.settings.node, shares, elsewhere)
+
+
+def take_grant(node: Node, grant: ShareGrant) -> None:
+    """Use the shares, and charge what other nodes served."""
+    now_ms = node.clock.now_ms()
+    dispatcher = node.board.dispatcher
+    for customer, share in grant.shares.items():
+        limit = dispatcher.limits.get(customer)
+        if limit is not None:
+            limit.set_share(share, now_ms)
+    for customer, by_tier in grant.served_elsewhere.items():
+        for tier, tokens in by_tier.items():
+            dispatcher.charge_remote(tier, customer, tokens)
+
+
+class Shares(Service):
+    """Ask each customer's home for this node's share of its limits."""
+
+    def __init__(
+        self, node: Node, send: Callable[[str, Message], None], **kwargs
+    ) -> None:
+        self.node = node
+        self._send = send
+        super().__init__(**kwargs)
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(ASK_EVERY_MS / 1_000)
+            self.ask()
+
+    def ask(self) -> None:
+        """Ask every home once; this node answers itself where it is the home."""
+        node = self.node
+        alive = len(node.members.alive(node.clock.now_ms()))
+        node.board.dispatcher.set_limit_floor(1.0 / (2 * (alive + 1)))
+        for home, ask in collect_asks(node).items():
+            if home == node.settings.node:
+                take_grant(node, answer_ask(node, ask))
+            else:
+                self._send(home, ask)
