Prove faults of real processes; keep calls from being sent twice

Cause, found by test_a_booking_whose_reply_is_lost with PUT and DELETE: the HTTP client repeats some methods by itself after a disconnect, also on a fresh connection, so a call that may not be repeated ran twice. Change: hooks let each call of a plain service have one connection only. Ruled out: reuse of connections, which was off already.

--- /dev/null
+++ b/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, experiments and mutation checks."""
--- /dev/null
+++ b/experiments/mutants.py
@@ -0,0 +1,293 @@
+"""Mutation check: each proof must catch a break of the mechanism it stands for.
+
+Each mutant is applied to a copy of the tree; its proof is run there and must fail.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+import msgspec
+
+ROOT = Path(__file__).resolve().parent.parent
+COPIED = ("plantainwood", "plantainctl", "standins", "tests", "pyproject.toml")
+RUN_BOUND_S = 180
+
+
+class Mutant(msgspec.Struct, frozen=True):
+    """A replacement of text in one file, and the test that must catch it."""
+
+    point: int
+    name: str
+    file: str
+    before: str
+    after: str
+    test: str
+
+
+CORE = "plantainwood/core/"
+PROOFS = "tests/proofs/"
+
+MUTANTS = [
+    Mutant(
+        1,
+        "shed the arriving request though less urgent work waits",
+        CORE + "admission.py",
+        "    victim = pool.least_urgent(request.tier)\n    if victim is None and full:",
+        "    victim = None\n    if victim is None and full:",
+        PROOFS + "test_requests.py",
+    ),
+    Mutant(
+        1,
+        "preempt any tier",
+        CORE + "pools.py",
+        "        if request.tier <= above or not request.preemptible:\n"
+        "            continue\n        if request.protected",
+        "        if not request.preemptible:\n"
+        "            continue\n        if request.protected",
+        PROOFS + "test_requests.py",
+    ),
+    Mutant(
+        2,
+        "no reserved share",
+        CORE + "pools.py",
+        "        if self.credit < 1.0:\n            return False",
+        "        return False",
+        PROOFS + "test_starvation.py",
+    ),
+    Mutant(
+        2,
+        "no charge as tokens are made or dispatched",
+        CORE + "fairness.py",
+        "self.value(customer) + tokens / weight",
+        "self.value(customer)",
+        PROOFS + "test_starvation.py",
+    ),
+    Mutant(
+        3,
+        "take the customer from a header",
+        "plantainwood/pipeline/authenticate.py",
+        "        exchange.identity = check_key(catalogue, authorization)\n",
+        "        exchange.identity = check_key(catalogue, authorization)\n"
+        '        claimed = exchange.request.headers.get("X-Customer")\n'
+        "        exchange.identity.customer = claimed or exchange.identity.customer\n",
+        "tests/test_identity.py",
+    ),
+    Mutant(
+        4,
+        "send the caller's headers to upstreams",
+        "plantainwood/pipeline/relay.py",
+        '    headers = {"X-Request-Id": exchange.request_id}\n    traceparent',
+        "    headers = dict(exchange.request.headers)\n    traceparent",
+        "tests/test_identity.py",
+    ),
+    Mutant(
+        5,
+        "streams outlive their key",
+        "plantainwood/node.py",
+        "        self.end_unauthorized()\n",
+        "",
+        "tests/test_faults.py::test_a_withdrawn_key_ends_a_running_stream",
+    ),
+    Mutant(
+        5,
+        "serve whatever is heard",
+        CORE + "confirmation.py",
+        "return heard * 100 > known * QUORUM_PERCENT",
+        "return True",
+        PROOFS + "test_withdrawal.py",
+    ),
+    Mutant(
+        6,
+        "count the term from the reply",
+        CORE + "leases.py",
+        "            self._held_until_ms = asked_ms + self._times.term_ms\n        else:",
+        "            asked_ms = self._clock.now_ms()\n"
+        "            self._held_until_ms = asked_ms + self._times.term_ms\n        else:",
+        PROOFS + "test_leases.py",
+    ),
+    Mutant(
+        6,
+        "take over as soon as the record is seen",
+        CORE + "leases.py",
+        "        if now_ms - self._seen_at_ms < self._times.takeover_ms:\n"
+        "            return\n",
+        "",
+        PROOFS + "test_leases.py",
+    ),
+    Mutant(
+        6,
+        "no wait before unfenced orders",
+        CORE + "orders.py",
+        "    return now_ms - lease.taken_at_ms >= UNFENCED_WAIT_MS",
+        "    return True",
+        PROOFS + "test_leases.py",
+    ),
+    Mutant(
+        7,
+        "freeze figures again",
+        CORE + "billing.py",
+        "    if kept is not None:\n        return kept\n    records",
+        "    records",
+        PROOFS + "test_billing.py",
+    ),
+    Mutant(
+        7,
+        "forget what was billed before",
+        CORE + "billing.py",
+        "previous.billed if previous is not None else {}",
+        "{}",
+        PROOFS + "test_billing.py",
+    ),
+    Mutant(
+        8,
+        "accept tokens of abandoned attempts",
+        CORE + "relay.py",
+        "        if attempt != self.attempt or self.finished:\n"
+        "            return Step.DROP\n        if index < len",
+        "        if index < len",
+        PROOFS + "test_relay.py",
+    ),
+    Mutant(
+        8,
+        "end an answer that lacks tokens",
+        CORE + "relay.py",
+        "        if count != len(self.tokens):\n            return Step.RESUME\n",
+        "",
+        PROOFS + "test_relay.py",
+    ),
+    Mutant(
+        9,
+        "claim 'not run' after an attempt",
+        CORE + "book.py",
+        "    return Outcome.UNKNOWN if request.attempts_made else Outcome.NOT_RUN",
+        "    return Outcome.NOT_RUN",
+        PROOFS + "test_requests.py",
+    ),
+    Mutant(
+        10,
+        "run a claim that another holds",
+        CORE + "claims.py",
+        "            if claim.state is not ClaimState.RELEASED:\n"
+        "                return _resolve_existing(claim, request)\n",
+        "",
+        PROOFS + "test_claims.py",
+    ),
+    Mutant(
+        10,
+        "repeat a call that may not be repeated",
+        CORE + "outcomes.py",
+        "    if not request.repeatable and not event.proved_not_run:",
+        "    if False:",
+        PROOFS + "test_requests.py",
+    ),
+    Mutant(
+        11,
+        "older news brings a leaving upstream back",
+        CORE + "router.py",
+        "    if load.leaving or now_ms",
+        "    if now_ms",
+        PROOFS + "test_requests.py",
+    ),
+    Mutant(
+        12,
+        "stop without waiting for running requests",
+        "plantainwood/daemon.py",
+        "        while self._is_busy() and node.clock.now_ms() < bound_ms:\n"
+        "            await asyncio.sleep(DRAIN_POLL_MS / 1_000)\n",
+        "",
+        "tests/test_faults.py::test_a_graceful_shutdown_cuts_no_request",
+    ),
+    Mutant(
+        13,
+        "take an older revision",
+        CORE + "catalogue.py",
+        "    if document.revision <= current.revision:\n        return None\n",
+        "",
+        PROOFS + "test_catalogue.py",
+    ),
+    Mutant(
+        13,
+        "apply a delta to any base",
+        CORE + "catalogue.py",
+        "    if document.base > current.revision:\n        return None\n",
+        "",
+        PROOFS + "test_catalogue.py",
+    ),
+    Mutant(
+        13,
+        "overwrite another operator's edit",
+        CORE + "editing.py",
+        "    if conflicts:\n",
+        "    if False:\n",
+        PROOFS + "test_catalogue.py",
+    ),
+    Mutant(
+        0,
+        "two suspects on one upstream",
+        CORE + "dispatching.py",
+        "        if book.is_suspect(request, now_ms):\n"
+        "            _ask_reservation(pool, request, load, out)\n            continue\n",
+        "",
+        PROOFS + "test_containment.py",
+    ),
+    Mutant(
+        0,
+        "grant a reservation that is held",
+        CORE + "reservations.py",
+        "            if current.holder and current.until_wall_ms > wall_ms:\n"
+        "                return False\n",
+        "",
+        PROOFS + "test_reservations.py",
+    ),
+]
+
+
+def is_caught(mutant: Mutant) -> bool:
+    """Return whether the mutant's proof fails on a mutated copy of the tree."""
+    with tempfile.TemporaryDirectory(prefix="plantainwood-mutant-") as folder:
+        for name in COPIED:
+            source = ROOT / name
+            target = Path(folder) / name
+            if source.is_dir():
+                ignored = shutil.ignore_patterns("__pycache__")
+                shutil.copytree(source, target, ignore=ignored)
+            else:
+                shutil.copy(source, target)
+        path = Path(folder) / mutant.file
+        text = path.read_text()
+        if text.count(mutant.before) != 1:
+            raise SystemExit(f"{mutant.name}: the text to replace is not there once")
+        path.write_text(text.replace(mutant.before, mutant.after))
+        result = subprocess.run(
+            [sys.executable, "-m", "pytest", "-x", mutant.test],
+            cwd=folder,
+            env={**os.environ, "PYTHONPATH": folder},
+            capture_output=True,
+            timeout=RUN_BOUND_S,
+        )
+    return result.returncode == 1
+
+
+def main() -> int:
+    """Check all mutants, or those whose names contain the argument."""
+    wanted = sys.argv[1] if len(sys.argv) > 1 else ""
+    missed = 0
+    checked = 0
+    for mutant in MUTANTS:
+        if wanted not in mutant.name and wanted != str(mutant.point):
+            continue
+        caught = is_caught(mutant)
+        checked += 1
+        missed += not caught
+        verdict = "caught" if caught else "MISSED"
+        print(f"{verdict}: point {mutant.point}: {mutant.name}", flush=True)
+    print(f"{checked - missed} passed, {missed} failed")
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/plantainwood/core/usage.py
+++ b/plantainwood/core/usage.py
@@ -134,8 +134,13 @@
             found.append(record)
         return found
 
-    def __len__(self) -> int:
-        return len(self._records)
+    def count_tokens(self) -> int:
+        """Return the tokens in all copies that are kept."""
+        total = 0
+        for record in self._records.values():
+            for line in record.lines.values():
+                total += line.tokens
+        return total
 
 
 def flush_record(record: UsageRecord) -> Steps:
--- a/plantainwood/daemon.py
+++ b/plantainwood/daemon.py
@@ -14,7 +14,11 @@
 from plantainwood.core.messages import NodeState
 from plantainwood.documents import DocumentError
 from plantainwood.duties import Billing, LeaseKeeper, Orders
-from plantainwood.engines import OpenAiEngine, PlainClient
+from plantainwood.engines import (
+    OpenAiEngine,
+    PlainClient,
+    make_single_try_config,
+)
 from plantainwood.links import Links
 from plantainwood.logs import log_event, setup_logs
 from plantainwood.node import Clients, Node, make_node
@@ -82,6 +86,7 @@
         plain = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
+            trace_configs=[make_single_try_config()],
         )
         self._sessions = [general, plain]
         store = EtcdClient(
--- a/plantainwood/engines.py
+++ b/plantainwood/engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from abc import ABC, abstractmethod
+from types import SimpleNamespace
 from typing import Any, AsyncIterator
 
 import aiohttp
@@ -192,6 +193,36 @@
     return AttemptError(f"garbage: {reason}", crashed=False, proved_not_run=False)
 
 
+class SingleTry:
+    """Tell whether a call already had its one connection."""
+
+    __slots__ = ("used",)
+
+    def __init__(self) -> None:
+        self.used = False
+
+
+class SecondTry(Exception):
+    """Stop the library from sending a call a second time."""
+
+
+def make_single_try_config() -> aiohttp.TraceConfig:
+    """Return hooks that let each call have one connection only."""
+
+    async def check(
+        session: aiohttp.ClientSession, context: SimpleNamespace, params: object
+    ) -> None:
+        single: SingleTry = context.trace_request_ctx
+        if single.used:
+            raise SecondTry()
+        single.used = True
+
+    config = aiohttp.TraceConfig()
+    config.on_connection_create_end.append(check)
+    config.on_connection_reuseconn.append(check)
+    return config
+
+
 async def _read_body(content: aiohttp.StreamReader) -> bytes:
     """Return a whole body of bounded length."""
     body = bytearray()
@@ -205,8 +236,8 @@
 class PlainClient:
     """Call a plain service over HTTP.
 
-    Use it with a session that never reuses connections: on a reused one the
-    library itself repeats some methods after a disconnect.
+    Use it with a session that has the hooks of make_single_try_config: by itself
+    the library repeats some methods after a disconnect.
     """
 
     def __init__(self, session: aiohttp.ClientSession) -> None:
@@ -225,6 +256,7 @@
                 headers=call.headers,
                 timeout=self._timeout,
                 allow_redirects=False,
+                trace_request_ctx=SingleTry(),
             ) as response:
                 body = await _read_body(response.content)
                 content_type = response.headers.get("Content-Type", "")
@@ -233,3 +265,6 @@
             raise AttemptError(repr(error), False, proved_not_run=True) from error
         except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError) as error:
             raise AttemptError(repr(error), True, proved_not_run=False) from error
+        except SecondTry as error:
+            reason = "the connection broke after the call was sent"
+            raise AttemptError(reason, True, proved_not_run=False) from error
--- /dev/null
+++ b/tests/calls.py
@@ -0,0 +1,130 @@
+"""Calls that tests make as a caller would."""
+
+import http.client
+import json
+import threading
+import urllib.error
+import urllib.request
+from typing import NamedTuple
+
+from standins.fleet import Fleet
+
+CHAT = "/v1/chat/completions"
+
+
+class Answer(NamedTuple):
+    """Status, headers and body of an answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def error(self) -> dict:
+        """Return the error in the body."""
+        return json.loads(self.body)["error"]
+
+
+def send(
+    fleet: Fleet,
+    path: str,
+    body: bytes,
+    key: str = "",
+    node: str = "vm-1",
+    method: str = "POST",
+    **headers: str,
+) -> Answer:
+    """Send one request on a connection of its own."""
+    url = fleet.url(f"{node}/callers") + path
+    request = urllib.request.Request(url, body, method=method)
+    if key:
+        request.add_header("Authorization", f"Bearer {key}")
+    for name, value in headers.items():
+        request.add_header(name.replace("_", "-"), value)
+    try:
+        with urllib.request.urlopen(request, timeout=60) as answer:
+            return Answer(answer.status, dict(answer.headers), answer.read())
+    except urllib.error.HTTPError as error:
+        return Answer(error.code, dict(error.headers), error.read())
+
+
+def make_chat(text: str = "hello", stream: bool = False, tokens: int = 10) -> bytes:
+    """Return the body of a chat request."""
+    body = {
+        "model": "rounds",
+        "messages": [{"role": "user", "content": text}],
+        "stream": stream,
+        "max_tokens": tokens,
+    }
+    return json.dumps(body).encode()
+
+
+def book(
+    fleet: Fleet, key: str, name: str, node: str = "vm-1", method: str = "POST"
+) -> Answer:
+    """Send a booking whose idempotency key is its own text."""
+    return send(
+        fleet,
+        "/services/booking/rounds",
+        name.encode(),
+        key,
+        node,
+        method,
+        Service_Class="booking",
+        Idempotency_Key=name,
+    )
+
+
+def read_tokens(stream: bytes) -> list[str]:
+    """Return the tokens of a streamed chat answer."""
+    tokens: list[str] = []
+    for line in stream.splitlines():
+        if not line.startswith(b"data: {"):
+            continue
+        for choice in json.loads(line[6:]).get("choices", []):
+            if choice["delta"].get("content"):
+                tokens.append(choice["delta"]["content"])
+    return tokens
+
+
+def count_up(tokens: list[str]) -> list[int]:
+    """Return the indexes that the stand-in engine wrote into its tokens."""
+    return [int(token.split("-")[0]) for token in tokens]
+
+
+class Stream(threading.Thread):
+    """A streamed request in a thread of its own."""
+
+    def __init__(
+        self, fleet: Fleet, key: str, text: str, tokens: int, node: str = "vm-1"
+    ) -> None:
+        super().__init__()
+        port = fleet.ports[f"{node}/callers"]
+        self.connection = http.client.HTTPConnection("127.0.0.1", port, timeout=60)
+        self.request_body = make_chat(text, True, tokens)
+        self.key = key
+        self.body = b""
+        self.started = threading.Event()
+        self.failure: Exception | None = None
+        self.start()
+
+    def run(self) -> None:
+        """Send the request and read the answer to its end."""
+        try:
+            headers = {"Authorization": f"Bearer {self.key}"}
+            self.connection.request("POST", CHAT, self.request_body, headers)
+            response = self.connection.getresponse()
+            while True:
+                chunk = response.read1(65_536)
+                self.started.set()
+                if not chunk:
+                    return
+                self.body += chunk
+        except (OSError, http.client.HTTPException) as error:
+            self.failure = error
+            self.started.set()
+
+    def finish(self) -> list[int]:
+        """Wait for the end; return the indexes of the tokens that came."""
+        self.join(60)
+        assert not self.is_alive(), "the stream did not end"
+        return count_up(read_tokens(self.body))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,8 +5,12 @@
 from plantainwood.core.errors import StoreError, StoreUnsent
 from plantainwood.core.steps import Call, Read, Scan, Steps, Stored, Swap
 
-FAULTS = ["ok", "ok", "ok", "lost_before", "lost_after", "unsent", "late"]
-"""What may happen to a key-value call; 'late' takes effect after its failure."""
+FAULTS = ["ok", "ok", "ok", "slow", "lost_before", "lost_after", "unsent", "late"]
+"""What may happen to a key-value call.
+
+'late' takes effect after its failure; 'slow' takes effect now, and its reply comes
+with the next step.
+"""
 
 
 class FakeStore:
@@ -49,6 +53,7 @@
         self.done = False
         self.result: Any = None
         self.error: Exception | None = None
+        self.kept: list[Any] = []
         self._advance(lambda: next(steps))
 
     def _advance(self, move) -> None:
@@ -69,7 +74,11 @@
 
     def step(self, store: FakeStore, fault: str = "ok") -> None:
         """Perform the pending key-value call with a fault."""
-        if store.down or fault == "unsent":
+        if self.kept:
+            self.reply(self.kept.pop())
+        elif fault == "slow":
+            self.kept.append(store.perform(self.call))
+        elif store.down or fault == "unsent":
             self.fail(StoreUnsent("down"))
         elif fault == "ok":
             self.reply(store.perform(self.call))
--- /dev/null
+++ b/tests/test_faults.py
@@ -0,0 +1,266 @@
+"""Faults of real processes: kills, freezes, cuts, outages and shutdowns."""
+
+import json
+import signal
+import threading
+import urllib.error
+
+import pytest
+import yaml
+
+from standins.fleet import ADMIN_KEY, Fleet, call, wait_until
+from tests.calls import CHAT, Stream, book, make_chat, send
+
+DUTIES = {
+    "lease_term_ms": 3_000,
+    "lease_margin_ms": 500,
+    "billing_window_ms": 3_000,
+    "billing_grace_ms": 1_500,
+    "usage_copy_ms": 200,
+    "usage_flush_ms": 500,
+}
+
+
+@pytest.fixture
+def fleet():
+    """Run a fleet of its own for each test."""
+    running = Fleet(nodes=3, engines=3, duties=DUTIES)
+    try:
+        running.start()
+        running.load_catalogue()
+        yield running
+    finally:
+        running.stop()
+
+
+def test_a_withdrawn_key_ends_a_running_stream(fleet):
+    key, key_id = fleet.grant()
+    streams = [Stream(fleet, key, node, 3_000, node) for node in fleet.nodes]
+    for stream in streams:
+        assert stream.started.wait(20)
+    fleet.admin("POST", f"/admin/keys/{key_id}/withdraw", {})
+    for stream in streams:
+        tokens = stream.finish()
+        assert tokens == list(range(len(tokens)))
+        assert len(tokens) < 3_000
+        last = stream.body.strip().splitlines()[-1]
+        error = json.loads(last.removeprefix(b"data: "))["error"]
+        assert (error["code"], error["outcome"]) == ("key_withdrawn", "unknown")
+    assert send(fleet, CHAT, make_chat(), key).error()["code"] == "key_withdrawn"
+
+
+def test_a_graceful_shutdown_cuts_no_request(fleet):
+    key, _ = fleet.grant()
+    streams = [Stream(fleet, key, f"s{n}", 200, "vm-2") for n in range(6)]
+    for stream in streams:
+        assert stream.started.wait(20)
+    fleet.kill("vm-2", signal.SIGTERM)
+    during = send(fleet, CHAT, make_chat("held address"), key, "vm-2")
+    assert during.status == 200, "a caller that holds the address was cut"
+    for stream in streams:
+        assert stream.finish() == list(range(200))
+        assert stream.body.endswith(b"data: [DONE]\n\n")
+    assert fleet.processes["vm-2"].wait(30) == 0
+    with pytest.raises(urllib.error.URLError):
+        send(fleet, CHAT, make_chat(), key, "vm-2")
+
+
+def test_a_killed_engine_costs_no_token(fleet):
+    key, _ = fleet.grant()
+    streams = [Stream(fleet, key, f"s{n}", 150) for n in range(6)]
+    for stream in streams:
+        assert stream.started.wait(20)
+    fleet.kill("engine-1")
+    for stream in streams:
+        assert stream.finish() == list(range(150))
+
+
+def test_streams_that_are_cut_or_garbled_are_resumed(fleet):
+    key, _ = fleet.grant()
+    fleet.control("engine-1", cut_after=5)
+    fleet.control("engine-2", garbage=True)
+    for number in range(6):
+        stream = Stream(fleet, key, f"s{number}", 20)
+        assert stream.finish() == list(range(20))
+
+
+def test_a_booking_sent_to_all_vms_at_once_runs_once(fleet):
+    key, _ = fleet.grant()
+    fleet.control("plain", token_ms=300)
+    fleet.control("keyvalue", lose_replies=2)
+    answers = []
+    threads = []
+    for node in fleet.nodes * 2:
+        target = lambda vm: answers.append(book(fleet, key, "r", vm))  # noqa: E731
+        threads.append(threading.Thread(target=target, args=(node,)))
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert len(answers) == 6
+    runs = call("GET", fleet.url("plain") + "/runs")
+    assert runs.get("r", 0) <= 1
+    for answer in answers:
+        if answer.status == 200:
+            assert runs["r"] == 1
+        else:
+            assert answer.error()["code"] in ("in_progress", "claim_unavailable")
+
+
+@pytest.mark.parametrize("method", ["POST", "PUT", "DELETE"])
+def test_a_booking_whose_reply_is_lost_is_unknown_and_never_repeated(fleet, method):
+    key, _ = fleet.grant()
+    fleet.control("plain", lose_replies=1)
+    first = book(fleet, key, "r", method=method)
+    assert first.error()["outcome"] == "unknown"
+    for node in fleet.nodes:
+        again = book(fleet, key, "r", node, method)
+        assert again.error()["outcome"] == "unknown"
+    assert call("GET", fleet.url("plain") + "/runs") == {"r": 1}
+
+
+def test_an_outage_of_the_key_value_service(fleet):
+    """Hints are served, bookings are refused as not run, a replaced VM learns."""
+    key, _ = fleet.grant()
+    fleet.control("keyvalue", down=True)
+    refused = book(fleet, key, "r")
+    assert refused.error()["code"] == "claim_unavailable"
+    assert refused.error()["outcome"] == "not_run"
+    assert "Retry-After" in refused.headers
+    assert send(fleet, CHAT, make_chat(), key).status == 200
+    fleet.kill("vm-3")
+    fleet.processes["vm-3"].wait()
+    fleet.start_node("vm-3")
+    fleet.wait_listening("vm-3")
+    served = lambda: send(fleet, CHAT, make_chat(), key, "vm-3").status  # noqa: E731
+    assert wait_until(lambda: served() == 200)
+    fleet.control("keyvalue", down=False)
+    assert wait_until(lambda: book(fleet, key, "r").status == 200)
+    assert call("GET", fleet.url("plain") + "/runs") == {"r": 1}
+
+
+def test_a_vm_that_hears_nobody_refuses(fleet):
+    key, _ = fleet.grant()
+    stream = Stream(fleet, key, "long", 4_000)
+    assert stream.started.wait(20)
+    fleet.control("keyvalue", down=True)
+    for node in ("vm-2", "vm-3"):
+        fleet.kill(node, signal.SIGSTOP)
+
+    def is_isolated() -> bool:
+        answer = send(fleet, CHAT, make_chat(), key)
+        return answer.status == 503 and answer.error()["code"] == "isolated"
+
+    assert wait_until(is_isolated, 30)
+    stream.finish()
+    assert b'"isolated"' in stream.body
+    for node in ("vm-2", "vm-3"):
+        fleet.kill(node, signal.SIGCONT)
+    assert wait_until(lambda: send(fleet, CHAT, make_chat(), key).status == 200, 30)
+
+
+def read_reports(fleet: Fleet) -> dict[tuple[str, int], set[str]]:
+    """Return the different texts that were reported for each window."""
+    found: dict[tuple[str, int], set[str]] = {}
+    for text in call("GET", fleet.url("platform") + "/taken")["reports"]:
+        body = json.loads(text)
+        found.setdefault((body["firm"], body["window"]), set()).add(text)
+    return found
+
+
+def sum_tokens(fleet: Fleet) -> int:
+    """Return all tokens that were reported, each window once."""
+    total = 0
+    for texts in read_reports(fleet).values():
+        for line in json.loads(next(iter(texts)))["lines"].values():
+            total += line[2]
+    return total
+
+
+def find_holder(fleet: Fleet, nodes: list[str]) -> str:
+    """Return which of some nodes holds the billing duty."""
+    for node in nodes:
+        for duty in fleet.admin("GET", "/admin/status", node=node)["duties"]:
+            if duty["duty"] == "billing" and duty["held"]:
+                return node
+    return ""
+
+
+def test_usage_is_billed_once_through_a_frozen_holder_and_a_killed_vm(fleet):
+    key, _ = fleet.grant()
+    fleet.control("platform", lose_replies=2)
+    holder = wait_until(lambda: find_holder(fleet, fleet.nodes))
+    served = [node for node in fleet.nodes if node != holder]
+    for node in served:
+        assert send(fleet, CHAT, make_chat(tokens=30), key, node).status == 200
+    fleet.kill(holder, signal.SIGSTOP)
+    assert wait_until(lambda: find_holder(fleet, served), 40)
+    fleet.kill(holder, signal.SIGCONT)
+    assert wait_until(lambda: sum_tokens(fleet) == 60, 40)
+    assert all(len(texts) == 1 for texts in read_reports(fleet).values())
+
+
+def test_a_killed_vms_usage_is_rescued_by_its_peers(fleet):
+    key, _ = fleet.grant()
+    fleet.control("keyvalue", down=True)
+    assert send(fleet, CHAT, make_chat(tokens=40), key, "vm-3").status == 200
+    wait_until(lambda: count_copied(fleet) == 2 * 40)
+    fleet.kill("vm-3")
+    fleet.processes["vm-3"].wait()
+    fleet.control("keyvalue", down=False)
+    assert wait_until(lambda: sum_tokens(fleet) == 40, 60)
+
+
+def count_copied(fleet: Fleet) -> int:
+    """Return how many tokens the copies hold that the peers of vm-3 keep."""
+    total = 0
+    for node in ("vm-1", "vm-2"):
+        total += fleet.admin("GET", "/admin/status", node=node)["copied_tokens"]
+    return total
+
+
+def test_a_leaving_upstream_gets_no_new_work():
+    running = Fleet(nodes=3, engines=2, duties=DUTIES)
+    url = running.url("platform") + "/vms"
+    running.overrides["platform"] = {"vms_url": url}
+    try:
+        running.start()
+        running.load_catalogue()
+        key, _ = running.grant()
+        entry = {"domain": "ba-norte", "link_address": "", "leaving": True}
+        call("PUT", url, {"engine-1": entry})
+
+        def is_known() -> bool:
+            for node in running.nodes:
+                rows = running.admin("GET", "/admin/upstreams", node=node)["upstreams"]
+                leaving = {row["upstream"] for row in rows if row["leaving"]}
+                if "engine-1" not in leaving:
+                    return False
+            return True
+
+        assert wait_until(is_known)
+        call("PUT", url, {"engine-1": {**entry, "leaving": False}})
+        running.load_catalogue()
+        before = call("GET", running.url("engine-1") + "/stats")["started"]
+        for number in range(12):
+            node = running.nodes[number % 3]
+            assert send(running, CHAT, make_chat(), key, node).status == 200
+        after = call("GET", running.url("engine-1") + "/stats")["started"]
+        assert after == before
+    finally:
+        running.stop()
+
+
+def test_two_operators_editing_one_entry(fleet):
+    text = fleet.make_catalogue()
+    base = fleet.admin("GET", "/admin/catalogue")["revision"]
+    text["models"]["rounds"]["max_tokens"] = 100
+    body = {"text": yaml.safe_dump(text), "base_revision": base}
+    fleet.admin("POST", "/admin/catalogue", body)
+    text["models"]["rounds"]["max_tokens"] = 200
+    body["text"] = yaml.safe_dump(text)
+    with pytest.raises(urllib.error.HTTPError) as refusal:
+        call("POST", fleet.url("vm-2/admin") + "/admin/catalogue", body, ADMIN_KEY)
+    assert refusal.value.code == 409
+    shown = fleet.admin("GET", "/admin/catalogue", node="vm-3")["catalogue"]
+    assert shown["models"]["rounds"]["max_tokens"] == 100
--- /dev/null
+++ b/tests/test_identity.py
@@ -0,0 +1,100 @@
+"""Points 3 and 4: the customer comes from the key, and nobody else sees the key."""
+
+import base64
+import http.client
+import json
+import urllib.request
+
+import pytest
+
+from standins.fleet import ADMIN_KEY, Fleet, call, wait_until
+from tests.calls import CHAT, book, make_chat, send
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    """Run a fleet that flushes usage often."""
+    running = Fleet(nodes=2, engines=2, duties={"usage_flush_ms": 200})
+    try:
+        running.start()
+        running.load_catalogue()
+        yield running
+    finally:
+        running.stop()
+
+
+def read_usage(fleet: Fleet) -> dict[str, int]:
+    """Return the tokens by customer that the key-value service holds."""
+    tokens: dict[str, int] = {}
+    for row in fleet.admin("GET", "/admin/usage")["usage"]:
+        customer = row["line"].split("/")[1]
+        tokens[customer] = tokens.get(customer, 0) + row["tokens"]
+    return tokens
+
+
+def test_each_request_runs_for_its_own_key_on_one_connection(fleet):
+    keys = {name: fleet.grant(name)[0] for name in ("norte-walkers", "sur-walkers")}
+    others = {"norte-walkers": "sur-walkers", "sur-walkers": "norte-walkers"}
+    connection = http.client.HTTPConnection("127.0.0.1", fleet.ports["vm-1/callers"])
+    for turn in range(6):
+        customer = sorted(keys)[turn % 2]
+        headers = {
+            "Authorization": f"Bearer {keys[customer]}",
+            "X-Customer": others[customer],
+        }
+        tokens = 3 if customer == "norte-walkers" else 5
+        body = make_chat(f"{customer} {turn}", tokens=tokens)
+        connection.request("POST", CHAT, body, headers)
+        answer = json.loads(connection.getresponse().read())
+        assert answer["usage"]["completion_tokens"] == tokens
+    connection.close()
+    expected = {"norte-walkers": 9, "sur-walkers": 15}
+    wait_until(lambda: read_usage(fleet) == expected)
+
+
+def test_the_key_is_nowhere_but_with_its_caller(fleet):
+    key = fleet.grant()[0]
+    secret = key.rpartition("_")[2].encode()
+    send(fleet, CHAT, make_chat(), key, X_Api_Key=key, Cookie=f"k={key}")
+    send(fleet, CHAT, make_chat(stream=True), key, traceparent=f"00-{key}-1-01")
+    assert book(fleet, key, "round 3").status == 200
+    in_body = send(fleet, CHAT, make_chat(f"my key is {key}"), key)
+    assert in_body.error()["code"] == "bad_request"
+    path = f"/services/booking/rounds?api_key={key}"
+    in_query = send(fleet, path, b"", key, Idempotency_Key="q", Service_Class="booking")
+    assert in_query.error()["code"] == "bad_request"
+    for name in (*fleet.engines, "plain"):
+        with urllib.request.urlopen(fleet.url(name) + "/received") as answer:
+            assert secret not in answer.read(), f"{name} saw the key"
+    for name in fleet.nodes:
+        assert secret not in fleet.read_log(name).encode(), f"{name} logged the key"
+        request = urllib.request.Request(fleet.url(f"{name}/admin") + "/metrics")
+        request.add_header("Authorization", f"Bearer {ADMIN_KEY}")
+        with urllib.request.urlopen(request) as answer:
+            assert secret not in answer.read()
+    everything = {
+        "key": base64.b64encode(b"\x01").decode(),
+        "range_end": base64.b64encode(b"\xff").decode(),
+    }
+    stored = call("POST", fleet.url("keyvalue") + "/v3/kv/range", everything)
+    assert int(stored["count"]) > 0
+    for item in stored["kvs"]:
+        assert secret not in base64.b64decode(item["value"])
+        assert secret not in base64.b64decode(item["key"])
+
+
+def test_a_caller_that_goes_away_cancels_its_upstream_work(fleet):
+    key = fleet.grant()[0]
+    fleet.control("engine-1", token_ms=20)
+    fleet.control("engine-2", token_ms=20)
+    connection = http.client.HTTPConnection("127.0.0.1", fleet.ports["vm-1/callers"])
+    headers = {"Authorization": f"Bearer {key}"}
+    connection.request("POST", CHAT, make_chat("long", True, 1_000), headers)
+    connection.getresponse().read1(10)
+    connection.close()
+
+    def count_cancelled() -> int:
+        stats = [call("GET", fleet.url(name) + "/stats") for name in fleet.engines]
+        return sum(item["cancelled"] for item in stats)
+
+    assert wait_until(count_cancelled) == 1
