Spread load reports only where they are used

Change: an upstream is served and polled from three failure domains, and its reports stay inside them; a node has two rings in its domain, and six gateways per domain link the domains; demand goes straight to the candidates for the duty. Ruled out: a tree, whose inner nodes send each digest twice or more; longer rounds, which slow the notice of a death.

--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -45,6 +45,10 @@
         """Use a newer catalogue from now on."""
         self.book.apply_catalogue(catalogue)
 
+    def set_domains(self, own: str, domains: list[str]) -> None:
+        """Use this node's failure domain and the live ones from now on."""
+        self.book.set_domains(own, domains)
+
     def charge_remote(self, tier: int, customer: str, tokens: int) -> None:
         """Charge tokens that other nodes served to a customer."""
         self.book.counters_of(tier).charge(customer, tokens)
--- a/plantainwood/core/hashing.py
+++ b/plantainwood/core/hashing.py
@@ -8,6 +8,11 @@
     return xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode())
 
 
+def hash_poller(node: str) -> int:
+    """Return the 16-bit hash that stands for a node in load reports."""
+    return rank_hash("poller", node) & 0xFFFF
+
+
 def rank_members(key: str, members: list[str]) -> list[str]:
     """Return the members, highest rank first."""
     return sorted(members, key=lambda member: (rank_hash(key, member), member))[::-1]
--- a/plantainwood/daemon.py
+++ b/plantainwood/daemon.py
@@ -66,7 +66,7 @@
             Poller(node, self._links.learn_address),
             Shares(node, self._links.send),
             self._usage,
-            Orders(node),
+            Orders(node, self._links.send),
             Billing(node),
             AdminServer(node),
             self._callers,
--- a/plantainwood/links.py
+++ b/plantainwood/links.py
@@ -15,6 +15,7 @@
     Batch,
     CatalogueAsk,
     CatalogueNews,
+    Demand,
     Message,
     ShareAsk,
     ShareGrant,
@@ -27,6 +28,7 @@
 
 SEND_BUFFER_MESSAGES = 64
 IDLE_DIALER_ROUNDS = 30
+BEAT_EVERY_MS = 3_000
 
 
 class Transport(ABC):
@@ -107,6 +109,8 @@
         self._partners: list[str] = []
         self._addresses: dict[str, str] = {}
         self._greeted: set[str] = set()
+        self._beat_ms = -BEAT_EVERY_MS
+        self._told_state = node.state
         super().__init__(**kwargs)
 
     async def on_start(self) -> None:
@@ -161,7 +165,10 @@
         now_ms = node.clock.now_ms()
         for name in node.members.forget_gone(now_ms):
             node.digests.drop_origin(name)
-        node.digests.merge(node.make_beat(), "")
+        if now_ms - self._beat_ms >= BEAT_EVERY_MS or self._told_state != node.state:
+            self._beat_ms = now_ms
+            self._told_state = node.state
+            node.digests.merge(node.make_beat(), "")
         self._choose_partners(now_ms)
         for partner in self._partners:
             self._send_batch(partner, now_ms)
@@ -181,7 +188,9 @@
         for member in node.members.alive(now_ms):
             domains[member.profile.origin] = member.profile.domain
         self._partners = pick_partners(node.settings.node, domains)
-        node.digests.set_partners(self._partners)
+        own = node.settings.domain
+        beside = {name for name in self._partners if domains[name] == own}
+        node.digests.set_partners(self._partners, beside)
 
     def _send_batch(self, partner: str, now_ms: int) -> None:
         node = self.node
@@ -253,6 +262,8 @@
                 self.send(message.sender, answer_ask(node, message))
             case ShareGrant():
                 take_grant(node, message)
+            case Demand():
+                node.demands[message.sender] = (message, node.clock.now_ms())
 
     def _take_batch(self, batch: Batch) -> None:
         node = self.node
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -22,6 +22,7 @@
     AnyDigest,
     Beat,
     CrashNews,
+    Demand,
     LeavingNews,
     LoadNews,
     NodeState,
@@ -37,6 +38,8 @@
 from plantainwood.settings import Settings
 from plantainwood.traces import make_tracer
 
+INCARNATION_EPOCH_MS = 1_767_225_600_000
+"""2026-01-01; incarnations count tenths of a second, to stay within 32 bits."""
 UNRESERVE_TRIES = 3
 UNRESERVE_PAUSE_S = 0.2
 ORDERS_DUTY = "orders"
@@ -79,6 +82,8 @@
         "clients",
         "state",
         "listed",
+        "demands",
+        "polled",
         "urgent",
         "catalogue_changed",
         "background",
@@ -89,7 +94,7 @@
     def __init__(self, settings: Settings, clock: Clock, metrics: Metrics) -> None:
         self.settings = settings
         self.clock = clock
-        self.incarnation = clock.wall_ms()
+        self.incarnation = (clock.wall_ms() - INCARNATION_EPOCH_MS) // 100
         self.catalogue = Catalogue()
         self.stored_revision = 0
         """The key-value revision of the catalogue that was last read."""
@@ -119,6 +124,10 @@
         self.tracer: Tracer = make_tracer(settings.node, settings.traces.exporter)
         self.clients: Clients
         self.state = NodeState.LIVE
+        self.demands: dict[str, tuple[Demand, int]] = {}
+        """Other nodes' newest demand and when it came, for the ordering duty."""
+        self.polled: dict[str, bool] = {}
+        """The upstreams that this node polls, and whether they answered."""
         self.listed: dict[str, Vm] | None = None
         """The platform's list of VMs, late; None where there is no list."""
         self.urgent = asyncio.Event()
