Pay reserved shares in tokens; count service over all tiers; experiments

Cause: the reserved share was counted in grants, so plans of 500 tokens on a share of 0.05 of the grants held near 12 of 40 slots at the top priority and urgent requests waited. Protected work now counts as top priority in load estimates, as engines see it. Also one token counter per customer over all tiers, so that a customer served well in an urgent tier comes later in the others. Ruled out: overfilling upstreams by two slots for the top tier: identical figures.

--- /dev/null
+++ b/experiments/experiment.py
@@ -0,0 +1,310 @@
+"""Experiment: each decision against its baselines, under load and faults.
+
+Writes a table and a plot for each question into docs/measurements/.
+"""
+
+import os
+from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
+
+import matplotlib
+import msgspec
+
+from experiments.figures import render_markdown
+from experiments.simulation import Fault, Simulation
+from experiments.workloads import (
+    CUSTOMERS,
+    WORKLOADS,
+    Job,
+    add_burst,
+    make_jobs,
+    name_engine,
+)
+from plantainwood.core.book import Options
+from plantainwood.core.fairness import FirstComeQueue
+from plantainwood.core.retries import UnlimitedRetries
+from plantainwood.core.router import LeastReportedRouter, RoundRobinRouter
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402
+
+OUTPUT = Path(__file__).resolve().parent.parent / "docs/measurements"
+LENGTH_MS = 90_000
+DRAIN_MS = 20_000
+LOAD = 1.5
+SEEDS = (1, 2, 3)
+
+
+def make_first_come(counters) -> FirstComeQueue:
+    """Return a queue without fairness."""
+    return FirstComeQueue()
+
+
+def make_round_robin(generator, hints) -> RoundRobinRouter:
+    """Return the baseline router that takes turns."""
+    return RoundRobinRouter()
+
+
+def make_least_reported(generator, hints) -> LeastReportedRouter:
+    """Return the baseline router that takes the least loaded."""
+    return LeastReportedRouter()
+
+
+VARIANTS: dict[str, Options] = {
+    "product": Options(),
+    "first come, no tiers": Options(
+        make_queue=make_first_come,
+        strict_tiers=False,
+        guard_starvation=False,
+        preempt=False,
+    ),
+    "no fairness": Options(make_queue=make_first_come),
+    "round robin": Options(make_router=make_round_robin),
+    "least reported": Options(make_router=make_least_reported),
+    "no preemption": Options(preempt=False),
+    "no straggler ejection": Options(eject_stragglers=False),
+    "no cheap-risk bound": Options(bound_cheap_risk=False),
+    "no retry budget": Options(make_budget=UnlimitedRetries),
+    "no starvation guard": Options(guard_starvation=False),
+}
+
+
+def straggle(simulation: Simulation) -> None:
+    """Slow one engine down fourfold, for good."""
+    simulation.engines[name_engine(0, 0)].slow = 4.0
+
+
+def evict(simulation: Simulation) -> None:
+    """Let the cheap failure domain vanish."""
+    cheap = [n for n, entry in simulation.entries.items() if entry.cheap]
+    for name in cheap:
+        simulation.crash(name)
+
+
+def crash(simulation: Simulation) -> None:
+    """Crash one engine."""
+    simulation.crash(name_engine(1, 0))
+
+
+FAULTS: dict[str, list[Fault]] = {
+    "none": [],
+    "burst": [],
+    "straggler": [Fault(0.2, straggle)],
+    "crash": [Fault(0.5, crash)],
+    "eviction": [Fault(0.4, evict), Fault(0.7, evict)],
+    "late reports": [],
+    "killer": [],
+    "straggler + eviction + late reports": [
+        Fault(0.2, straggle),
+        Fault(0.4, evict),
+        Fault(0.7, evict),
+    ],
+    "burst + eviction": [Fault(0.45, evict)],
+    "crash + straggler": [Fault(0.2, straggle), Fault(0.5, crash)],
+}
+
+
+class Case(msgspec.Struct, frozen=True):
+    """One run."""
+
+    workload: str
+    variant: str
+    fault: str
+    seed: int
+
+
+class Score(msgspec.Struct):
+    """What a run was worth by the users' measures."""
+
+    case: Case
+    attained: dict[str, float]
+    """By class: the share of requests whose target was met."""
+    worst_customer: float
+    """The least that a customer got of its fair share of tokens."""
+    wasted: float
+    goodput: float
+    progressed: float
+    """Tokens of the lowest tier, as a share of all."""
+    crashes: int
+    cheap_share: float
+
+
+def make_case_jobs(case: Case) -> list[Job]:
+    """Return the arrivals of a run, with what its fault adds to them."""
+    jobs = make_jobs(case.workload, LOAD, LENGTH_MS, case.seed)
+    if "burst" in case.fault:
+        kind = WORKLOADS[case.workload][0]
+        jobs = add_burst(jobs, kind, LENGTH_MS, case.seed)
+    if "killer" in case.fault:
+        for turn in range(4):
+            kind = WORKLOADS[case.workload][1]
+            at_ms = LENGTH_MS // 3 + turn * 5_000
+            jobs.append(Job(at_ms, f"killer-{turn}", "c1", kind, 50, killer=True))
+    return jobs
+
+
+def run_case(case: Case) -> Score:
+    """Run one case and score it."""
+    lag_ms = 4_000 if "late reports" in case.fault else 500
+    jobs = make_case_jobs(case)
+    simulation = Simulation(
+        case.workload, jobs, VARIANTS[case.variant], FAULTS[case.fault], lag_ms=lag_ms
+    )
+    simulation.run(DRAIN_MS)
+    return score(case, simulation)
+
+
+def score(case: Case, simulation: Simulation) -> Score:
+    """Return the users' measures of a finished run."""
+    lowest = WORKLOADS[case.workload][-1]
+    attained: dict[str, float] = {}
+    for kind in WORKLOADS[case.workload]:
+        met = 0
+        total = 0
+        for name, job in simulation.jobs.items():
+            # Late arrivals of slow classes had no time to meet their target.
+            if job.kind is not kind or job.killer:
+                continue
+            total += 1
+            outcome = simulation.outcomes[name]
+            took_ms = outcome.first_ms - job.at_ms
+            if outcome.done_ms >= 0 and took_ms <= kind.first_ms:
+                met += 1
+        attained[kind.name] = met / max(1, total)
+    served = {f"c{number}": 0.0 for number in range(CUSTOMERS)}
+    wanted = dict(served)
+    lowest_tokens = 0
+    done_tokens = 0
+    cheap_tokens = 0
+    for name, job in simulation.jobs.items():
+        outcome = simulation.outcomes[name]
+        wanted[job.customer] += job.tokens
+        served[job.customer] += outcome.tokens
+        if outcome.done_ms >= 0:
+            done_tokens += outcome.tokens
+            cheap_tokens += outcome.tokens if outcome.cheap else 0
+        if job.kind is lowest:
+            lowest_tokens += outcome.tokens
+    made = max(1, simulation.made_tokens)
+    return Score(
+        case,
+        attained,
+        find_worst(served, wanted),
+        simulation.wasted_tokens / made,
+        done_tokens / (simulation.length_ms / 1_000),
+        lowest_tokens / made,
+        len(simulation.crashes),
+        cheap_tokens / max(1, done_tokens),
+    )
+
+
+def find_worst(served: dict[str, float], wanted: dict[str, float]) -> float:
+    """Return the least ratio of what a customer got to its max-min fair share."""
+    left = sum(served.values())
+    shares: dict[str, float] = {}
+    pending = sorted(wanted, key=wanted.__getitem__)
+    while pending:
+        equal = left / len(pending)
+        name = pending.pop(0)
+        shares[name] = min(wanted[name], equal)
+        left -= shares[name]
+    return min(served[name] / max(1.0, shares[name]) for name in shares)
+
+
+def run_all(cases: list[Case]) -> list[Score]:
+    """Run cases on a few processes."""
+    with ProcessPoolExecutor(max(1, (os.cpu_count() or 2) - 2)) as pool:
+        return list(pool.map(run_case, cases, chunksize=1))
+
+
+def mean(values: list[float]) -> float:
+    """Return the mean."""
+    return sum(values) / len(values)
+
+
+def select(scores: list[Score], **wanted: str) -> list[Score]:
+    """Return the scores whose case has these values."""
+    found: list[Score] = []
+    for item in scores:
+        if all(getattr(item.case, name) == value for name, value in wanted.items()):
+            found.append(item)
+    return found
+
+
+def make_row(workload: str, label: str, scores: list[Score]) -> list:
+    """Return one row of figures, each a mean over the seeds."""
+    row: list = [label]
+    for kind in WORKLOADS[workload]:
+        row.append(mean([item.attained[kind.name] for item in scores]))
+    row.append(mean([item.worst_customer for item in scores]))
+    row.append(mean([item.wasted for item in scores]))
+    row.append(mean([item.goodput for item in scores]))
+    row.append(mean([item.progressed for item in scores]))
+    row.append(mean([item.cheap_share for item in scores]))
+    row.append(mean([float(item.crashes) for item in scores]))
+    return row
+
+
+def write_question(
+    name: str, title: str, workload: str, rows: list[list], note: str
+) -> None:
+    """Write a table and a plot of its first-class attainment and fairness."""
+    kinds = [kind.name for kind in WORKLOADS[workload]]
+    names = ["case", *kinds, "worst customer", "wasted", "goodput tok/s"]
+    names += ["lowest tier's share", "cheap share", "crashes"]
+    text = f"# {title}\n\nMade by `make experiment`. {note}\n\n"
+    text += render_markdown(names, rows) + f"\n\n![{title}]({name}.png)\n"
+    (OUTPUT / f"{name}.md").write_text(text)
+    figure, axes = pyplot.subplots(figsize=(9, 0.5 * len(rows) + 1.5))
+    labels = [row[0] for row in rows][::-1]
+    for offset, (column, label) in enumerate(
+        ((1, f"attainment of {kinds[0]}"), (len(kinds) + 1, "worst customer"))
+    ):
+        values = [row[column] for row in rows][::-1]
+        places = [index + 0.35 * offset for index in range(len(rows))]
+        axes.barh(places, values, height=0.33, label=label)
+    axes.set_yticks([index + 0.17 for index in range(len(rows))], labels)
+    axes.set_xlabel("share")
+    axes.set_title(f"{title} ({workload})")
+    axes.legend(loc="lower left")
+    figure.tight_layout()
+    figure.savefig(OUTPUT / f"{name}.png", dpi=90)
+    pyplot.close(figure)
+
+
+def main() -> None:
+    """Answer both questions for both workloads."""
+    cases: list[Case] = []
+    worst = "straggler + eviction + late reports"
+    for workload in WORKLOADS:
+        for seed in SEEDS:
+            for fault in FAULTS:
+                cases.append(Case(workload, "product", fault, seed))
+            for variant in VARIANTS:
+                if variant != "product":
+                    cases.append(Case(workload, variant, worst, seed))
+    scores = run_all(cases)
+    note = (
+        f"{LOAD} times the capacity in tokens, {LENGTH_MS // 1_000} s, three VMs, "
+        f"means over seeds {', '.join(map(str, SEEDS))}."
+    )
+    for workload in WORKLOADS:
+        rows = []
+        for fault in FAULTS:
+            chosen = select(scores, workload=workload, variant="product", fault=fault)
+            rows.append(make_row(workload, fault, chosen))
+        title = f"The product under each fault, {workload}"
+        write_question(f"faults-{workload}", title, workload, rows, note)
+        rows = []
+        for variant in VARIANTS:
+            chosen = select(scores, workload=workload, variant=variant, fault=worst)
+            rows.append(make_row(workload, variant, chosen))
+        title = f"The product against its baselines, {workload}"
+        text = f"Fault: {worst}. {note}"
+        write_question(f"baselines-{workload}", title, workload, rows, text)
+        print((OUTPUT / f"faults-{workload}.md").read_text())
+        print((OUTPUT / f"baselines-{workload}.md").read_text())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/experiments/workloads.py
@@ -0,0 +1,125 @@
+"""The brief's two workloads, as arrivals over virtual time."""
+
+import random
+
+import msgspec
+
+from plantainwood.core.catalogue import Catalogue, Change, apply_changes
+
+ENGINES_PER_DOMAIN = {"paseos": (2, 2, 1), "enigma": (2, 1, 1, 1)}
+SLOTS = 8
+TOKEN_MS = 30.0
+CUSTOMERS = 10
+POOL = "model/main"
+LONG_WAIT_MS = 600_000
+
+
+class Kind(msgspec.Struct, frozen=True):
+    """One class of requests: its tier, share of tokens, and answer lengths."""
+
+    name: str
+    tier: int
+    share: float
+    shortest: int
+    longest: int
+    first_ms: int
+    """The target for the first token, or for the whole answer of the lowest tiers."""
+    queue_ms: int
+
+
+WORKLOADS = {
+    "paseos": (
+        Kind("hint", 0, 0.30, 15, 60, 600, 10_000),
+        Kind("question", 1, 0.30, 60, 200, 2_000, 15_000),
+        Kind("plan", 3, 0.40, 200, 800, 60_000, LONG_WAIT_MS),
+    ),
+    "enigma": (
+        Kind("final-hint", 0, 0.15, 20, 80, 600, 10_000),
+        Kind("hint", 1, 0.35, 100, 400, 1_000, 10_000),
+        Kind("check", 2, 0.15, 5, 30, 2_000, 15_000),
+        Kind("narration", 3, 0.35, 200, 600, 20_000, LONG_WAIT_MS),
+    ),
+}
+
+
+class Job(msgspec.Struct, frozen=True):
+    """One request to come: when, whose, of which class, and how long its answer."""
+
+    at_ms: int
+    name: str
+    customer: str
+    kind: Kind
+    tokens: int
+    killer: bool = False
+
+
+def name_engine(domain: int, index: int) -> str:
+    """Return the name of an engine."""
+    return f"d{domain}-e{index}"
+
+
+def make_catalogue(workload: str) -> Catalogue:
+    """Return the catalogue of a workload; the last failure domain is cheap."""
+    changes: list[Change] = []
+    for kind in WORKLOADS[workload]:
+        body: dict = {"owner": workload, "tier": kind.tier}
+        body["queue_timeout_ms"] = kind.queue_ms
+        body["first_token_ms"] = kind.first_ms
+        changes.append(Change("classes", kind.name, body))
+    names = [kind.name for kind in WORKLOADS[workload]]
+    for number in range(CUSTOMERS):
+        body = {"owner": workload, "classes": names}
+        body |= {"requests_per_s": 1e6, "tokens_per_s": 1e9, "concurrent": 10**6}
+        changes.append(Change("customers", f"c{number}", body))
+    changes.append(Change("models", "main", {"owner": workload}))
+    counts = ENGINES_PER_DOMAIN[workload]
+    for domain, count in enumerate(counts):
+        for index in range(count):
+            name = name_engine(domain, index)
+            body = {
+                "owner": workload,
+                "kind": "engine",
+                "address": f"http://{name}",
+                "domain": f"d{domain}",
+                "models": ["main"],
+                "slots": SLOTS,
+                "cheap": domain == len(counts) - 1,
+            }
+            changes.append(Change("upstreams", name, body))
+    return apply_changes(Catalogue(), changes, "first")
+
+
+def make_jobs(workload: str, load: float, length_ms: int, seed: int) -> list[Job]:
+    """Return arrivals that want `load` times the capacity in tokens.
+
+    Customer 0 sends near half of all, customer 1 a fifth; the others share the rest.
+    """
+    generator = random.Random(seed)
+    engines = sum(ENGINES_PER_DOMAIN[workload])
+    tokens_per_ms = engines * SLOTS / TOKEN_MS / 1.2 * load
+    weights = [45.0, 20.0] + [35.0 / (CUSTOMERS - 2)] * (CUSTOMERS - 2)
+    jobs: list[Job] = []
+    for kind in WORKLOADS[workload]:
+        mean = (kind.shortest + kind.longest) / 2
+        rate = tokens_per_ms * kind.share / mean
+        at_ms = generator.expovariate(rate)
+        while at_ms < length_ms:
+            customer = generator.choices(range(CUSTOMERS), weights)[0]
+            tokens = generator.randint(kind.shortest, kind.longest)
+            name = f"{kind.name}-{len(jobs)}"
+            jobs.append(Job(int(at_ms), name, f"c{customer}", kind, tokens))
+            at_ms += generator.expovariate(rate)
+    return sorted(jobs, key=lambda job: job.at_ms)
+
+
+def add_burst(jobs: list[Job], kind: Kind, length_ms: int, seed: int) -> list[Job]:
+    """Let one class burst: as many again of it within a tenth of the time."""
+    generator = random.Random(seed)
+    added: list[Job] = []
+    for job in jobs:
+        if job.kind is not kind:
+            continue
+        at_ms = int(length_ms * generator.uniform(0.4, 0.5))
+        name = f"burst-{job.name}"
+        added.append(Job(at_ms, name, job.customer, kind, job.tokens))
+    return sorted(jobs + added, key=lambda job: job.at_ms)
--- a/plantainwood/core/book.py
+++ b/plantainwood/core/book.py
@@ -62,7 +62,7 @@
         "deadlines",
         "crashed_ms",
         "leaving",
-        "_counters",
+        "counters",
         "_own_domain",
         "_domains",
     )
@@ -85,7 +85,8 @@
         self.deadlines: list[tuple[int, str]] = []
         self.crashed_ms: dict[str, int] = {}
         self.leaving: set[tuple[str, str]] = set()
-        self._counters: dict[int, TokenCounters] = {}
+        self.counters = TokenCounters()
+        """One for all tiers: service in one tier counts in the others too."""
         self._own_domain = ""
         self._domains: list[str] = []
 
@@ -114,8 +115,7 @@
         for name, customer in catalogue.customers.items():
             if name in self.limits:
                 self.limits[name].set_customer(customer)
-            for counters in self._counters.values():
-                counters.set_weight(name, customer.weight)
+            self.counters.set_weight(name, customer.weight)
         for pool in self.pools.values():
             self._fill_group(pool)
 
@@ -126,21 +126,12 @@
             limit = self.limits[name] = CustomerLimit(customer, now_ms)
         return limit
 
-    def counters_of(self, tier: int) -> TokenCounters:
-        """Return the token counters of a tier."""
-        counters = self._counters.get(tier)
-        if counters is None:
-            counters = self._counters[tier] = TokenCounters()
-            for name, customer in self.catalogue.customers.items():
-                counters.set_weight(name, customer.weight)
-        return counters
-
     def tier_of(self, pool: Pool, tier: int) -> TierQueue:
         """Return the queue of a tier in a pool."""
         level = tier if self.options.strict_tiers else TOP_TIER
         found = pool.tiers.get(level)
         if found is None:
-            found = TierQueue(level, self.options.make_queue(self.counters_of(level)))
+            found = TierQueue(level, self.options.make_queue(self.counters))
             pool.add_tier(found)
         return found
 
@@ -207,9 +198,12 @@
         """Take a request off its upstream."""
         load = self.loads.get(request.upstream)
         if load is not None:
-            load.note_end(request.tier, now_ms)
+            load.note_end(request.priority, now_ms)
         self.on_upstream.get(request.upstream, {}).pop(request.id, None)
-        self.pools[request.pool].running.pop(request.id, None)
+        pool = self.pools[request.pool]
+        pool.running.pop(request.id, None)
+        pool.refund(request)
+        request.protected = False
         request.upstream = ""
         if request.reserved:
             out.append(ev.Unreserve(request.id, request.reserved))
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -49,9 +49,9 @@
         """Use this node's failure domain and the live ones from now on."""
         self.book.set_domains(own, domains)
 
-    def charge_remote(self, tier: int, customer: str, tokens: int) -> None:
+    def charge_remote(self, customer: str, tokens: int) -> None:
         """Charge tokens that other nodes served to a customer."""
-        self.book.counters_of(tier).charge(customer, tokens)
+        self.book.counters.charge(customer, tokens)
 
 
 def take_load(book: Book, event: ev.LoadReported, now_ms: int, out: list) -> None:
--- a/plantainwood/core/dispatching.py
+++ b/plantainwood/core/dispatching.py
@@ -9,6 +9,8 @@
 from plantainwood.core.router import is_allowed
 
 MAX_PREEMPTIONS = 3
+"""How often a request is preempted for any but the top tier."""
+UNLIMITED = 1_000_000
 MAX_SET_ASIDE = 4
 RESERVE_PAUSE_MS = 500
 
@@ -36,7 +38,7 @@
             _ask_reservation(pool, request, load, out)
             continue
         dispatch(book, pool, request, load, now_ms, out)
-        pool.note_grant(tier, reserved, now_ms)
+        tier.note_grant(request, now_ms)
     for tier, request in reversed(aside):
         tier.queue.push(request, front=True)
 
@@ -96,13 +98,12 @@
     request.upstream = load.name
     request.dispatched_ms = now_ms
     request.first_token_ms = 0
-    load.note_dispatch(request.tier, now_ms)
+    load.note_dispatch(request.priority, now_ms)
     pool.running[request.id] = request
     book.on_upstream.setdefault(load.name, {})[request.id] = request
     book.hints.note(request.prefix, load.name, now_ms)
-    book.counters_of(request.tier).charge(request.customer, REQUEST_CHARGE_TOKENS)
-    priority = TOP_TIER if request.protected else request.tier
-    out.append(ev.Dispatch(request.id, request.attempt, load.name, priority))
+    book.counters.charge(request.customer, REQUEST_CHARGE_TOKENS)
+    out.append(ev.Dispatch(request.id, request.attempt, load.name, request.priority))
 
 
 def _preempt_on(
@@ -110,7 +111,8 @@
 ) -> None:
     """Cancel one of this node's less urgent attempts on a full upstream."""
     running = book.on_upstream.get(load.name, {})
-    victim = find_victim(running, request.tier, MAX_PREEMPTIONS)
+    limit = UNLIMITED if request.tier == TOP_TIER else MAX_PREEMPTIONS
+    victim = find_victim(running, request.tier, limit)
     if victim is None:
         return
     victim.preempted += 1
--- a/plantainwood/core/fairness.py
+++ b/plantainwood/core/fairness.py
@@ -7,7 +7,7 @@
 import heapq
 from abc import ABC, abstractmethod
 from collections import OrderedDict
-from typing import Iterable, Iterator
+from typing import Iterator
 
 from plantainwood.core.requests import Request
 
@@ -46,21 +46,21 @@
     @abstractmethod
     def __len__(self) -> int: ...
 
+    @abstractmethod
     def newest_unstarted(self) -> Request | None:
         """Return the newest request that has had no attempt."""
-        return _find_newest_unstarted(self.requests())
 
     def oldest(self) -> Request | None:
         """Return the request that has waited longest."""
         return next(self.requests(), None)
 
 
-def _find_newest_unstarted(requests: Iterable[Request]) -> Request | None:
-    newest = None
-    for request in requests:
+def _find_newest_unstarted(requests: OrderedDict[str, Request]) -> Request | None:
+    """Return the last one without an attempt; most queues end with one."""
+    for request in reversed(requests.values()):
         if request.attempts_made == 0:
-            newest = request
-    return newest
+            return request
+    return None
 
 
 class TokenCounters:
@@ -163,6 +163,10 @@
         """Yield the waiting requests in the order in which they were queued."""
         return iter(self._order.values())
 
+    def newest_unstarted(self) -> Request | None:
+        """Return the newest request that has had no attempt."""
+        return _find_newest_unstarted(self._order)
+
     def ahead_of(self, customer: str) -> int:
         """Return the customer's own requests times the customers taking turns."""
         own = len(self._queues.get(customer, ()))
@@ -179,7 +183,7 @@
         own = len(self._queues.get(customer, ()))
         if len(self._queues[longest]) <= own + 1:
             return None
-        return _find_newest_unstarted(self._queues[longest].values())
+        return _find_newest_unstarted(self._queues[longest])
 
     def __len__(self) -> int:
         return len(self._order)
@@ -213,6 +217,10 @@
         """Yield the waiting requests in order."""
         return iter(self._order.values())
 
+    def newest_unstarted(self) -> Request | None:
+        """Return the newest request that has had no attempt."""
+        return _find_newest_unstarted(self._order)
+
     def ahead_of(self, customer: str) -> int:
         """Return all that waits."""
         return len(self._order)
--- a/plantainwood/core/limits.py
+++ b/plantainwood/core/limits.py
@@ -115,7 +115,7 @@
     def __init__(self) -> None:
         self._demand: dict[str, tuple[float, int]] = {}
         self._grants: dict[str, list[Grant]] = {}
-        self._owed: dict[str, dict[int, int]] = {}
+        self._owed: dict[str, int] = {}
 
     def grant(self, node: str, demand: float, now_ms: int) -> float:
         """Note a node's demand (requests since its last call); return its share."""
@@ -149,13 +149,10 @@
         self._grants[node] = alive
         return max(grant.share for grant in alive)
 
-    def exchange_service(self, node: str, by_tier: dict[int, int]) -> dict[int, int]:
+    def exchange_service(self, node: str, tokens: int) -> int:
         """Take tokens that a node served; return those of others it was not told."""
-        owed = self._owed.setdefault(node, {})
-        for name, pending in self._owed.items():
-            if name == node:
-                continue
-            for tier, tokens in by_tier.items():
-                pending[tier] = pending.get(tier, 0) + tokens
-        self._owed[node] = {}
+        owed = self._owed.get(node, 0)
+        for name in self._owed:
+            self._owed[name] += tokens
+        self._owed[node] = 0
         return owed
--- a/plantainwood/core/messages.py
+++ b/plantainwood/core/messages.py
@@ -180,8 +180,8 @@
     sender: str
     demand: dict[str, float]
     """Requests of each customer since the last call."""
-    served: dict[str, dict[int, int]]
-    """Tokens of each customer by tier since the last call."""
+    served: dict[str, int]
+    """Tokens of each customer since the last call."""
 
 
 class ShareGrant(msgspec.Struct, tag=26, array_like=True, frozen=True):
@@ -189,7 +189,7 @@
 
     sender: str
     shares: dict[str, float]
-    served_elsewhere: dict[str, dict[int, int]]
+    served_elsewhere: dict[str, int]
 
 
 class Demand(msgspec.Struct, tag=27, array_like=True, frozen=True):
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -28,7 +28,8 @@
     if request is None:
         return
     request.tokens += event.count
-    book.counters_of(request.tier).charge(request.customer, event.count)
+    book.pools[request.pool].note_tokens(request, event.count)
+    book.counters.charge(request.customer, event.count)
     book.limits[request.customer].charge_tokens(event.count)
 
 
@@ -41,10 +42,12 @@
     if request.first_token_ms and request.tokens > 1:
         took_ms = now_ms - request.first_token_ms
         load.note_between_tokens(took_ms / request.tokens)
+    pool = book.pools[request.pool]
+    book.tier_of(pool, request.tier).note_answer(request.tokens)
     book.detach(request, now_ms, out)
     book.end(request)
     book.tell_marks(book.quarantine.absolve(request.fingerprint), out)
-    drain(book, book.pools[request.pool], now_ms, out)
+    drain(book, pool, now_ms, out)
 
 
 def take_failed(book: Book, event: ev.AttemptFailed, now_ms: int, out: list) -> None:
--- a/plantainwood/core/pools.py
+++ b/plantainwood/core/pools.py
@@ -4,28 +4,46 @@
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.requests import Request
 
-MAX_CREDIT = 2.0
+MAX_CREDIT_TOKENS = 64.0
+FIRST_MEAN_TOKENS = 100.0
+MEAN_SMOOTHING = 0.1
 RATE_DECAY_MS = 10_000
 MAX_RETRY_MS = 60_000
 MIN_RETRY_MS = 500
 
 
 class TierQueue:
-    """The waiting requests of one tier and its reserved share."""
+    """The waiting requests of one tier and its reserved share.
 
-    __slots__ = ("tier", "queue", "credit", "grants", "_grants_ms")
+    The credit is in tokens: the tier earns its share of what more urgent tiers get
+    while it waits, and pays for what it gets on reserved slots.
+    """
+
+    __slots__ = ("tier", "queue", "credit", "grants", "mean_tokens", "_grants_ms")
 
     def __init__(self, tier: int, queue: WaitingQueue) -> None:
         self.tier = tier
         self.queue = queue
         self.credit = 0.0
         self.grants = 0.0
+        self.mean_tokens = FIRST_MEAN_TOKENS
         self._grants_ms = 0
 
-    def note_grant(self, now_ms: int) -> None:
-        """Count a grant in a sum that decays over RATE_DECAY_MS."""
+    def note_grant(self, request: Request, now_ms: int) -> None:
+        """Count a grant in a sum that decays over RATE_DECAY_MS.
+
+        A reserved slot is paid for in advance, at the mean length of an answer, so
+        that several slots that come free at once are not all taken.
+        """
         self.grants = self._decayed(now_ms) + 1.0
         self._grants_ms = now_ms
+        if request.protected:
+            request.prepaid = self.mean_tokens
+            self.credit -= self.mean_tokens
+
+    def note_answer(self, tokens: int) -> None:
+        """Take the length of a whole answer into the mean."""
+        self.mean_tokens += MEAN_SMOOTHING * (tokens - self.mean_tokens)
 
     def _decayed(self, now_ms: int) -> float:
         passed = now_ms - self._grants_ms
@@ -40,7 +58,7 @@
 
     def is_starved(self, now_ms: int) -> bool:
         """Tell whether the next free slot is due to this tier by age and credit."""
-        if self.credit < 1.0:
+        if self.credit <= 0.0:
             return False
         oldest = self.queue.oldest()
         if oldest is None:
@@ -87,20 +105,31 @@
                 return tier, False
         return None
 
-    def note_grant(self, granted: TierQueue, reserved: bool, now_ms: int) -> None:
-        """Move the credits after a slot was granted."""
-        granted.note_grant(now_ms)
-        if reserved:
-            granted.credit -= 1.0
+    def note_tokens(self, request: Request, count: int) -> None:
+        """Move the credits as tokens are made."""
+        if request.protected:
+            self._charge_reserved(request, count)
             return
         for tier in self.tiers.values():
-            if tier.tier <= granted.tier:
+            if tier.tier <= request.tier:
                 continue
             oldest = tier.queue.oldest()
             if oldest is None:
                 continue
-            earned = tier.credit + oldest.service_class.min_share
-            tier.credit = min(MAX_CREDIT, earned)
+            earned = tier.credit + count * oldest.service_class.min_share
+            tier.credit = min(MAX_CREDIT_TOKENS, earned)
+
+    def _charge_reserved(self, request: Request, count: int) -> None:
+        request.prepaid -= count
+        if request.prepaid < 0:
+            self.tiers[request.tier].credit += request.prepaid
+            request.prepaid = 0.0
+
+    def refund(self, request: Request) -> None:
+        """Give back what was paid for a reserved slot and not used."""
+        if request.prepaid:
+            self.tiers[request.tier].credit += request.prepaid
+            request.prepaid = 0.0
 
     def least_urgent_waiting(self, above: int) -> Request | None:
         """Return what to shed first among the tiers less urgent than the given one."""
--- a/plantainwood/core/requests.py
+++ b/plantainwood/core/requests.py
@@ -26,6 +26,7 @@
         "first_token_ms",
         "tokens",
         "protected",
+        "prepaid",
         "preempted",
         "avoid_upstream",
         "avoid_domain",
@@ -59,6 +60,9 @@
         self.first_token_ms = 0
         self.tokens = 0
         self.protected = False
+        """Whether it runs on its tier's reserved share, at the top priority."""
+        self.prepaid = 0.0
+        """Tokens of the reserved share that were paid for but not made yet."""
         self.preempted = 0
         self.avoid_upstream = ""
         self.avoid_domain = ""
@@ -73,6 +77,11 @@
         """Return the tier of the request's class; 0 is the most urgent."""
         return self.service_class.tier
 
+    @property
+    def priority(self) -> int:
+        """Return the priority that engines see."""
+        return 0 if self.protected else self.tier
+
     @property
     def running(self) -> bool:
         """Tell whether an attempt is in flight."""
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -8,7 +8,6 @@
 from plantainwood.core.requests import Request
 
 AFFINITY_WORTH = 0.35
-SCAN_LIMIT = 16
 
 
 class Router(ABC):
@@ -63,8 +62,7 @@
         if best is None:
             best = self._best(request, group, hinted, TIERS - 1, now_ms)
         if best is None:
-            tier = 0 if request.protected else request.tier
-            best = self._best(request, group, hinted, tier, now_ms)
+            best = self._best(request, group, hinted, request.priority, now_ms)
         return best
 
     def _best(
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -108,8 +108,8 @@
         )
         self.shelf = ReplicaShelf()
         self.homes: dict[str, ShareHome] = {}
-        self.served: dict[str, dict[int, int]] = {}
-        """Tokens served here by customer and tier since the last share call."""
+        self.served: dict[str, int] = {}
+        """Tokens served here by customer since the last share call."""
         times = LeaseTimes(
             settings.duties.lease_term_ms,
             settings.duties.lease_margin_ms,
--- a/plantainwood/pipeline/meter.py
+++ b/plantainwood/pipeline/meter.py
@@ -33,9 +33,8 @@
     """Bill tokens as they are relayed."""
     _bill(exchange, Line(tokens=count))
     customer = exchange.identity.customer
-    tier = exchange.service_class.tier
-    by_tier = exchange.node.served.setdefault(customer, {})
-    by_tier[tier] = by_tier.get(tier, 0) + count
+    served = exchange.node.served
+    served[customer] = served.get(customer, 0) + count
 
 
 def _bill(exchange: Exchange, line: Line) -> None:
--- a/plantainwood/shares.py
+++ b/plantainwood/shares.py
@@ -37,7 +37,7 @@
         home = find_home(node, customer)
         ask = asks.setdefault(home, ShareAsk(node.settings.node, {}, {}))
         ask.demand[customer] = limit.demand + limit.running
-        ask.served[customer] = served.get(customer, {})
+        ask.served[customer] = served.get(customer, 0)
         limit.demand = 0.0
     return asks
 
@@ -46,11 +46,11 @@
     """Return the shares for a node's demand, as the home of its customers."""
     now_ms = node.clock.now_ms()
     shares: dict[str, float] = {}
-    elsewhere: dict[str, dict[int, int]] = {}
+    elsewhere: dict[str, int] = {}
     for customer, demand in ask.demand.items():
         home = node.homes.setdefault(customer, ShareHome())
         shares[customer] = home.grant(ask.sender, demand, now_ms)
-        others = home.exchange_service(ask.sender, ask.served.get(customer, {}))
+        others = home.exchange_service(ask.sender, ask.served.get(customer, 0))
         if others:
             elsewhere[customer] = others
     return ShareGrant(node.settings.node, shares, elsewhere)
@@ -64,9 +64,8 @@
         limit = dispatcher.book.limits.get(customer)
         if limit is not None:
             limit.set_share(share, now_ms)
-    for customer, by_tier in grant.served_elsewhere.items():
-        for tier, tokens in by_tier.items():
-            dispatcher.charge_remote(tier, customer, tokens)
+    for customer, tokens in grant.served_elsewhere.items():
+        dispatcher.charge_remote(customer, tokens)
 
 
 class Shares(Service):
