Check settings and catalogues whole; document; test the small policies

Change: docs (architecture, glossary, operations, style), reference pages made from the types, examples, an edit based on the revision that its file names, so that a stale file is a conflict instead of a silent overwrite; log lines of the libraries' chatter left out.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 SEED ?= 1
 STEPS ?= 200
 
-.PHONY: demo test lint fuzz mutants bench capacity experiment clean
+.PHONY: demo test lint fuzz mutants bench capacity experiment reference clean
 
 .venv/ready: requirements.txt
 	python3 -m venv .venv
@@ -39,3 +39,6 @@
 
 clean:
 	rm -rf .venv build
+
+reference: .venv/ready
+	$(PYTHON) -m experiments.reference
--- /dev/null
+++ b/experiments/capacity.py
@@ -0,0 +1,391 @@
+"""Computation of docs/CAPACITY.md from measured slopes and the size to come.
+
+The tables are made anew from docs/measurements/slopes.json at each run.
+"""
+
+import json
+from pathlib import Path
+
+import msgspec
+
+from experiments.exchange import Result
+from experiments.figures import render_markdown
+from experiments.slopes import OUTPUT as SLOPES
+from experiments.slopes import Slope
+
+PAGE = Path(__file__).resolve().parent.parent / "docs/CAPACITY.md"
+
+CPU_BOUND_PERCENT = 2.8
+MEMORY_BOUND_MB = 128
+BYTES_BOUND = 24_000
+WRITES_BOUND = 500
+READS_BOUND = 2_000
+NON_REPEATABLE_SHARE = 0.05
+"""The share of requests that go to plain services and may not be repeated."""
+CANDIDATES = 3
+DUTIES = 2
+WATCHERS_PER_DOMAIN = 2
+
+
+class Size(msgspec.Struct, frozen=True):
+    """A fleet and its load."""
+
+    label: str
+    nodes: int
+    domains: int
+    runners: int
+    customers: int
+    requests_per_s: float
+    tokens_per_s: float
+
+
+SIZES = [
+    Size("today", 7, 4, 9, 10, 20, 1_300),
+    Size("40 nodes", 40, 8, 75, 245, 150, 46_000),
+    Size("320 nodes", 320, 8, 600, 980, 1_200, 370_000),
+]
+
+
+class Cost(msgspec.Struct):
+    """What a role costs a node: averages for each second."""
+
+    role: str
+    mechanism: str
+    state: str
+    messages: float = 0.0
+    bytes: float = 0.0
+    reads: float = 0.0
+    writes: float = 0.0
+    cpu_percent: float = 0.0
+    memory_mb: float = 0.0
+
+
+class Figures:
+    """The measured slopes, by name."""
+
+    def __init__(self, data: dict) -> None:
+        self._slopes: dict[str, Slope] = {}
+        for item in data["slopes"]:
+            slope = msgspec.convert(item, Slope)
+            self._slopes[slope.name] = slope
+        self.exchange = [msgspec.convert(item, Result) for item in data["exchange"]]
+
+    def get(self, name: str) -> float:
+        """Return a slope's median."""
+        return self._slopes[name].value
+
+    def all(self) -> list[Slope]:
+        """Return all slopes."""
+        return list(self._slopes.values())
+
+    def exchange_at(self, field: str, nodes: int) -> float:
+        """Return a figure of the exchange at some size, along the measured line."""
+        points = [(item.nodes, getattr(item, field)) for item in self.exchange]
+        (low, first), (high, last) = points[0], points[-1]
+        if nodes <= low:
+            return first
+        for (a, left), (b, right) in zip(points, points[1:], strict=False):
+            if a <= nodes <= b:
+                return left + (right - left) * (nodes - a) / (b - a)
+        slope = (last - points[-2][1]) / (high - points[-2][0])
+        return last + slope * (nodes - high)
+
+
+def micros(count_per_s: float, each_us: float) -> float:
+    """Return processor time in percent of a core."""
+    return count_per_s * each_us / 1e4
+
+
+def cost_roles(figures: Figures, size: Size, busiest: bool) -> list[Cost]:
+    """Return what each role costs the mean, or the busiest, node."""
+    kind = "max" if busiest else "mean"
+    polls = size.runners * min(3, size.domains) / size.nodes
+    active = min(size.customers, max(5.0, size.customers * 3 * 3 / size.nodes))
+    requests = size.requests_per_s / size.nodes * (3 if busiest else 1)
+    claims = requests * NON_REPEATABLE_SHARE
+    watchers = min(size.nodes, WATCHERS_PER_DOMAIN * size.domains)
+    is_watcher = 1.0 if busiest else watchers / size.nodes
+    share = 1.0 if busiest else 1.0 / size.nodes
+    largest = figures.get("document of 980 customers and 600 upstreams")
+    homes = min(active, size.nodes - 1.0)
+    asks = homes / 1.5
+    ask_us = figures.get("codec of a share call for 30 customers") / 2 + 30
+    demand_in = (size.nodes / 5.0) * (share if busiest else CANDIDATES / size.nodes)
+    return [
+        Cost(
+            "exchange between nodes",
+            "digests over rings, links.py and core/digests.py",
+            f"{size.nodes} members, {round(polls * size.nodes / size.domains)} loads",
+            messages=figures.exchange_at(f"messages_{kind}", size.nodes),
+            bytes=figures.exchange_at(f"bytes_{kind}", size.nodes),
+            cpu_percent=figures.exchange_at(f"cpu_percent_{kind}", size.nodes),
+            memory_mb=figures.exchange_at("rss_mb_mean", size.nodes),
+        ),
+        Cost(
+            "load poller",
+            "rendezvous among a domain's nodes, poller.py",
+            f"{polls:.1f} upstreams",
+            messages=polls,
+            cpu_percent=micros(polls, figures.get("load poll")),
+        ),
+        Cost(
+            "watcher",
+            "polling of the revision, watcher.py",
+            f"a catalogue of {size.customers} customers",
+            reads=2.0 * is_watcher,
+            cpu_percent=micros(2.0 * is_watcher, figures.get("key-value read")),
+            memory_mb=largest / 1_000 * 4 * size.customers / 980,
+        ),
+        Cost(
+            "catalogue news",
+            "deltas pushed along the rings, core/catalogue.py",
+            "tombstones and change ids",
+            messages=450 / 86_400 * 6,
+            bytes=450
+            / 86_400
+            * 6
+            * figures.get("delta at 980 customers and 600 upstreams"),
+            cpu_percent=micros(
+                450 / 86_400,
+                figures.get("merge of a delta at 980 customers and 600 upstreams"),
+            ),
+        ),
+        Cost(
+            "shares of limits",
+            "a home for each customer, shares.py and core/limits.py",
+            f"{round(active)} active customers",
+            messages=4 * asks,
+            bytes=4 * asks * (40 + 38 * active / max(1.0, homes)),
+            cpu_percent=micros(4 * asks, ask_us),
+        ),
+        Cost(
+            "claim writer",
+            "create-if-absent in groups, core/claims.py and store.py",
+            "none",
+            reads=2 * claims,
+            writes=2 * claims,
+            cpu_percent=micros(claims, figures.get("claim and settling")),
+        ),
+        Cost(
+            "usage",
+            "cumulative records, copies on two peers, usageflow.py",
+            f"{round(active * 2)} lines and two peers' copies",
+            messages=4.0,
+            bytes=4.0 * (60 + 40 * active),
+            reads=0.1,
+            writes=0.1,
+            cpu_percent=micros(0.1, figures.get("usage flush of 30 customers"))
+            + micros(4.0, 40),
+        ),
+        Cost(
+            "lease candidate and holder, orders",
+            "observed lease in the key-value service, duties.py, core/leases.py",
+            "demand of every node" if busiest else "none",
+            messages=CANDIDATES / 5.0 + demand_in,
+            bytes=(CANDIDATES / 5.0 + demand_in) * 200,
+            reads=share / 3,
+            writes=share / 3,
+            cpu_percent=micros(CANDIDATES / 5.0 + demand_in, 60),
+        ),
+        Cost(
+            "lease holder, billing",
+            "frozen windows, core/billing.py",
+            "one window's records while it closes" if busiest else "none",
+            reads=share * 0.7,
+            writes=share / 3,
+            memory_mb=3.0 * share,
+        ),
+    ]
+
+
+def total(costs: list[Cost], field: str) -> float:
+    """Return the sum of a field over the roles."""
+    return sum(getattr(cost, field) for cost in costs)
+
+
+def render_size(figures: Figures, size: Size) -> list[str]:
+    """Return the tables of one size."""
+    text = [f"### {size.label}: {size.nodes} nodes, {size.runners} runners", ""]
+    for busiest in (False, True):
+        costs = cost_roles(figures, size, busiest)
+        rows: list[list] = []
+        for cost in costs:
+            rows.append(
+                [
+                    cost.role,
+                    cost.mechanism,
+                    cost.state,
+                    cost.messages,
+                    cost.bytes / 1_000,
+                    cost.reads,
+                    cost.writes,
+                    cost.cpu_percent,
+                    cost.memory_mb,
+                ]
+            )
+        fields = ("messages", "bytes", "reads", "writes", "cpu_percent", "memory_mb")
+        sums = [total(costs, field) for field in fields]
+        sums[1] /= 1_000
+        rows.append(["**sum**", "", "", *sums])
+        names = ["role", "mechanism and module", "state", "messages/s", "KB/s"]
+        names += ["KV reads/s", "KV writes/s", "% of a core", "MB"]
+        label = "The busiest node" if busiest else "The mean node"
+        text += [f"{label}:", "", render_markdown(names, rows), ""]
+    return text
+
+
+def render_bounds(figures: Figures) -> list[str]:
+    """Return the figures against the bounds, with a plain verdict for each."""
+    rows: list[list] = []
+    for size in SIZES:
+        mean = cost_roles(figures, size, False)
+        worst = cost_roles(figures, size, True)
+        nodes = size.nodes
+        entries = [
+            ("% of a core", "cpu_percent", 1.0, CPU_BOUND_PERCENT),
+            ("KB/s, in and out", "bytes", 1_000.0, BYTES_BOUND / 1_000),
+            ("MB", "memory_mb", 1.0, MEMORY_BOUND_MB),
+        ]
+        for label, field, unit, bound in entries:
+            values = [total(costs, field) / unit for costs in (mean, worst)]
+            held = "held" if max(values) <= bound else "**broken at the busiest**"
+            if values[0] > bound:
+                held = "**broken**"
+            rows.append([size.label, label, values[0], values[1], bound, held])
+        for label, field, bound in (
+            ("KV reads/s of the fleet", "reads", READS_BOUND),
+            ("KV writes/s of the fleet", "writes", WRITES_BOUND),
+        ):
+            value = total(mean, field) * nodes
+            held = "held" if value <= bound else "**broken**"
+            rows.append([size.label, label, value, "", bound, held])
+    names = ["size", "figure", "mean node", "busiest node", "bound", "verdict"]
+    return [render_markdown(names, rows), ""]
+
+
+def render_bad_days(figures: Figures) -> list[str]:
+    """Return what the bad days cost at the size to come."""
+    document_kb = figures.get("document of 980 customers and 600 upstreams")
+    nodes = 320
+    returning = nodes * 1.0 / 5.0
+    spread_320 = figures.exchange_at("spread_ms", nodes)
+    notice_320 = figures.exchange_at("notice_ms", nodes)
+    peers_kb = nodes * (figures.get("bytes of a beat") + 75) / 1_000
+    loads_kb = 225 * figures.get("bytes of a load report") / 1_000
+    rows = [
+        [
+            "170 VMs replaced in a day",
+            f"one each {86_400 / 170:.0f} s; each takes one document of "
+            f"{document_kb:.0f} KB and {peers_kb + loads_kb:.0f} KB of digests from a "
+            "partner",
+            f"{(document_kb + peers_kb + loads_kb) * 170 / 86_400:.1f} KB/s over the "
+            "fleet",
+        ],
+        [
+            "a rack at once (20 nodes)",
+            f"noticed after {notice_320 / 1_000:.0f} s; rings close by themselves; "
+            "usage of the last copy interval (1 s) is lost",
+            "20 deaths in one round, no extra messages",
+        ],
+        [
+            "a failure domain (40 nodes)",
+            "its upstreams are served from two other domains as well; its customers' "
+            "homes move; shares restart at the floor",
+            "40 nodes' callers ask the others: 14% more each",
+        ],
+        [
+            "regions parted for an hour",
+            "the side that reaches the key-value service serves on; the other refuses "
+            "once it hears half of the nodes or fewer, and serves on if it hears more "
+            "(see PROOFS.md, point 5)",
+            "no extra messages",
+        ],
+        [
+            "key-value service away for an hour, then back",
+            "each node retries every 5 s at most, with jitter",
+            f"{returning:.0f} reads/s on return, bound {READS_BOUND}; usage: "
+            f"{nodes} records within 10 s, {nodes / 10:.0f} writes/s",
+        ],
+        [
+            "every caller asks for a new address",
+            "answered from memory by any VM",
+            "at 1,200 requests/s: 3.75/s for each node, as at any peak",
+        ],
+    ]
+    text = [render_markdown(["day", "what happens", "cost"], rows), ""]
+    text += [
+        f"A catalogue change is in force everywhere after {spread_320:.0f} ms by the "
+        "line through the measured sizes, plus at most 0.5 s until a watcher reads an "
+        "edit that was accepted elsewhere; the bound is 3 s.",
+        "",
+    ]
+    return text
+
+
+HEADER = """# Capacity
+
+Made by `make capacity` (experiments/slopes.py, experiments/exchange.py,
+experiments/capacity.py) from slopes measured on one machine of 8 cores; no figure
+in the tables is written by hand. Sizes beyond 160 nodes lie on the line through the
+measured ones and were not run.
+
+What is assumed: requests spread evenly over the nodes, the busiest has three times
+the mean; {share:.0%} of the requests are calls that may not be repeated; a customer's
+callers use 3 VMs at a time; every runner's load changes all the time; names of
+nodes and runners have about 10 characters. Bytes are payload in and out together,
+without TCP/IP; a share message is taken to cost 30 us of transport and a demand
+message 60 us. The traffic of callers and upstreams is not control and not in the
+tables.
+"""
+
+
+FINDINGS = """## Where a bound is near or broken, and what would mend it
+
+- **Bytes of the busiest node** (a gateway between failure domains): beats go to every
+  node. Counting both directions, the gateway is the first to reach 24 KB/s. Mending:
+  condensed beats between domains (one message with all of a domain's revisions and
+  states), which takes the gateways' cross-domain share away.
+- **Key-value writes**: claims are two writes each, sent in groups per node. At a share
+  of {limit:.0%} of the requests that may not be repeated the bound of several hundred
+  writes/s is reached. Mending: claims sent to one writer for each of a few shards, so
+  that one call carries many.
+- **Noticing a death** takes near 10 s by design (three heartbeats of 3 s); the routes
+  of callers do not wait for it, since a handed-out list has three VMs.
+- **Memory** is mostly Python and its libraries. One process for each entry VM stays
+  below the bound.
+"""
+
+
+def main() -> None:
+    """Write the page."""
+    figures = Figures(json.loads(SLOPES.read_text()))
+    limit = (WRITES_BOUND - 0.1 * 320 - 1) / (2 * 1_200)
+    text = [HEADER.format(share=NON_REPEATABLE_SHARE), "## Against the bounds", ""]
+    text += render_bounds(figures)
+    text += [FINDINGS.format(limit=limit), "## By role", ""]
+    for size in SIZES:
+        text += render_size(figures, size)
+    text += ["## Bad days, at 320 nodes", ""] + render_bad_days(figures)
+    text += ["## Measured: exchange between daemons as separate processes", ""]
+    rows = [list(msgspec.structs.astuple(item)) for item in figures.exchange]
+    names = [field.replace("_", " ") for field in Result.__struct_fields__]
+    text += [render_markdown(names, rows), ""]
+    text += [
+        "`spread ms`: until a change sent to one node was in force on all.",
+        "`notice ms`: "
+        "until a killed node was noticed by all. `replaced ms`: until a change sent",
+        "while a third of the processes had just been started anew was in force on",
+        "all; with many processes this is mostly the time that 8 cores take to start",
+        "them.",
+        "",
+        "## Measured: slopes",
+        "",
+    ]
+    slopes = [[s.name, s.value, s.low, s.high, s.unit] for s in figures.all()]
+    text += [render_markdown(["slope", "median", "least", "most", "unit"], slopes), ""]
+    PAGE.write_text("\n".join(text))
+    print("\n".join(render_bounds(figures)))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/experiments/reference.py
@@ -0,0 +1,108 @@
+"""Reference pages of settings and catalogue, made from the types themselves."""
+
+from pathlib import Path
+from typing import Any, get_args, get_origin
+
+import msgspec
+
+from experiments.figures import render_markdown
+from plantainwood.core.catalogue import EDITABLE_SECTIONS, SECTIONS
+from plantainwood.settings import Secret, Settings
+
+DOCS = Path(__file__).resolve().parent.parent / "docs"
+
+SETTINGS_HEAD = """# Settings
+
+Made by `make reference` from plantainwood/settings.py. A name ending in `_ms` is in
+milliseconds, in `_bytes` in bytes, in `_s` in seconds or per second. Unknown names
+are errors; all errors are shown with line, path, value and what is allowed, and the
+daemon exits with 2. `--check_settings` only checks. `admin.key` and `links.secret`
+may say `env:NAME` and are never printed.
+"""
+
+CATALOGUE_HEAD = """# Catalogue
+
+Made by `make reference` from plantainwood/core/catalogue.py. A file holds the sections
+below, each a mapping of names to entries. It is accepted whole or refused whole, with
+the line and reason of each problem. Tier 0 is the most urgent. Keys are not in the
+file; see `plantainctl key`.
+
+Names of entries have a revision each: an edit is refused as a conflict where somebody
+changed the same entry after the revision that the edit is based on. What a file leaves
+out is deleted.
+"""
+
+
+def describe_type(kind: Any) -> str:
+    """Return a type as readers know it."""
+    if get_origin(kind) is list:
+        return f"list of {describe_type(get_args(kind)[0])}"
+    if hasattr(kind, "__metadata__"):
+        meta = kind.__metadata__[0]
+        base = describe_type(get_args(kind)[0])
+        bounds: list[str] = []
+        if meta.ge is not None:
+            bounds.append(f"from {meta.ge}")
+        if meta.le is not None:
+            bounds.append(f"to {meta.le}")
+        return " ".join([base, *bounds])
+    if isinstance(kind, type) and hasattr(kind, "__members__"):
+        return " or ".join(member.value for member in kind)
+    return getattr(kind, "__name__", str(kind))
+
+
+def describe_default(field: msgspec.structs.FieldInfo) -> str:
+    """Return a field's default, or that it is required."""
+    if field.required:
+        return "required"
+    if field.default is msgspec.NODEFAULT:
+        return "[]"
+    value = field.default
+    if hasattr(value, "value"):
+        value = value.value
+    if isinstance(value, Secret):
+        return "***"
+    return f"`{value!r}`" if not isinstance(value, str) else f"`{value or '(empty)'}`"
+
+
+def list_fields(kind: type, prefix: str) -> list[list[str]]:
+    """Return a row for each name below a struct."""
+    rows: list[list[str]] = []
+    for field in msgspec.structs.fields(kind):
+        name = f"{prefix}{field.name}"
+        if isinstance(field.type, type) and issubclass(field.type, msgspec.Struct):
+            rows.extend(list_fields(field.type, f"{name}."))
+            continue
+        item = get_args(field.type)[0] if get_origin(field.type) is list else None
+        if isinstance(item, type) and issubclass(item, msgspec.Struct):
+            rows.extend(list_fields(item, f"{name}[]."))
+            continue
+        rows.append([name, describe_type(field.type), describe_default(field)])
+    return rows
+
+
+def render_settings() -> str:
+    """Return the page of settings."""
+    table = render_markdown(["name", "type", "default"], list_fields(Settings, ""))
+    return f"{SETTINGS_HEAD}\n{table}\n"
+
+
+def render_catalogue() -> str:
+    """Return the page of the catalogue."""
+    text = [CATALOGUE_HEAD]
+    for section in EDITABLE_SECTIONS:
+        kind = SECTIONS[section]
+        rows = list_fields(kind, "")
+        text += [f"## {section}", "", str(kind.__doc__), ""]
+        text += [render_markdown(["name", "type", "default"], rows), ""]
+    return "\n".join(text)
+
+
+def main() -> None:
+    """Write both pages."""
+    (DOCS / "SETTINGS.md").write_text(render_settings())
+    (DOCS / "CATALOGUE.md").write_text(render_catalogue())
+
+
+if __name__ == "__main__":
+    main()
--- a/plantainctl/main.py
+++ b/plantainctl/main.py
@@ -1,6 +1,7 @@
 """Command line of the operators' tool.
 
 Examples:
+  plantainctl --output yaml catalogue show > catalogue.yaml
   plantainctl catalogue diff catalogue.yaml
   plantainctl catalogue apply catalogue.yaml --wait
   plantainctl key grant paseos-rounds
@@ -174,7 +175,10 @@
     apply = _add(actions, "apply", apply_catalogue, waits=True)
     apply.add_argument("file")
     apply.add_argument(
-        "--base", type=int, default=None, help="the revision that the file is based on"
+        "--base",
+        type=int,
+        default=None,
+        help="the revision that the file is based on, if the file does not say",
     )
 
 
--- a/plantainwood/admin.py
+++ b/plantainwood/admin.py
@@ -41,7 +41,7 @@
     text: str
     author: str = "unknown"
     base_revision: int | None = None
-    """The revision that the editor read; None takes the current one."""
+    """The revision that the editor read; None takes the one in the text, else 0."""
     change_id: str = ""
     dry_run: bool = False
 
@@ -162,7 +162,7 @@
         return web.json_response(body)
 
     async def handle_show(self, request: web.Request) -> web.Response:
-        """Answer with the current catalogue, without keys."""
+        """Answer with the current catalogue, without keys, in the form of an edit."""
         await refresh_catalogue(self.node)
         catalogue = self.node.catalogue
         sections: dict[str, dict] = {}
@@ -184,8 +184,9 @@
         current = self.node.catalogue
         base = body.base_revision
         if base is None:
-            base = current.revision
-        changes = _render_changes(current, diff_catalogue(current, wanted))
+            base = wanted.revision
+        sections = wanted.sections
+        changes = _render_changes(current, diff_catalogue(current, sections))
         if body.dry_run:
             answer = {"revision": current.revision, "changes": changes}
             return web.json_response(answer)
@@ -194,7 +195,7 @@
             author=body.author,
             wall_ms=self.node.clock.wall_ms(),
             base_revision=base,
-            plan=lambda catalogue: diff_catalogue(catalogue, wanted),
+            plan=lambda catalogue: diff_catalogue(catalogue, sections),
         )
         revision = await self._run(edit)
         return web.json_response({"revision": revision, "changes": changes})
--- a/plantainwood/catalogue_texts.py
+++ b/plantainwood/catalogue_texts.py
@@ -12,6 +12,8 @@
 from plantainwood.core.checks import check_struct
 from plantainwood.documents import DocumentError, Source, read_yaml
 
+REVISION_NAME = "revision"
+
 
 class CatalogueTextError(Exception):
     """Report every problem of a catalogue text, each with its line."""
@@ -21,18 +23,33 @@
         self.problems = problems
 
 
-def parse_catalogue(text: str) -> dict[str, dict]:
-    """Return the sections of a valid catalogue text; refuse it whole otherwise."""
+class CatalogueText:
+    """A valid catalogue text: its sections and the revision that it came from."""
+
+    __slots__ = ("sections", "revision")
+
+    def __init__(self, sections: dict[str, dict], revision: int) -> None:
+        self.sections = sections
+        self.revision = revision
+
+
+def parse_catalogue(text: str) -> CatalogueText:
+    """Return the content of a valid catalogue text; refuse it whole otherwise."""
     try:
         source = read_yaml(text)
     except DocumentError as error:
         raise CatalogueTextError([str(error)]) from error
+    revision = 0
+    if isinstance(source.data, dict):
+        revision = source.data.pop(REVISION_NAME, 0)
+    if not isinstance(revision, int):
+        raise CatalogueTextError([f"{REVISION_NAME}: expected an integer"])
     problems = _check_entries(source)
     if not problems:
         problems = _check_whole(source.data)
     if problems:
         raise CatalogueTextError([source.describe(problem) for problem in problems])
-    return source.data
+    return CatalogueText(source.data, revision)
 
 
 def _check_entries(source: Source) -> list[Problem]:
--- a/plantainwood/logs.py
+++ b/plantainwood/logs.py
@@ -15,6 +15,9 @@
 class KeyValueFormatter(BaseJsonFormatter):
     """Collect fields as the library does, and render them as key=value pairs."""
 
+    default_time_format = "%Y-%m-%dT%H:%M:%S"
+    default_msec_format = "%s.%03d"
+
     def serialize_log_record(self, log_data: dict[str, Any]) -> str:
         """Return the fields as one line; values with spaces or quotes are quoted."""
         return " ".join(f"{key}={_render(value)}" for key, value in log_data.items())
@@ -35,10 +38,16 @@
     return msgspec.json.encode(text).decode()
 
 
+def is_ours(record: logging.LogRecord) -> bool:
+    """Tell this program's events, and warnings of libraries, from their chatter."""
+    return record.name == LOGGER_NAME or record.levelno >= logging.WARNING
+
+
 def setup_logs(level: str, as_json: bool) -> None:
     """Send this program's events to standard error."""
     maker = JsonFormatter if as_json else KeyValueFormatter
     handler = logging.StreamHandler(sys.stderr)
+    handler.addFilter(is_ours)
     handler.setFormatter(maker(FIELDS, rename_fields=RENAMED))
     root = logging.getLogger()
     root.handlers[:] = [handler]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -228,6 +228,7 @@
     def load_catalogue(self) -> int:
         """Apply the small catalogue and wait until each node has it in force."""
         body = {"text": yaml.safe_dump(self.make_catalogue()), "author": "fleet"}
+        body["base_revision"] = self.admin("GET", "/admin/status")["revision"]
         revision = self.admin("POST", "/admin/catalogue", body)["revision"]
         self.wait_revision(revision)
         return revision
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -262,5 +262,5 @@
     with pytest.raises(urllib.error.HTTPError) as refusal:
         call("POST", fleet.url("vm-2/admin") + "/admin/catalogue", body, ADMIN_KEY)
     assert refusal.value.code == 409
-    shown = fleet.admin("GET", "/admin/catalogue", node="vm-3")["catalogue"]
+    shown = fleet.admin("GET", "/admin/catalogue", node="vm-3")
     assert shown["models"]["rounds"]["max_tokens"] == 100
--- /dev/null
+++ b/tests/test_texts.py
@@ -0,0 +1,51 @@
+"""Forms that people and programs read: logs, errors, tables, reports."""
+
+import logging
+
+from plantainctl.output import Format, render
+from plantainwood.answers import render_error
+from plantainwood.core.billing import Frozen, encode_report
+from plantainwood.core.errors import HTTP_STATUS, ErrorCode, Outcome, RequestError
+from plantainwood.core.usage import Line
+from plantainwood.logs import FIELDS, RENAMED, JsonFormatter, KeyValueFormatter
+
+
+def make_record() -> logging.LogRecord:
+    """Return a record with fields that need quoting."""
+    record = logging.LogRecord("plantainwood", 20, "", 1, "request", None, None)
+    record.created, record.msecs = 0.0, 0.0
+    record.customer = "norte"
+    record.reason = 'said "no" twice\nand left'
+    return record
+
+
+def test_a_log_line_is_key_value_pairs(snapshot):
+    line = KeyValueFormatter(FIELDS, rename_fields=RENAMED).format(make_record())
+    assert "\n" not in line
+    assert line.partition(" level=")[2] == snapshot
+
+
+def test_json_lines_are_a_setting(snapshot):
+    line = JsonFormatter(FIELDS, rename_fields=RENAMED).format(make_record())
+    assert line.partition('"level"')[2] == snapshot
+
+
+def test_an_error_names_code_outcome_and_when_to_come_back(snapshot):
+    error = RequestError(ErrorCode.OVERLOADED, "too much", Outcome.NOT_RUN, 1_500)
+    assert render_error(error, "r1") == snapshot
+
+
+def test_every_code_has_a_status():
+    assert set(HTTP_STATUS) == set(ErrorCode)
+
+
+def test_output_formats(snapshot):
+    rows = [{"node": "vm-1", "revision": 7}, {"node": "vm-12", "revision": 11}]
+    for form in Format:
+        assert render(rows, form) == snapshot
+
+
+def test_a_report_is_the_same_to_the_letter(snapshot):
+    lines = {"p/b/hint": Line(1, 0, 9), "p/a/hint": Line(2, 0, 8)}
+    frozen = Frozen("p", 1_000, lines, {"0": {"p/a/hint": Line(1, 0, 2)}}, {})
+    assert encode_report(frozen).decode() == snapshot
