Answer bad input clearly; measure spending and over-admission

Cause of a slow sender's connection staying open for 10 s after its error: the library reads on for its lingering time. Change: one second.

--- a/Makefile
+++ b/Makefile
@@ -36,6 +36,8 @@
 
 experiment: .venv/ready
 	$(PYTHON) -m experiments.experiment
+	$(PYTHON) -m experiments.fleetcost
+	$(PYTHON) -m experiments.overadmission
 
 clean:
 	rm -rf .venv build
--- a/plantainwood/admin.py
+++ b/plantainwood/admin.py
@@ -169,9 +169,7 @@
         for entry in catalogue.entries.values():
             if entry.section in EDITABLE_SECTIONS and entry.body is not None:
                 sections.setdefault(entry.section, {})[entry.name] = entry.body
-        return web.json_response(
-            {"revision": catalogue.revision, "catalogue": sections}
-        )
+        return web.json_response({"revision": catalogue.revision, **sections})
 
     async def handle_apply(self, request: web.Request) -> web.Response:
         """Apply an edit, or with dry_run only say what it would change."""
--- a/plantainwood/callers.py
+++ b/plantainwood/callers.py
@@ -26,6 +26,8 @@
 from plantainwood.traces import read_context
 
 MAX_REQUEST_ID = 64
+LINGERING_S = 1.0
+"""How long the rest of a body is read after it was refused."""
 
 
 def make_tls_context(tls: Tls) -> ssl.SSLContext | None:
@@ -63,6 +65,7 @@
             max_line_size=callers.max_header_bytes,
             max_field_size=callers.max_header_bytes,
             keepalive_timeout=callers.idle_timeout_ms / 1_000,
+            lingering_time=LINGERING_S,
         )
         await self._runner.setup()
         context = make_tls_context(callers.tls)
--- /dev/null
+++ b/tests/test_bad_input.py
@@ -0,0 +1,164 @@
+"""Bad input and broken connections: clear answers, and a daemon that lives on."""
+
+import json
+import socket
+import ssl
+import subprocess
+import sys
+import urllib.request
+from pathlib import Path
+
+import pytest
+import yaml
+
+from standins.fleet import ADMIN_KEY, ROOT, Fleet, call, wait_until
+from tests.calls import CHAT, make_chat, send
+
+DATA = Path(__file__).resolve().parent / "data"
+
+
+@pytest.fixture(scope="module")
+def fleet():
+    """Run one daemon with tight bounds, and TLS on its administration address."""
+    tls = {
+        "certificate": str(DATA / "certificate.pem"),
+        "key": str(DATA / "key.pem"),
+    }
+    running = Fleet(
+        nodes=1,
+        engines=1,
+        callers={"body_timeout_ms": 300, "max_header_bytes": 4_096},
+        admin={"tls": tls},
+    )
+    try:
+        running.start()
+        yield running
+    finally:
+        running.stop()
+
+
+def run_tool(fleet: Fleet, *arguments: str) -> subprocess.CompletedProcess:
+    """Run plantainctl over TLS."""
+    address = fleet.url("vm-1/admin").replace("http:", "https:")
+    command = [sys.executable, "-m", "plantainctl", "--addresses", address]
+    command += ["--ca_file", str(DATA / "certificate.pem"), *arguments]
+    return subprocess.run(
+        command,
+        cwd=ROOT,
+        env={"PLANTAINCTL_KEY": ADMIN_KEY, "USER": "test", "PATH": ""},
+        capture_output=True,
+        text=True,
+    )
+
+
+@pytest.fixture(scope="module")
+def key(fleet: Fleet, tmp_path_factory) -> str:
+    """Load the catalogue and grant a key with the tool, over TLS."""
+    path = tmp_path_factory.mktemp("catalogue") / "catalogue.yaml"
+    path.write_text(yaml.safe_dump(fleet.make_catalogue()))
+    applied = run_tool(fleet, "catalogue", "apply", str(path), "--wait")
+    assert applied.returncode == 0, applied.stderr
+    granted = run_tool(fleet, "--output", "json", "key", "grant", "norte-walkers")
+    assert granted.returncode == 0, granted.stderr
+    return json.loads(granted.stdout)["key"]
+
+
+def test_the_tools_exit_codes(fleet, key, tmp_path):
+    bad = tmp_path / "bad.yaml"
+    bad.write_text("models:\n  m: {owner: p, colour: red}\n")
+    refused = run_tool(fleet, "catalogue", "apply", str(bad))
+    assert (refused.returncode, "line 2" in refused.stderr) == (1, True)
+    stale = tmp_path / "stale.yaml"
+    content = fleet.make_catalogue()
+    content["models"]["rounds"]["max_tokens"] = 99
+    stale.write_text(yaml.safe_dump(content))
+    conflict = run_tool(fleet, "catalogue", "apply", str(stale))
+    assert (conflict.returncode, "models/rounds" in conflict.stderr) == (5, True)
+    shown = run_tool(fleet, "--output", "yaml", "catalogue", "show")
+    fresh = tmp_path / "fresh.yaml"
+    fresh.write_text(shown.stdout)
+    assert run_tool(fleet, "catalogue", "apply", str(fresh)).returncode == 0
+    assert run_tool(fleet, "key", "withdraw", "none").returncode == 1
+    history = run_tool(fleet, "--output", "json", "catalogue", "history")
+    assert json.loads(history.stdout)[0]["revision"] == 1
+
+
+def test_the_administration_address_speaks_tls_and_wants_its_key(fleet, key):
+    address = fleet.url("vm-1/admin").replace("http:", "https:")
+    context = ssl.create_default_context(cafile=str(DATA / "certificate.pem"))
+    request = urllib.request.Request(address + "/admin/status")
+    request.add_header("Authorization", "Bearer wrong")
+    with pytest.raises(urllib.error.HTTPError) as refusal:
+        urllib.request.urlopen(request, context=context)
+    assert refusal.value.code == 401
+
+
+def talk(fleet: Fleet, *parts: bytes, end: bool = False) -> bytes:
+    """Send raw bytes on one connection; return all that comes back."""
+    address = ("127.0.0.1", fleet.ports["vm-1/callers"])
+    with socket.create_connection(address, timeout=10) as connection:
+        for part in parts:
+            connection.sendall(part)
+        if end:
+            connection.shutdown(socket.SHUT_WR)
+        received = b""
+        while chunk := connection.recv(65_536):
+            received += chunk
+        return received
+
+
+def make_head(key: str, *lines: str) -> bytes:
+    """Return the head of a chat request with some more header lines."""
+    head = [f"POST {CHAT} HTTP/1.1", "Host: x", f"Authorization: Bearer {key}"]
+    head += ["Connection: close", *lines, "", ""]
+    return "\r\n".join(head).encode()
+
+
+def test_a_second_content_length_is_refused(fleet, key):
+    head = make_head(key, "Content-Length: 5", "Content-Length: 7")
+    assert talk(fleet, head, b"1234567").split(b" ")[1] == b"400"
+
+
+def test_a_slow_sender_gets_a_coded_error(fleet, key):
+    answer = talk(fleet, make_head(key, "Content-Length: 500"), b"{")
+    assert answer.startswith(b"HTTP/1.1 400")
+    assert b'"bad_request"' in answer and b'"not_run"' in answer
+
+
+def test_a_large_header_is_refused(fleet, key):
+    head = make_head(key, "X-Large: " + "x" * 10_000, "Content-Length: 0")
+    assert talk(fleet, head).split(b" ")[1] in (b"400", b"431")
+
+
+@pytest.mark.parametrize("end", [False, True])
+def test_half_a_chunk_is_never_sent_on(fleet, key, end):
+    before = call("GET", fleet.url("engine-1") + "/stats")["started"]
+    head = make_head(key, "Transfer-Encoding: chunked")
+    answer = talk(fleet, head, b'40\r\n{"model": ', end=end)
+    assert not answer or answer.split(b" ")[1] == b"400"
+    assert call("GET", fleet.url("engine-1") + "/stats")["started"] == before
+    assert call("GET", fleet.url("vm-1/callers") + "/healthz")["status"] == "ok"
+
+
+@pytest.mark.parametrize("cut", [0, 4, 40, 90, 140, 200])
+def test_a_reset_at_any_byte_leaves_the_daemon_alive(fleet, key, cut):
+    body = make_chat("x" * 100, True)
+    whole = make_head(key, f"Content-Length: {len(body)}") + body
+    address = ("127.0.0.1", fleet.ports["vm-1/callers"])
+    connection = socket.create_connection(address)
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    connection.sendall(whole[:cut])
+    connection.close()
+    assert send(fleet, CHAT, make_chat(), key).status == 200
+
+
+def test_an_engine_that_gives_garbage_alone_is_named_in_the_error(fleet, key):
+    fleet.control("engine-1", garbage=True)
+    try:
+        error = send(fleet, CHAT, make_chat(), key).error()
+        assert error["code"] in ("upstream_failed", "queue_timeout")
+        assert error["outcome"] == "unknown"
+        assert error["retry_after_ms"] > 0
+    finally:
+        fleet.control("engine-1", garbage=False)
+    assert wait_until(lambda: send(fleet, CHAT, make_chat(), key).status == 200)
