Bound what billing keeps and reads; let stored keys expire

Cause, found while writing CAPACITY.md: a frozen window carried the totals of every usage record of 48 windows (at 320 nodes above the megabyte that a value may hold), each closing read all usage ever written, and claims and usage never went away. Change: a node marks a window's record final once it counts nothing more in it; a final record is remembered by name only; older windows are scanned by name and only what is not final is read again; keys carry a lifetime by leases of the service, one for a tenth of the lifetime.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -135,7 +135,7 @@
         7,
         "compute figures anew at each try",
         CORE + "billing.py",
-        "        if (yield Swap(key, msgspec.json.encode(frozen), 0)):\n"
+        "        if (yield Swap(key, msgspec.json.encode(frozen), 0, LIFETIME_MS)):\n"
         "            return frozen",
         "        return frozen",
         PROOFS + "test_billing.py",
@@ -144,8 +144,8 @@
         7,
         "forget what was billed before",
         CORE + "billing.py",
-        "previous.billed if previous is not None else {}",
-        "{}",
+        "previous.billed if previous is not None else {}, oldest",
+        "{}, oldest",
         PROOFS + "test_billing.py",
     ),
     Mutant(
--- a/plantainwood/core/steps.py
+++ b/plantainwood/core/steps.py
@@ -29,15 +29,23 @@
     prefix: str
 
 
+class ScanKeys(msgspec.Struct, frozen=True):
+    """Read the names of all keys under a prefix; the reply is a set."""
+
+    prefix: str
+
+
 class Swap(msgspec.Struct, frozen=True):
     """Write a key if its revision is the expected one (0: absent).
 
-    The reply is the key's new revision, or 0 when the condition did not hold.
+    The reply is the key's new revision, or 0 when the condition did not hold. A key
+    with a lifetime is dropped by the service some time after it, never before.
     """
 
     key: str
     value: bytes
     expected: int
+    lifetime_ms: int = 0
 
 
 class SendOrder(msgspec.Struct, frozen=True):
@@ -63,5 +71,5 @@
     deadline_ms: int
 
 
-Call = Read | Scan | Swap | SendOrder | SendReport
+Call = Read | Scan | ScanKeys | Swap | SendOrder | SendReport
 Steps = Generator[Call, object, object]
--- a/standins/keyvalue.py
+++ b/standins/keyvalue.py
@@ -1,6 +1,8 @@
 """Stand-in for the key-value service: the etcd v3 JSON form, in memory."""
 
 import base64
+import math
+import time
 from collections import Counter
 
 from aiohttp import web
@@ -13,11 +15,12 @@
 class Item:
     """A value with the revision of its last write."""
 
-    __slots__ = ("value", "revision")
+    __slots__ = ("value", "revision", "until")
 
-    def __init__(self, value: str, revision: int) -> None:
+    def __init__(self, value: str, revision: int, until: float) -> None:
         self.value = value
         self.revision = revision
+        self.until = until
 
 
 class KeyValueStore:
@@ -27,9 +30,23 @@
         self.items: dict[bytes, Item] = {}
         self.revision = 1
         self.calls: Counter[str] = Counter()
+        self.leases: dict[str, float] = {}
+
+    def grant(self, body: dict) -> dict:
+        """Return a new lease; keys put with it go when it ends."""
+        lease = str(len(self.leases) + 1)
+        self.leases[lease] = time.monotonic() + int(body["TTL"])
+        return {"ID": lease, "TTL": body["TTL"]}
+
+    def expire(self) -> None:
+        """Drop the keys whose lease has ended."""
+        now = time.monotonic()
+        for key in [k for k, item in self.items.items() if item.until <= now]:
+            del self.items[key]
 
     def select(self, body: dict) -> list[tuple[bytes, Item]]:
         """Return the items that a range request names."""
+        self.expire()
         start = base64.b64decode(body["key"])
         if "range_end" not in body:
             item = self.items.get(start)
@@ -44,11 +61,13 @@
     def put(self, body: dict) -> dict:
         """Write one key."""
         key = base64.b64decode(body["key"])
-        self.items[key] = Item(body.get("value", ""), self.revision)
+        until = self.leases[body["lease"]] if "lease" in body else math.inf
+        self.items[key] = Item(body.get("value", ""), self.revision, until)
         return {"response_put": {"header": {"revision": str(self.revision)}}}
 
     def transact(self, body: dict) -> dict:
         """Apply a transaction; all its writes share one revision."""
+        self.expire()
         self.revision += 1
         return self._transact(body)
 
@@ -118,6 +137,13 @@
     return web.json_response(answer)
 
 
+async def handle_grant(request: web.Request) -> web.Response:
+    """Answer /v3/lease/grant."""
+    store = request.app[STORE]
+    store.calls["grant"] += 1
+    return web.json_response(store.grant(await request.json()))
+
+
 async def handle_calls(request: web.Request) -> web.Response:
     """Answer /calls with the number of calls by kind."""
     return web.json_response(dict(request.app[STORE].calls))
@@ -129,5 +155,6 @@
     app[STORE] = KeyValueStore()
     app.router.add_post("/v3/kv/range", handle_range)
     app.router.add_post("/v3/kv/txn", handle_txn)
+    app.router.add_post("/v3/lease/grant", handle_grant)
     app.router.add_get("/calls", handle_calls)
     return app
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -3,7 +3,7 @@
 from typing import Any
 
 from plantainwood.core.errors import StoreError, StoreUnsent
-from plantainwood.core.steps import Call, Read, Scan, Steps, Stored, Swap
+from plantainwood.core.steps import Call, Read, Scan, ScanKeys, Steps, Stored, Swap
 
 FAULTS = ["ok", "ok", "ok", "slow", "lost_before", "lost_after", "unsent", "late"]
 """What may happen to a key-value call.
@@ -29,6 +29,8 @@
                 return self.items.get(key)
             case Scan(prefix):
                 return {k: v for k, v in self.items.items() if k.startswith(prefix)}
+            case ScanKeys(prefix):
+                return {key for key in self.items if key.startswith(prefix)}
             case Swap(key, value, expected):
                 current = self.items.get(key)
                 if (current.revision if current else 0) != expected:
