Judge attainment by every target of a class; test messages between daemons

Change: the attained metric looks at first token, time between tokens and completion; the cost of running upstreams is set; a drain lingers for the lifetime of a handed-out list by default. Tests: frames of two releases, changed bytes, merging in any order.

--- a/experiments/capacity.py
+++ b/experiments/capacity.py
@@ -293,8 +293,8 @@
         ],
         [
             "a failure domain (40 nodes)",
-            "each of its upstreams is served from another domain as well; its customers' "
-            "homes move; shares restart at the floor",
+            "each of its upstreams is served from another domain as well; its "
+            "customers' homes move; shares restart at the floor",
             "40 nodes' callers ask the others: 14% more each",
         ],
         [
--- a/experiments/reference.py
+++ b/experiments/reference.py
@@ -1,5 +1,6 @@
 """Reference pages of settings and catalogue, made from the types themselves."""
 
+import inspect
 from pathlib import Path
 from typing import Any, get_args, get_origin
 
@@ -93,7 +94,7 @@
     for section in EDITABLE_SECTIONS:
         kind = SECTIONS[section]
         rows = list_fields(kind, "")
-        text += [f"## {section}", "", str(kind.__doc__), ""]
+        text += [f"## {section}", "", inspect.getdoc(kind) or "", ""]
         text += [render_markdown(["name", "type", "default"], rows), ""]
     return "\n".join(text)
 
--- a/plantainwood/core/catalogue.py
+++ b/plantainwood/core/catalogue.py
@@ -22,7 +22,12 @@
 
 
 class ServiceClass(EntryBase, frozen=True):
-    """A class of service; tier 0 is the most urgent."""
+    """A class of service; tier 0 is the most urgent.
+
+    A request attains its target when its first token, the mean time between tokens
+    and its completion each came in time. It waits at most queue_timeout_ms; after
+    starvation_ms its tier is due its min_share of the tokens.
+    """
 
     owner: str
     tier: int
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -55,7 +55,10 @@
             Counter("pw_customer_tokens_total", "Tokens by customer.")
         )
         self.upstream_cost = self._add(
-            Gauge("pw_upstream_cost_per_hour", "Cost of running upstreams.")
+            Gauge(
+                "pw_upstream_cost_per_hour",
+                "Cost of the upstreams polled here that run.",
+            )
         )
         self.leases = self._add(
             Gauge("pw_lease_held", "1 where the duty is held here.")
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -40,6 +40,8 @@
 
 INCARNATION_EPOCH_MS = 1_767_225_600_000
 """2026-01-01; incarnations count tenths of a second, to stay within 32 bits."""
+FULL_REQUESTS = 400
+"""Open requests at which a VM calls itself fully busy."""
 UNRESERVE_TRIES = 3
 UNRESERVE_PAUSE_S = 0.2
 ORDERS_DUTY = "orders"
@@ -164,7 +166,7 @@
             self.next_sequence(),
             self.state,
             self.catalogue.revision,
-            min(100, running // 4),
+            min(100, running * 100 // FULL_REQUESTS),
         )
 
     def apply_document(self, document: Document) -> bool:
--- a/plantainwood/pipeline/meter.py
+++ b/plantainwood/pipeline/meter.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from plantainwood.core.catalogue import ServiceClass
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.usage import Line, make_line_key
 from plantainwood.logs import log_event
@@ -46,6 +47,20 @@
     node.ledger.count(key, node.clock.wall_ms(), line)
 
 
+def is_attained(
+    service_class: ServiceClass, first_ms: int, total_ms: int, tokens: int
+) -> bool:
+    """Tell whether an answer met each target of its class."""
+    if first_ms > service_class.first_token_ms:
+        return False
+    if total_ms > service_class.completion_ms:
+        return False
+    if tokens < 2:
+        return True
+    between_ms = (total_ms - first_ms) / (tokens - 1)
+    return between_ms <= service_class.between_tokens_ms
+
+
 def _record(exchange: Exchange, outcome: Outcome, code: str) -> None:
     node = exchange.node
     metrics = node.metrics
@@ -62,7 +77,9 @@
     first_ms = (exchange.first_token_ms or now_ms) - exchange.arrived_ms
     if exchange.first_token_ms:
         metrics.first_token.observe(labels, first_ms / 1_000)
-    if code == "ok" and first_ms <= exchange.service_class.first_token_ms:
+    if code == "ok" and is_attained(
+        exchange.service_class, first_ms, now_ms - exchange.arrived_ms, tokens
+    ):
         metrics.attained.inc(labels)
     log_event(
         "request",
--- a/plantainwood/poller.py
+++ b/plantainwood/poller.py
@@ -121,6 +121,12 @@
 
     def _set_gauges(self) -> None:
         metrics = self.node.metrics
+        cost = 0.0
+        for upstream, reachable in self.node.polled.items():
+            entry = self.node.catalogue.upstreams.get(upstream)
+            if reachable and entry is not None:
+                cost += entry.cost_per_hour
+        metrics.upstream_cost.set({}, cost)
         for name, pool in self.node.board.dispatcher.book.pools.items():
             labels = {"pool": name}
             metrics.waiting.set(labels, pool.waiting())
--- a/plantainwood/settings.py
+++ b/plantainwood/settings.py
@@ -125,8 +125,9 @@
 class Drain(Section, frozen=True):
     """How a daemon shuts down."""
 
-    linger_ms: Millis = 5_000
-    """How long new requests are still served after it stopped being handed out."""
+    linger_ms: Millis = 30_000
+    """How long new requests are still served after it stopped being handed out; at
+    least the lifetime of a handed-out list."""
     bound_ms: Millis = 120_000
 
 
--- /dev/null
+++ b/tests/test_messages.py
@@ -0,0 +1,102 @@
+"""Messages between daemons: authentication, two releases, merging in any order."""
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainwood.core.catalogue import ServiceClass
+from plantainwood.core.digests import DigestTable
+from plantainwood.core.frames import (
+    HEADER_BYTES,
+    FrameError,
+    _sign,
+    decode_frame,
+    encode_frame,
+)
+from plantainwood.core.messages import (
+    Batch,
+    Beat,
+    CrashNews,
+    LeavingNews,
+    LoadNews,
+    NodeState,
+)
+from plantainwood.pipeline.meter import is_attained
+
+SECRET = b"a secret of the fleet"
+BATCH = Batch("vm-1", 1, 2, 3, [Beat("vm-1", 1, 2, NodeState.LIVE, 7, 40)], True)
+
+
+def make_frame(fields: list) -> bytes:
+    """Return the frame of a message given as plain fields."""
+    payload = msgspec.msgpack.encode(fields)
+    head = encode_frame(BATCH, SECRET)[:1]
+    return head + _sign(SECRET, payload) + payload
+
+
+def test_a_newer_release_may_add_fields_and_an_older_one_lack_them():
+    fields = msgspec.msgpack.decode(encode_frame(BATCH, SECRET)[HEADER_BYTES:])
+    assert decode_frame(make_frame([*fields, "new"]), SECRET) == BATCH
+    older = decode_frame(make_frame(fields[:-1]), SECRET)
+    assert older == msgspec.structs.replace(BATCH, full=False)
+
+
+def test_an_unknown_kind_of_message_is_dropped():
+    with pytest.raises(FrameError):
+        decode_frame(make_frame([99, "vm-1"]), SECRET)
+
+
+@given(position=st.integers(0, 40), change=st.integers(1, 255))
+def test_any_changed_byte_is_refused(position, change):
+    frame = bytearray(encode_frame(BATCH, SECRET))
+    frame[position % len(frame)] ^= change
+    with pytest.raises(FrameError):
+        decode_frame(bytes(frame), SECRET)
+
+
+DIGESTS = st.one_of(
+    st.builds(
+        Beat,
+        st.sampled_from(["a", "b"]),
+        st.integers(1, 3),
+        st.integers(1, 4),
+        st.just(NodeState.LIVE),
+        st.just(1),
+        st.just(0),
+    ),
+    st.builds(LoadNews, st.just("e"), st.just(1), st.integers(1, 4), st.just((1,))),
+    st.builds(LeavingNews, st.sampled_from(["e", "f"]), st.just("http://x")),
+    st.builds(CrashNews, st.just("p"), st.sampled_from("ef"), st.booleans()),
+)
+
+
+@given(st.lists(DIGESTS, max_size=12), st.randoms(use_true_random=False))
+def test_merging_is_the_same_in_any_order_and_number(digests, shuffler):
+    first, second = DigestTable(), DigestTable()
+    for digest in digests:
+        first.merge(digest, "x")
+    again = digests * 2
+    shuffler.shuffle(again)
+    for digest in again:
+        second.merge(digest, "y")
+    versions = [{d.key: d.version for d in t.all()} for t in (first, second)]
+    assert versions[0] == versions[1]
+
+
+def test_loads_stay_inside_the_failure_domain():
+    table = DigestTable()
+    table.set_partners(["near", "far"], {"near"})
+    table.merge(LoadNews("e", 1, 1, (1,)), "")
+    table.merge(LeavingNews("e", "http://x"), "")
+    assert len(table.take_missing("near")) == 2
+    assert len(table.take_missing("far")) == 1
+
+
+@pytest.mark.parametrize(
+    "first_ms,total_ms,tokens,met",
+    [(100, 1_000, 20, True), (700, 1_000, 20, False), (100, 9_000, 20, False)],
+)
+def test_a_target_is_attained_only_as_a_whole(first_ms, total_ms, tokens, met):
+    service_class = ServiceClass("p", 0, 600, 50, 8_000)
+    assert is_attained(service_class, first_ms, total_ms, tokens) is met
