Order nothing for upstreams that no poller tells of

Cause, found by test_duties: a holder that had not heard the other nodes' polls, or whose poller was frozen, took every upstream it knew nothing of for stopped and ordered its start. Change: unknown counts as running. Added: orders through a frozen holder and a crashing request over real processes; spans are searched for the key as logs are.

--- a/plantainwood/duties.py
+++ b/plantainwood/duties.py
@@ -162,12 +162,11 @@
         return taken
 
     def _find_states(self, model: str, now_ms: int) -> list[UpstreamState]:
-        """Return a model's upstreams; one runs where a poller of it says so."""
-        running: set[str] = set()
+        """Return a model's upstreams; one that no poller tells of counts as running."""
+        reached: dict[str, bool] = {}
         for demand in self._fresh_demands(now_ms):
             for name, reachable in demand.reachable.items():
-                if reachable:
-                    running.add(name)
+                reached[name] = reached.get(name, False) or reachable
         states: list[UpstreamState] = []
         for name, entry in self.node.catalogue.upstreams.items():
             if entry.kind is not UpstreamKind.ENGINE or model not in entry.models:
@@ -179,7 +178,7 @@
                     entry.slots,
                     entry.cost_per_hour,
                     entry.cheap,
-                    name in running,
+                    reached.get(name, True),
                 )
             )
         return states
--- /dev/null
+++ b/tests/test_duties.py
@@ -0,0 +1,81 @@
+"""Orders and crashing requests over real processes."""
+
+import signal
+
+import pytest
+
+from standins.fleet import Fleet, call, wait_until
+from tests.calls import CHAT, Stream, make_chat, send
+
+DUTIES = {
+    "lease_term_ms": 3_000,
+    "lease_margin_ms": 500,
+    "planner": "static",
+    "plan_every_ms": 300,
+}
+POISON = "the request that crashes"
+
+
+@pytest.fixture
+def fleet():
+    """Run a fleet that orders whatever does not run."""
+    running = Fleet(nodes=3, engines=4, duties=DUTIES)
+    try:
+        running.start()
+        running.load_catalogue()
+        yield running
+    finally:
+        running.stop()
+
+
+def read_orders(fleet: Fleet) -> list[dict]:
+    """Return the orders that the platform took, in order."""
+    return call("GET", fleet.url("platform") + "/taken")["orders"]
+
+
+def find_holder(fleet: Fleet, nodes: list[str]) -> str:
+    """Return which of some nodes holds the ordering duty."""
+    for node in nodes:
+        for duty in fleet.admin("GET", "/admin/status", node=node)["duties"]:
+            if duty["duty"] == "orders" and duty["held"]:
+                return node
+    return ""
+
+
+def test_orders_come_from_one_holder_through_a_freeze(fleet):
+    holder = wait_until(lambda: find_holder(fleet, fleet.nodes))
+    fleet.kill("engine-2")
+    assert wait_until(lambda: read_orders(fleet), 40)
+    others = [node for node in fleet.nodes if node != holder]
+    fleet.kill(holder, signal.SIGSTOP)
+    assert wait_until(lambda: find_holder(fleet, others), 40)
+    fleet.kill("engine-3")
+    started = lambda: {order["upstream"] for order in read_orders(fleet)}  # noqa: E731
+    assert wait_until(lambda: "engine-3" in started(), 60)
+    fleet.kill(holder, signal.SIGCONT)
+    fleet.kill("engine-4")
+    assert wait_until(lambda: "engine-4" in started(), 60)
+    orders = read_orders(fleet)
+    fences = [order["fence"] for order in orders]
+    assert fences == sorted(fences)
+    assert fences[0] < fences[-1]
+    assert {order["action"] for order in orders} == {"start"}
+    assert "engine-1" not in started()
+
+
+def test_a_crashing_request_costs_two_engines_at_most(fleet):
+    key, _ = fleet.grant()
+    for name in fleet.engines:
+        fleet.control(name, crash_on=POISON)
+    beside = [Stream(fleet, key, f"beside {n}", 300, "vm-2") for n in range(4)]
+    for stream in beside:
+        assert stream.started.wait(20)
+    first = send(fleet, CHAT, make_chat(POISON), key, "vm-1")
+    assert first.error()["code"] == "crash_suspect"
+    for node in fleet.nodes:
+        refused = lambda: send(fleet, CHAT, make_chat(POISON), key, node)  # noqa: E731
+        assert refused().error()["code"] == "crash_suspect"
+    lost = [name for name in fleet.engines if fleet.processes[name].poll() is not None]
+    assert len(lost) <= 2
+    for stream in beside:
+        assert stream.finish() == list(range(300)), "cut though it only ran beside"
--- a/tests/test_identity.py
+++ b/tests/test_identity.py
@@ -13,8 +13,13 @@
 
 @pytest.fixture(scope="module")
 def fleet():
-    """Run a fleet that flushes usage often."""
-    running = Fleet(nodes=2, engines=2, duties={"usage_flush_ms": 200})
+    """Run a fleet that flushes usage often and prints its spans into its logs."""
+    running = Fleet(
+        nodes=2,
+        engines=2,
+        duties={"usage_flush_ms": 200},
+        traces={"exporter": "console"},
+    )
     try:
         running.start()
         running.load_catalogue()
@@ -63,6 +68,7 @@
     path = f"/services/booking/rounds?api_key={key}"
     in_query = send(fleet, path, b"", key, Idempotency_Key="q", Service_Class="booking")
     assert in_query.error()["code"] == "bad_request"
+    wait_until(lambda: '"name": "relay"' in fleet.read_log("vm-1"))
     for name in (*fleet.engines, "plain"):
         with urllib.request.urlopen(fleet.url(name) + "/received") as answer:
             assert secret not in answer.read(), f"{name} saw the key"
