--- a/plantainwood/poller.py
+++ b/plantainwood/poller.py
@@ -21,17 +21,22 @@
 
 def make_load_news(node: Node, upstream: str, by_tier: tuple[int, ...]) -> LoadNews:
     """Return the short form of a load report."""
-    counts = list(by_tier)
-    while counts and not counts[-1]:
-        counts.pop()
     return LoadNews(
         upstream,
         hash_poller(node.settings.node),
         node.clock.wall_ms() // 1_000,
-        tuple(counts),
+        trim_counts(by_tier),
     )
 
 
+def trim_counts(by_tier: tuple[int, ...]) -> tuple[int, ...]:
+    """Return counts by tier without the trailing tiers that have none."""
+    counts = list(by_tier)
+    while counts and not counts[-1]:
+        counts.pop()
+    return tuple(counts)
+
+
 class Poller(Service):
     """Poll upstreams by rendezvous, so that each is polled by one live node."""
 
