Carry demand messages; remove twins

Cause, found by reading the message types again: the union of messages did not name the demand message, so every receiver dropped it as unknown, and the ordering duty saw only its own node's work and polls. No test sent one. Change: the union names it, and a test sends every kind of message. Measured: test_messages and test_duties green (the new test red before: unknown tag).

--- a/experiments/simulation.py
+++ b/experiments/simulation.py
@@ -42,7 +42,7 @@
 class FakeEngine:
     """A batching engine: its running and waiting attempts, and its faults."""
 
-    __slots__ = ("name", "running", "waiting", "slow", "up", "started_ms", "up_ms")
+    __slots__ = ("name", "running", "waiting", "slow", "up")
 
     def __init__(self, name: str) -> None:
         self.name = name
@@ -50,7 +50,6 @@
         self.waiting: list[Attempt] = []
         self.slow = 1.0
         self.up = True
-        self.up_ms = 0
 
     def by_tier(self) -> tuple[int, ...]:
         """Return its work by priority."""
--- a/plantainwood/core/affinity.py
+++ b/plantainwood/core/affinity.py
@@ -15,7 +15,7 @@
         self._hints: OrderedDict[str, tuple[str, int]] = OrderedDict()
 
     def note(self, prefix: str, upstream: str, now_ms: int) -> None:
-        """Note that an upstream holds a prefix, by own dispatch or a cache event."""
+        """Note that an upstream was sent a prefix."""
         if not prefix:
             return
         self._hints[prefix] = (upstream, now_ms + HINT_LIFETIME_MS)
@@ -23,11 +23,6 @@
         while len(self._hints) > MAX_HINTS:
             self._hints.popitem(last=False)
 
-    def forget(self, prefix: str, upstream: str) -> None:
-        """Drop a hint that a cache event contradicts."""
-        if self._hints.get(prefix, ("", 0))[0] == upstream:
-            del self._hints[prefix]
-
     def find(self, prefix: str, now_ms: int) -> str:
         """Return the hinted upstream, or an empty string."""
         upstream, until_ms = self._hints.get(prefix, ("", 0))
--- a/plantainwood/core/claims.py
+++ b/plantainwood/core/claims.py
@@ -10,7 +10,6 @@
     Outcome,
     RequestError,
     StoreError,
-    StoreUnsent,
 )
 from plantainwood.core.steps import Read, Steps, Stored, Swap
 
@@ -82,8 +81,6 @@
         try:
             if (yield Swap(request.key, _encode(request), expected, LIFETIME_MS)):
                 return None
-        except StoreUnsent:
-            continue
         except StoreError:
             continue
     raise _refuse_unavailable()
--- a/plantainwood/core/messages.py
+++ b/plantainwood/core/messages.py
@@ -192,7 +192,7 @@
     served_elsewhere: dict[str, int]
 
 
-class Demand(msgspec.Struct, tag=27, array_like=True, frozen=True):
+class NodeDemand(msgspec.Struct, tag=27, array_like=True, frozen=True):
     """A node's work, sent to the candidates for the duty of ordering upstreams."""
 
     sender: str
@@ -203,5 +203,12 @@
 
 
 Message = (
-    Batch | CatalogueNews | CatalogueAsk | UsageCopy | UsageKept | ShareAsk | ShareGrant
+    Batch
+    | CatalogueNews
+    | CatalogueAsk
+    | UsageCopy
+    | UsageKept
+    | ShareAsk
+    | ShareGrant
+    | NodeDemand
 )
--- a/plantainwood/daemon.py
+++ b/plantainwood/daemon.py
@@ -35,7 +35,8 @@
 EXIT_DRAIN_CUT = 1
 EXIT_BAD_SETTINGS = 2
 DRAIN_POLL_MS = 50
-MAX_CONNECTIONS = 0
+UNLIMITED = 0
+"""As aiohttp understands a limit on connections."""
 
 _SETTINGS = flags.DEFINE_string("settings", None, "Path of the YAML settings.")
 _CHECK = flags.DEFINE_bool("check_settings", False, "Check the settings and exit.")
@@ -80,11 +81,11 @@
     def _make_clients(self) -> None:
         settings = self.settings
         general = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS),
+            connector=aiohttp.TCPConnector(limit=UNLIMITED),
             trace_configs=[make_trace_config(self.node.clock)],
         )
         plain = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=MAX_CONNECTIONS, force_close=True),
+            connector=aiohttp.TCPConnector(limit=UNLIMITED, force_close=True),
             cookie_jar=aiohttp.DummyCookieJar(),
             trace_configs=[make_single_try_config()],
         )
--- a/plantainwood/duties.py
+++ b/plantainwood/duties.py
@@ -10,8 +10,7 @@
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.leases import Lease
 from plantainwood.core.loads import TIERS
-from plantainwood.core.messages import Demand as DemandMessage
-from plantainwood.core.messages import Message
+from plantainwood.core.messages import Message, NodeDemand
 from plantainwood.core.orders import Action, Order, issue_order
 from plantainwood.core.planner import (
     CostPlanner,
@@ -34,13 +33,10 @@
 
 def find_candidates(node: Node, duty: str) -> list[str]:
     """Return the few live nodes that try to hold a duty."""
-    names = [node.settings.node]
-    for member in node.members.alive(node.clock.now_ms()):
-        names.append(member.profile.origin)
-    return rank_members(f"duty\0{duty}", names)[:CANDIDATES]
+    return rank_members(f"duty\0{duty}", node.live_names())[:CANDIDATES]
 
 
-def make_demand(node: Node) -> DemandMessage:
+def make_demand(node: Node) -> NodeDemand:
     """Return what waits and runs on this node, and what its polls say."""
     by_pool: dict[str, tuple[int, ...]] = {}
     for name, pool in node.board.dispatcher.book.pools.items():
@@ -51,7 +47,7 @@
             by_tier[tier.tier] += len(tier.queue)
         if any(by_tier):
             by_pool[name] = trim_counts(tuple(by_tier))
-    return DemandMessage(node.settings.node, by_pool, node.polled)
+    return NodeDemand(node.settings.node, by_pool, node.polled)
 
 
 class LeaseKeeper(Service):
@@ -184,7 +180,7 @@
             )
         return states
 
-    def _fresh_demands(self, now_ms: int) -> list[DemandMessage]:
+    def _fresh_demands(self, now_ms: int) -> list[NodeDemand]:
         found = [make_demand(self.node)]
         for demand, heard_ms in self.node.demands.values():
             if now_ms - heard_ms <= DEMAND_LIFETIME_MS:
--- a/plantainwood/links.py
+++ b/plantainwood/links.py
@@ -15,8 +15,8 @@
     Batch,
     CatalogueAsk,
     CatalogueNews,
-    Demand,
     Message,
+    NodeDemand,
     ShareAsk,
     ShareGrant,
     UsageCopy,
@@ -262,7 +262,7 @@
                 self.send(message.sender, answer_ask(node, message))
             case ShareGrant():
                 take_grant(node, message)
-            case Demand():
+            case NodeDemand():
                 node.demands[message.sender] = (message, node.clock.now_ms())
 
     def _take_batch(self, batch: Batch) -> None:
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -2,14 +2,13 @@
 
 import asyncio
 import secrets
-from collections import deque
 
 from opentelemetry.trace import Tracer
 
 from plantainwood.board import Board
 from plantainwood.core import events as ev
 from plantainwood.core.catalogue import Catalogue, Document, merge_document
-from plantainwood.core.clock import Clock, SystemClock
+from plantainwood.core.clock import Clock, make_clock
 from plantainwood.core.confirmation import Confirmation
 from plantainwood.core.digests import DigestTable
 from plantainwood.core.dispatcher import Dispatcher, Options
@@ -22,9 +21,9 @@
     AnyDigest,
     Beat,
     CrashNews,
-    Demand,
     LeavingNews,
     LoadNews,
+    NodeDemand,
     NodeState,
     Profile,
 )
@@ -89,7 +88,6 @@
         "urgent",
         "catalogue_changed",
         "background",
-        "history",
         "_sequence",
     )
 
@@ -126,7 +124,7 @@
         self.tracer: Tracer = make_tracer(settings.node, settings.traces.exporter)
         self.clients: Clients
         self.state = NodeState.LIVE
-        self.demands: dict[str, tuple[Demand, int]] = {}
+        self.demands: dict[str, tuple[NodeDemand, int]] = {}
         """Other nodes' newest demand and when it came, for the ordering duty."""
         self.polled: dict[str, bool] = {}
         """The upstreams that this node polls, and whether they answered."""
@@ -135,7 +133,6 @@
         self.urgent = asyncio.Event()
         self.catalogue_changed = asyncio.Event()
         self.background: set[asyncio.Task] = set()
-        self.history: deque[str] = deque(maxlen=32)
         self._sequence = 0
 
     def next_sequence(self) -> int:
@@ -185,6 +182,14 @@
         log_event("catalogue_in_force", revision=merged.revision)
         return True
 
+    def live_names(self, domain: str = "") -> list[str]:
+        """Return this node and the others alive, of one failure domain or of all."""
+        names = [self.settings.node]
+        for member in self.members.alive(self.clock.now_ms()):
+            if domain in ("", member.profile.domain):
+                names.append(member.profile.origin)
+        return names
+
     def is_listed_leaving(self, name: str) -> bool:
         """Tell whether the platform says that a VM is leaving."""
         vm = (self.listed or {}).get(name)
@@ -296,4 +301,4 @@
 
 def make_node(settings: Settings) -> Node:
     """Return a new node on the system's clock."""
-    return Node(settings, SystemClock(), Metrics())
+    return Node(settings, make_clock(), Metrics())
--- a/plantainwood/poller.py
+++ b/plantainwood/poller.py
@@ -53,10 +53,7 @@
         node = self.node
         now_ms = node.clock.now_ms()
         own = node.settings.domain
-        names = [node.settings.node]
-        for member in node.members.alive(now_ms):
-            if member.profile.domain == own:
-                names.append(member.profile.origin)
+        names = node.live_names(own)
         domains = node.members.live_domains(own, now_ms)
         node.board.dispatcher.set_domains(own, domains)
         mine: list[str] = []
--- a/plantainwood/shares.py
+++ b/plantainwood/shares.py
@@ -20,10 +20,7 @@
 
 def find_home(node: Node, customer: str) -> str:
     """Return the home of a customer: the first live node in its ranking."""
-    names = [node.settings.node]
-    for member in node.members.alive(node.clock.now_ms()):
-        names.append(member.profile.origin)
-    return rank_members(f"home\0{customer}", names)[0]
+    return rank_members(f"home\0{customer}", node.live_names())[0]
 
 
 def collect_asks(node: Node) -> dict[str, ShareAsk]:
--- a/plantainwood/watcher.py
+++ b/plantainwood/watcher.py
@@ -21,11 +21,7 @@
 def is_watcher(node: Node) -> bool:
     """Tell whether this node is one of its failure domain's watchers."""
     domain = node.settings.domain
-    names = [node.settings.node]
-    for member in node.members.alive(node.clock.now_ms()):
-        if member.profile.domain == domain:
-            names.append(member.profile.origin)
-    ranked = rank_members(f"watcher\0{domain}", names)
+    ranked = rank_members(f"watcher\0{domain}", node.live_names(domain))
     return node.settings.node in ranked[:WATCHERS_PER_DOMAIN]
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -246,8 +246,19 @@
         for node in self.nodes:
             if self.processes[node].poll() is not None:
                 continue
-            status = lambda: self.admin("GET", "/admin/status", node=node)  # noqa: E731
-            wait_until(lambda: status()["revision"] >= revision)
+            wait_until(lambda: self.read_revision(node) >= revision)
+
+    def read_revision(self, node: str) -> int:
+        """Return the revision that a node has in force."""
+        return self.admin("GET", "/admin/status", node=node)["revision"]
+
+    def find_holder(self, duty: str, nodes: list[str]) -> str:
+        """Return which of some nodes holds a duty, or an empty string."""
+        for node in nodes:
+            for item in self.admin("GET", "/admin/status", node=node)["duties"]:
+                if item["duty"] == duty and item["held"]:
+                    return node
+        return ""
 
     def grant(self, customer: str = "norte-walkers") -> tuple[str, str]:
         """Grant a key, wait until it is in force, return its text and id."""
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -33,34 +33,29 @@
     return call("GET", fleet.url("platform") + "/taken")["orders"]
 
 
-def find_holder(fleet: Fleet, nodes: list[str]) -> str:
-    """Return which of some nodes holds the ordering duty."""
-    for node in nodes:
-        for duty in fleet.admin("GET", "/admin/status", node=node)["duties"]:
-            if duty["duty"] == "orders" and duty["held"]:
-                return node
-    return ""
+def list_started(fleet: Fleet) -> set[str]:
+    """Return the upstreams that were ordered to start."""
+    return {order["upstream"] for order in read_orders(fleet)}
 
 
 def test_orders_come_from_one_holder_through_a_freeze(fleet):
-    holder = wait_until(lambda: find_holder(fleet, fleet.nodes))
+    holder = wait_until(lambda: fleet.find_holder("orders", fleet.nodes))
     fleet.kill("engine-2")
     assert wait_until(lambda: read_orders(fleet), 40)
     others = [node for node in fleet.nodes if node != holder]
     fleet.kill(holder, signal.SIGSTOP)
-    assert wait_until(lambda: find_holder(fleet, others), 40)
+    assert wait_until(lambda: fleet.find_holder("orders", others), 40)
     fleet.kill("engine-3")
-    started = lambda: {order["upstream"] for order in read_orders(fleet)}  # noqa: E731
-    assert wait_until(lambda: "engine-3" in started(), 60)
+    assert wait_until(lambda: "engine-3" in list_started(fleet), 60)
     fleet.kill(holder, signal.SIGCONT)
     fleet.kill("engine-4")
-    assert wait_until(lambda: "engine-4" in started(), 60)
+    assert wait_until(lambda: "engine-4" in list_started(fleet), 60)
     orders = read_orders(fleet)
     fences = [order["fence"] for order in orders]
     assert fences == sorted(fences)
     assert fences[0] < fences[-1]
     assert {order["action"] for order in orders} == {"start"}
-    assert "engine-1" not in started()
+    assert "engine-1" not in list_started(fleet)
 
 
 def test_a_crashing_request_costs_two_engines_at_most(fleet):
@@ -73,8 +68,8 @@
     first = send(fleet, CHAT, make_chat(POISON), key, "vm-1")
     assert first.error()["code"] == "crash_suspect"
     for node in fleet.nodes:
-        refused = lambda: send(fleet, CHAT, make_chat(POISON), key, node)  # noqa: E731
-        assert refused().error()["code"] == "crash_suspect"
+        again = send(fleet, CHAT, make_chat(POISON), key, node)
+        assert again.error()["code"] == "crash_suspect"
     lost = [name for name in fleet.engines if fleet.processes[name].poll() is not None]
     assert len(lost) <= 2
     for stream in beside:
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -90,9 +90,12 @@
     fleet.control("keyvalue", lose_replies=2)
     answers = []
     threads = []
+
+    def send_booking(vm: str) -> None:
+        answers.append(book(fleet, key, "r", vm))
+
     for node in fleet.nodes * 2:
-        target = lambda vm: answers.append(book(fleet, key, "r", vm))  # noqa: E731
-        threads.append(threading.Thread(target=target, args=(node,)))
+        threads.append(threading.Thread(target=send_booking, args=(node,)))
     for thread in threads:
         thread.start()
     for thread in threads:
@@ -132,8 +135,7 @@
     fleet.processes["vm-3"].wait()
     fleet.start_node("vm-3")
     fleet.wait_listening("vm-3")
-    served = lambda: send(fleet, CHAT, make_chat(), key, "vm-3").status  # noqa: E731
-    assert wait_until(lambda: served() == 200)
+    assert wait_until(lambda: send(fleet, CHAT, make_chat(), key, "vm-3").status == 200)
     fleet.control("keyvalue", down=False)
     assert wait_until(lambda: book(fleet, key, "r").status == 200)
     assert call("GET", fleet.url("plain") + "/runs") == {"r": 1}
@@ -177,24 +179,15 @@
     return total
 
 
-def find_holder(fleet: Fleet, nodes: list[str]) -> str:
-    """Return which of some nodes holds the billing duty."""
-    for node in nodes:
-        for duty in fleet.admin("GET", "/admin/status", node=node)["duties"]:
-            if duty["duty"] == "billing" and duty["held"]:
-                return node
-    return ""
-
-
 def test_usage_is_billed_once_through_a_frozen_holder_and_a_killed_vm(fleet):
     key, _ = fleet.grant()
     fleet.control("platform", lose_replies=2)
-    holder = wait_until(lambda: find_holder(fleet, fleet.nodes))
+    holder = wait_until(lambda: fleet.find_holder("billing", fleet.nodes))
     served = [node for node in fleet.nodes if node != holder]
     for node in served:
         assert send(fleet, CHAT, make_chat(tokens=30), key, node).status == 200
     fleet.kill(holder, signal.SIGSTOP)
-    assert wait_until(lambda: find_holder(fleet, served), 40)
+    assert wait_until(lambda: fleet.find_holder("billing", served), 40)
     fleet.kill(holder, signal.SIGCONT)
     assert wait_until(lambda: sum_tokens(fleet) == 60, 40)
     assert all(len(texts) == 1 for texts in read_reports(fleet).values())
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -17,11 +17,19 @@
 from plantainwood.core.messages import (
     Batch,
     Beat,
+    CatalogueAsk,
+    CatalogueNews,
     CrashNews,
     LeavingNews,
     LoadNews,
+    NodeDemand,
     NodeState,
+    ShareAsk,
+    ShareGrant,
+    UsageCopy,
+    UsageKept,
 )
+from plantainwood.core.usage import Line, UsageRecord
 from plantainwood.pipeline.meter import is_attained
 
 SECRET = b"a secret of the fleet"
@@ -42,6 +50,23 @@
     assert older == msgspec.structs.replace(BATCH, full=False)
 
 
+MESSAGES = [
+    BATCH,
+    CatalogueNews("vm-1", b"{}"),
+    CatalogueAsk("vm-1", 7),
+    UsageCopy("vm-1", UsageRecord("vm-1", 1, 2, 3, {"p/c/k": Line(1, 2, 3)}, True)),
+    UsageKept("vm-1", "usage/2/vm-1.1", 3),
+    ShareAsk("vm-1", {"c": 1.5}, {"c": 9}),
+    ShareGrant("vm-1", {"c": 0.5}, {"c": 9}),
+    NodeDemand("vm-1", {"model/m": (1, 0, 2)}, {"e": False}),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES, ids=lambda item: type(item).__name__)
+def test_every_message_comes_back_as_it_was_sent(message):
+    assert decode_frame(encode_frame(message, SECRET), SECRET) == message
+
+
 def test_an_unknown_kind_of_message_is_dropped():
     with pytest.raises(FrameError):
         decode_frame(make_frame([99, "vm-1"]), SECRET)
