Count the VMs that a node should hear, not only those it heard

Change: the listed VMs, or the settings' peers where there is no list, count as known. Metrics register only where they belong; the library also put them into a global registry.

--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -31,57 +31,54 @@
 
     def __init__(self) -> None:
         self.registry = Registry()
-        self.requests = self._add(
-            Counter("pw_requests_total", "Requests by class, outcome and code.")
+        self.requests = self._count(
+            "pw_requests_total", "Requests by class, outcome and code."
         )
         self.first_token = Histogram(
             "pw_first_token_seconds",
             "Time to the first token by class.",
+            registry=self.registry,
             buckets=FIRST_TOKEN_BUCKETS_S,
         )
-        self._add(self.first_token)
-        self.attained = self._add(
-            Counter("pw_attained_total", "Requests by class that met their target.")
+        self.attained = self._count(
+            "pw_attained_total", "Requests by class that met their targets."
         )
-        self.tokens = self._add(
-            Counter("pw_tokens_total", "Tokens relayed to callers, by class.")
+        self.tokens = self._count(
+            "pw_tokens_total", "Tokens of whole answers, by class."
         )
-        self.wasted_tokens = self._add(
-            Counter("pw_wasted_tokens_total", "Tokens of requests that ended in error.")
+        self.wasted_tokens = self._count(
+            "pw_wasted_tokens_total", "Tokens of requests that ended in error."
         )
-        self.waiting = self._add(Gauge("pw_waiting", "Waiting requests by pool."))
-        self.running = self._add(Gauge("pw_running", "Running requests by pool."))
-        self.customer_tokens = self._add(
-            Counter("pw_customer_tokens_total", "Tokens by customer.")
+        self.waiting = self._gauge("pw_waiting", "Waiting requests by pool.")
+        self.running = self._gauge("pw_running", "Running requests by pool.")
+        self.customer_tokens = self._count(
+            "pw_customer_tokens_total", "Tokens by customer."
         )
-        self.upstream_cost = self._add(
-            Gauge(
-                "pw_upstream_cost_per_hour",
-                "Cost of the upstreams polled here that run.",
-            )
+        self.upstream_cost = self._gauge(
+            "pw_upstream_cost_per_hour", "Cost of the upstreams polled here that run."
         )
-        self.leases = self._add(
-            Gauge("pw_lease_held", "1 where the duty is held here.")
+        self.leases = self._gauge("pw_lease_held", "1 where the duty is held here.")
+        self.catalogue_revision = self._gauge(
+            "pw_catalogue_revision", "The catalogue revision in force."
         )
-        self.catalogue_revision = self._add(
-            Gauge("pw_catalogue_revision", "The catalogue revision in force.")
+        self.confirm_age = self._gauge(
+            "pw_confirm_age_seconds", "Age of the last confirmation, below 0 if none."
         )
-        self.confirm_age = self._add(
-            Gauge("pw_confirm_age_seconds", "Age of the last confirmation, -1 if none.")
+        self.store_calls = self._count(
+            "pw_store_calls_total", "Key-value calls by kind and result."
         )
-        self.store_calls = self._add(
-            Counter("pw_store_calls_total", "Key-value calls by kind and result.")
+        self.link_bytes = self._count(
+            "pw_link_bytes_total", "Bytes between daemons by direction."
         )
-        self.link_bytes = self._add(
-            Counter("pw_link_bytes_total", "Bytes between daemons by direction.")
-        )
-        self.link_messages = self._add(
-            Counter("pw_link_messages_total", "Messages between daemons by direction.")
+        self.link_messages = self._count(
+            "pw_link_messages_total", "Messages between daemons by direction."
         )
 
-    def _add(self, collector):
-        self.registry.register(collector)
-        return collector
+    def _count(self, name: str, doc: str) -> Counter:
+        return Counter(name, doc, registry=self.registry)
+
+    def _gauge(self, name: str, doc: str) -> Gauge:
+        return Gauge(name, doc, registry=self.registry)
 
     def render(self, accept: list[str]) -> tuple[bytes, dict]:
         """Return the exposition of all metrics and its headers."""
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -219,10 +219,21 @@
     def may_serve(self) -> bool:
         """Tell whether this node may serve on its catalogue."""
         now_ms = self.clock.now_ms()
-        known = len(self.members.known())
         heard = len(self.members.alive(now_ms))
+        known = max(heard, len(self._known_names()))
         return self.confirmation.may_serve(heard, known, now_ms)
 
+    def _known_names(self) -> set[str]:
+        """Return the other nodes that should be heard, also those never heard yet."""
+        names = {member.profile.origin for member in self.members.known()}
+        if self.listed is None:
+            names.update(peer.node for peer in self.settings.peers)
+        for name, vm in (self.listed or {}).items():
+            if not vm.leaving and name not in self.catalogue.upstreams:
+                names.add(name)
+        names.discard(self.settings.node)
+        return names
+
     def end_isolated(self) -> None:
         """End every keyed request, since a withdrawal could not be heard here."""
         for ticket in list(self.board.tickets.values()):
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,64 @@
+"""One node's own view: whom it knows, and whether it may serve."""
+
+from plantainwood.core.clock import VirtualClock
+from plantainwood.core.confirmation import CONFIRM_BOUND_MS
+from plantainwood.core.messages import Beat, NodeState, Profile
+from plantainwood.metrics import Metrics
+from plantainwood.node import Node
+from plantainwood.platform import Vm
+from plantainwood.settings import parse_settings
+from tests.test_settings import ENVIRONMENT, GOOD
+
+PEERS = """
+peers:
+  - {node: vm-2, domain: ba-sur, link_address: "tcp://127.0.0.1:1"}
+  - {node: vm-3, domain: ba-sur, link_address: "tcp://127.0.0.1:2"}
+"""
+
+
+def make_node(text: str) -> Node:
+    """Return a node whose catalogue was confirmed a moment too long ago."""
+    clock = VirtualClock(now_ms=10_000, epoch_ms=1_800_000_000_000)
+    node = Node(parse_settings(text, ENVIRONMENT), clock, Metrics())
+    node.confirmation.note_service(1, clock.now_ms())
+    assert node.may_serve()
+    clock.advance(CONFIRM_BOUND_MS + 1)
+    return node
+
+
+def hear(node: Node, name: str) -> None:
+    """Let a node hear of another."""
+    node.take_digest(Profile(name, 1, "ba-sur", "http://x", "tcp://x"), name)
+    node.take_digest(Beat(name, 1, 1, NodeState.LIVE, 1, 0), name)
+
+
+def test_a_node_alone_by_its_settings_serves_on():
+    assert make_node(GOOD).may_serve()
+
+
+def test_a_node_that_never_heard_its_peers_does_not():
+    node = make_node(GOOD + PEERS)
+    assert not node.may_serve()
+    hear(node, "vm-2")
+    assert not node.may_serve(), "half is not more than half"
+    hear(node, "vm-3")
+    assert node.may_serve()
+
+
+def test_the_platforms_list_goes_before_the_settings():
+    node = make_node(GOOD + PEERS)
+    node.listed = {"vm-1": Vm("ba-norte", ""), "vm-2": Vm("ba-sur", "", leaving=True)}
+    assert node.may_serve(), "the listed others are leaving"
+    node.listed["vm-9"] = Vm("ba-sur", "")
+    assert not node.may_serve()
+
+
+def test_only_a_silent_vm_that_is_no_longer_listed_is_gone():
+    node = make_node(GOOD + PEERS)
+    assert node.find_gone("vm-2") == set(), "there is no list"
+    node.listed = {"vm-2": Vm("ba-sur", "")}
+    assert node.find_gone("vm-2") == set(), "it may only be frozen"
+    node.listed = {}
+    assert node.find_gone("vm-2") == {"vm-2"}
+    hear(node, "vm-2")
+    assert node.find_gone("vm-2") == set(), "it is heard"
