Confirm a revision together with its news

Change: news first, then the batch that confirms it; the VM that accepts an edit is confirmed by it. The fleet of the tests waits until its nodes may serve.

--- a/plantainwood/admin.py
+++ b/plantainwood/admin.py
@@ -200,8 +200,10 @@
 
     async def _run(self, edit: Edit) -> int:
         """Apply an edit and put it in force here, from where it spreads at once."""
+        asked_ms = self.node.clock.now_ms()
         accepted = await self.node.clients.driver.run(apply_edit(edit))
         self.node.apply_document(make_delta(accepted, 0))
+        self.node.confirmation.note_service(accepted.revision, asked_ms)
         return accepted.revision
 
     async def handle_history(self, request: web.Request) -> web.Response:
--- a/plantainwood/links.py
+++ b/plantainwood/links.py
@@ -170,9 +170,10 @@
             self._told_state = node.state
             node.digests.merge(node.make_beat(), "")
         self._choose_partners(now_ms)
+        # The news go first, so that the batch behind them confirms the new revision.
+        self._send_catalogue_news()
         for partner in self._partners:
             self._send_batch(partner, now_ms)
-        self._send_catalogue_news()
         if self.transport is not None:
             in_use = {self._address_of(name) or "" for name in self._partners}
             self.transport.close_idle(in_use)
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -246,11 +246,12 @@
         for node in self.nodes:
             if self.processes[node].poll() is not None:
                 continue
-            wait_until(lambda: self.read_revision(node) >= revision)
+            wait_until(lambda: self.serves_revision(node, revision))
 
-    def read_revision(self, node: str) -> int:
-        """Return the revision that a node has in force."""
-        return self.admin("GET", "/admin/status", node=node)["revision"]
+    def serves_revision(self, node: str, revision: int) -> bool:
+        """Tell whether a node has a revision in force and confirmed."""
+        status = self.admin("GET", "/admin/status", node=node)
+        return status["may_serve"] and status["revision"] >= revision
 
     def find_holder(self, duty: str, nodes: list[str]) -> str:
         """Return which of some nodes holds a duty, or an empty string."""
