--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	$(PYTHON) -m experiments.bench
 
 capacity: .venv/ready
+	$(PYTHON) -m experiments.bench
 	$(PYTHON) -m experiments.slopes
 	$(PYTHON) -m experiments.capacity
 
--- a/experiments/bench.py
+++ b/experiments/bench.py
@@ -16,6 +16,7 @@
 from standins.fleet import Fleet
 
 OUTPUT = Path(__file__).resolve().parent.parent / "docs/measurements/bench.md"
+DATA = OUTPUT.with_suffix(".json")
 CHAT = "/v1/chat/completions"
 SLOTS = 700
 MIN_SAMPLES = 32
@@ -202,7 +203,8 @@
     ]
     OUTPUT.write_text("\n".join(text))
     print("\n".join(text))
-    print(json.dumps({"latency": latency, "capacity": capacity, "memory": memory}))
+    data = {"latency": latency, "capacity": capacity, "memory": memory}
+    DATA.write_text(json.dumps(data, indent=1) + "\n")
 
 
 if __name__ == "__main__":
--- a/experiments/capacity.py
+++ b/experiments/capacity.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from experiments.bench import DATA as BENCH
 from experiments.exchange import Result
 from experiments.figures import render_markdown
 from experiments.slopes import OUTPUT as SLOPES
@@ -367,6 +368,20 @@
 """
 
 
+def list_other_slopes(figures: Figures) -> list[list]:
+    """Return the slopes that the benchmark and the exchange gave, one run each."""
+    bench = json.loads(BENCH.read_text())
+    requests, tokens = bench["capacity"]
+    first, last = figures.exchange[0], figures.exchange[-1]
+    grown_kb = (last.rss_mb_mean - first.rss_mb_mean) * 1_000
+    return [
+        ["a request of one token, relayed", requests[4], "", "", "us"],
+        ["a relayed token, of 200 an answer", tokens[5], "", "", "us"],
+        ["memory of an open stream", bench["memory"][2], "", "", "kB"],
+        ["memory of a peer", grown_kb / (last.nodes - first.nodes), "", "", "kB"],
+    ]
+
+
 def main() -> None:
     """Write the page."""
     figures = Figures(json.loads(SLOPES.read_text()))
@@ -393,6 +408,7 @@
         "",
     ]
     slopes = [[s.name, s.value, s.low, s.high, s.unit] for s in figures.all()]
+    slopes += list_other_slopes(figures)
     text += [render_markdown(["slope", "median", "least", "most", "unit"], slopes), ""]
     PAGE.write_text("\n".join(text))
     print("\n".join(render_bounds(figures)))
