--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 PYTHON = .venv/bin/python
-SOURCES = plantainwood plantainctl standins experiments tests
+SOURCES = plantainwood plantainctl platform standins experiments tests
 SEED ?= 1
 STEPS ?= 200
 
--- /dev/null
+++ b/plantainwood/connections.py
@@ -0,0 +1,324 @@
+"""Connections to upstreams: HTTP/1.1 with one request at a time on each.
+
+The client library cannot pass over an answer to an earlier request, and it repeats
+some calls by itself. Here a response is matched by its request id, a connection with
+bytes that nobody asked for is closed, and whether any byte was written is known.
+"""
+
+import asyncio
+import socket
+from collections import deque
+
+import httptools
+
+from plantainwood.core.clock import Clock
+from plantainwood.engines import AttemptError
+
+CONNECT_TIMEOUT_MS = 800
+DEFAULT_IDLE_MS = 4_000
+IDLE_MARGIN_MS = 600
+USER_TIMEOUT_MS = 1_500
+HIGH_WATER_BYTES = 262_144
+MAX_FOREIGN_RESPONSES = 4
+BODILESS = (204, 304)
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class Response:
+    """The head of a response, and whether its end can be told from a broken one."""
+
+    __slots__ = ("status", "headers")
+
+    def __init__(self, status: int, headers: Headers) -> None:
+        self.status = status
+        self.headers = headers
+
+    def find(self, name: bytes) -> bytes | None:
+        """Return the value of a header by its lower-case name."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return None
+
+
+class Connection(asyncio.Protocol):
+    """One connection; reads responses and hands out their bodies piece by piece."""
+
+    def __init__(self, address: str, clock: Clock) -> None:
+        self.address = address
+        self.usable = True
+        self.idle_until_ms = 0
+        self.written = False
+        """Whether a byte of the current request was written."""
+        self.served = 0
+        self._clock = clock
+        self._transport: asyncio.Transport
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: Headers = []
+        self._heads: deque[Response] = deque()
+        self._pieces: deque[bytes] = deque()
+        self._expecting = False
+        self._in_message = False
+        self._complete = False
+        self._until_close = False
+        self._skipping = False
+        self._lost: str | None = None
+        self._buffered = 0
+        self._waiter: asyncio.Future | None = None
+        self._request_id = b""
+        self._id_header = b""
+        self._foreign = 0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport; bound the time that sent bytes stay unacknowledged."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
+            sock.setsockopt(
+                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what came; bytes outside of a request end the connection."""
+        if not self._expecting:
+            self._fail("bytes came that belong to no request")
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f"not HTTP: {error}")
+        except Exception as error:
+            self._fail(f"parsing failed: {error!r}")
+        self._wake()
+
+    def eof_received(self) -> bool:
+        """Take the orderly end of the connection."""
+        if self._in_message and self._until_close and not self._complete:
+            self._complete = True
+            self.usable = False
+            self._wake()
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Note the loss; a response that is not whole stays incomplete."""
+        self.usable = False
+        if self._lost is None:
+            self._lost = repr(error) if error is not None else "closed by the upstream"
+        self._wake()
+
+    def on_message_begin(self) -> None:
+        """Start a response, or find that an unwanted one follows a whole one."""
+        if self._complete:
+            self.usable = False
+            self._skipping = True
+            return
+        self._in_message = True
+        self._headers = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take one header."""
+        if not self._complete:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Take the end of a head; tell a foreign response by its request id."""
+        if self._complete:
+            return
+        status = self._parser.get_status_code()
+        if status < 200:
+            return
+        response = Response(status, self._headers)
+        given = response.find(self._id_header) if self._id_header else None
+        self._skipping = given is not None and given != self._request_id
+        if self._skipping:
+            self._foreign += 1
+            if self._foreign > MAX_FOREIGN_RESPONSES:
+                self._fail("too many responses to other requests")
+            return
+        chunked = (response.find(b"transfer-encoding") or b"").lower() == b"chunked"
+        has_length = response.find(b"content-length") is not None
+        self._until_close = not (chunked or has_length or status in BODILESS)
+        if (response.find(b"connection") or b"").lower() == b"close":
+            self.usable = False
+        self._heads.append(response)
+
+    def on_body(self, data: bytes) -> None:
+        """Take a piece of the body."""
+        if self._skipping or self._complete:
+            return
+        self._pieces.append(data)
+        self._buffered += len(data)
+        if self._buffered > HIGH_WATER_BYTES:
+            self._transport.pause_reading()
+
+    def on_message_complete(self) -> None:
+        """Take the end of a response."""
+        if self._complete or self._parser.get_status_code() < 200:
+            return
+        if self._skipping:
+            self._skipping = False
+            self._in_message = False
+            return
+        self._complete = True
+
+    def send(self, data: bytes, request_id: bytes, id_header: bytes) -> None:
+        """Write a request; from here on its effect is unknown until proved."""
+        self._expecting = True
+        self._in_message = False
+        self._complete = False
+        self._until_close = False
+        self._skipping = False
+        self._foreign = 0
+        self._heads.clear()
+        self._pieces.clear()
+        self._buffered = 0
+        self._request_id = request_id
+        self._id_header = id_header
+        self.written = True
+        self.served += 1
+        self._transport.write(data)
+
+    async def read_head(self) -> Response:
+        """Return the head of the response; raise AttemptError where none comes."""
+        while not self._heads:
+            if self._lost is not None:
+                raise AttemptError(self._lost, crashed=True, proved_not_run=False)
+            await self._wait()
+        return self._heads[0]
+
+    async def read_piece(self) -> bytes:
+        """Return the next piece of the body, empty at its proper end."""
+        while not self._pieces:
+            if self._complete:
+                return b""
+            if self._lost is not None:
+                raise AttemptError(self._lost, crashed=True, proved_not_run=False)
+            await self._wait()
+        data = b"".join(self._pieces)
+        self._pieces.clear()
+        self._buffered = 0
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+        return data
+
+    @property
+    def lost(self) -> str | None:
+        """Return why the connection is lost, None while it is not."""
+        return self._lost
+
+    def finish(self) -> None:
+        """End the current request; keep the connection only if nothing is left over."""
+        whole = self._complete and not self._pieces and not self._skipping
+        self._expecting = False
+        self.written = False
+        if not whole or self._until_close or self._foreign:
+            self.usable = False
+        if not self.usable:
+            self.close()
+            return
+        self.idle_until_ms = self._clock.now_ms() + self._find_idle_ms()
+
+    def _find_idle_ms(self) -> int:
+        """Return how long the upstream keeps the connection, less a margin."""
+        stated = self._heads[0].find(b"keep-alive") if self._heads else None
+        if stated is None:
+            return DEFAULT_IDLE_MS
+        for item in stated.split(b","):
+            name, _, value = item.strip().partition(b"=")
+            if name.lower() == b"timeout" and value.isdigit():
+                return max(0, int(value) * 1_000 - IDLE_MARGIN_MS)
+        return DEFAULT_IDLE_MS
+
+    def close(self) -> None:
+        """Close the connection at once, which cancels what it still runs."""
+        self.usable = False
+        if self._lost is None:
+            self._lost = "closed here"
+        self._transport.abort()
+
+    def _fail(self, reason: str) -> None:
+        self.usable = False
+        if self._lost is None:
+            self._lost = reason
+        self._transport.abort()
+        self._wake()
+
+    async def _wait(self) -> None:
+        self._waiter = asyncio.get_running_loop().create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+
+class ConnectionPool:
+    """Keep idle connections to upstreams, the most recently used on top."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._idle: dict[str, list[Connection]] = {}
+        self.opened = 0
+
+    async def acquire(self, address: str, fresh: bool = False) -> Connection:
+        """Return a connection; raise AttemptError where none can be made."""
+        idle = self._idle.get(address, [])
+        while idle and not fresh:
+            connection = idle.pop()
+            if connection.usable and self._clock.now_ms() < connection.idle_until_ms:
+                return connection
+            connection.close()
+        return await self._connect(address)
+
+    async def _connect(self, address: str) -> Connection:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self.opened += 1
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000):
+                _, connection = await loop.create_connection(
+                    lambda: Connection(address, self._clock), host, int(port)
+                )
+        except (OSError, TimeoutError) as error:
+            raise AttemptError(repr(error), False, proved_not_run=True) from error
+        return connection
+
+    def release(self, connection: Connection) -> None:
+        """Take a connection back after a request."""
+        connection.finish()
+        if connection.usable:
+            self._idle.setdefault(connection.address, []).append(connection)
+
+    def close_idle(self) -> None:
+        """Close the connections that upstreams are about to close."""
+        now_ms = self._clock.now_ms()
+        for address, idle in list(self._idle.items()):
+            kept: list[Connection] = []
+            for connection in idle:
+                if connection.usable and now_ms < connection.idle_until_ms:
+                    kept.append(connection)
+                    continue
+                connection.close()
+            if kept:
+                self._idle[address] = kept
+            else:
+                del self._idle[address]
+
+    def idle_addresses(self) -> list[str]:
+        """Return the addresses with idle connections."""
+        return list(self._idle)
+
+    def drop(self, address: str) -> None:
+        """Close the idle connections to an address."""
+        for connection in self._idle.pop(address, []):
+            connection.close()
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for address in list(self._idle):
+            self.drop(address)
--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -65,7 +65,7 @@
     tier = book.tier_of(pool, request.tier)
     full = pool.waiting() >= book.options.max_waiting
     wait_ms = tier.wait_ms(request.customer, now_ms) or 0
-    late = wait_ms > request.service_class.queue_timeout_ms
+    late = wait_ms > request.queue_timeout_ms(now_ms)
     if not full and not late:
         return
     victim = pool.least_urgent(request.tier)
--- a/plantainwood/core/book.py
+++ b/plantainwood/core/book.py
@@ -16,7 +16,7 @@
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.membership import serving_domains
 from plantainwood.core.pools import Pool, TierQueue
-from plantainwood.core.quarantine import Mark, Quarantine
+from plantainwood.core.quarantine import MAX_CRASHES, Mark, Quarantine
 from plantainwood.core.requests import Request
 from plantainwood.core.retries import RetryBudget
 from plantainwood.core.router import FewChoicesRouter, Router
@@ -35,6 +35,9 @@
     preempt: bool = True
     eject_stragglers: bool = True
     move_unstarted: bool = True
+    isolate_suspects: bool = True
+    """Whether a suspect of a crash runs only where it reserved an upstream."""
+    max_crashes: int = MAX_CRASHES
     max_waiting: int = 256
     subset_size: int = 16
     limit_floor: float = 1.0
@@ -74,7 +77,7 @@
         self.pools: dict[str, Pool] = {}
         self.loads: dict[str, UpstreamLoad] = {}
         self.requests: dict[str, Request] = {}
-        self.quarantine = Quarantine()
+        self.quarantine = Quarantine(options.max_crashes)
         self.hints = PrefixHints()
         self.limits: dict[str, CustomerLimit] = {}
         self.limit_floor = options.limit_floor
@@ -109,9 +112,12 @@
                 self.loads[name].leaving = (name, entry.address) in self.leaving
             else:
                 load.entry = entry
-        for name, load in self.loads.items():
-            if name not in catalogue.upstreams:
-                load.leaving = True
+        for name, load in list(self.loads.items()):
+            if name in catalogue.upstreams:
+                continue
+            load.leaving = True
+            if not self.on_upstream.get(name):
+                self._forget_upstream(name)
         for name, customer in catalogue.customers.items():
             if name in self.limits:
                 self.limits[name].set_customer(customer)
@@ -119,6 +125,13 @@
         for pool in self.pools.values():
             self._fill_group(pool)
 
+    def _forget_upstream(self, name: str) -> None:
+        """Drop what is kept of an upstream that is gone and runs nothing of ours."""
+        self.on_upstream.pop(name, None)
+        self.crashed_ms.pop(name, None)
+        self.router.forget(name)
+        del self.loads[name]
+
     def limit_of(self, name: str, customer: Customer, now_ms: int) -> CustomerLimit:
         """Return the limits of a customer on this node."""
         limit = self.limits.get(name)
@@ -160,6 +173,8 @@
 
     def is_suspect(self, request: Request, now_ms: int) -> bool:
         """Tell whether a request must run without other suspects."""
+        if not self.options.isolate_suspects:
+            return False
         return self.quarantine.is_suspect(request.fingerprint, now_ms)
 
     def find_current(self, request_id: str, attempt: int) -> Request | None:
@@ -174,7 +189,7 @@
         pool = self.pools[request.pool]
         request.queued_ms = now_ms
         self.tier_of(pool, request.tier).queue.push(request, front)
-        deadline_ms = now_ms + request.service_class.queue_timeout_ms
+        deadline_ms = now_ms + request.queue_timeout_ms(now_ms)
         heapq.heappush(self.deadlines, (deadline_ms, request.id))
 
     def unqueue(self, request: Request) -> None:
@@ -201,6 +216,7 @@
             load.note_end(request.priority, now_ms)
             if not request.first_token_ms:
                 load.unstarted -= 1
+            self.router.note_end(request, load)
         self.on_upstream.get(request.upstream, {}).pop(request.id, None)
         pool = self.pools[request.pool]
         pool.running.pop(request.id, None)
--- a/plantainwood/core/catalogue.py
+++ b/plantainwood/core/catalogue.py
@@ -81,6 +81,15 @@
     checks_fencing: bool = True
 
 
+class DiscoveredUpstream(Upstream, frozen=True):
+    """An upstream that registered itself; operators don't write such entries."""
+
+    memory_tokens: int = 0
+    """Tokens that an engine's memory holds; 0: not known."""
+    instance: str = ""
+    """The id that the process at the address must have."""
+
+
 class Key(EntryBase, frozen=True):
     """A caller's key, kept as a salted hash only."""
 
@@ -185,6 +194,22 @@
         return [entry for entry in self.entries.values() if entry.revision > revision]
 
 
+def assemble_catalogue(
+    revision: int,
+    classes: dict[str, ServiceClass],
+    customers: dict[str, Customer],
+    services: dict[str, Service],
+    upstreams: dict[str, Upstream],
+) -> Catalogue:
+    """Return a catalogue whose source is kept elsewhere, so that it has no entries."""
+    catalogue = Catalogue(revision)
+    catalogue._typed["classes"] = dict(classes)
+    catalogue._typed["customers"] = dict(customers)
+    catalogue._typed["services"] = dict(services)
+    catalogue._typed["upstreams"] = dict(upstreams)
+    return catalogue
+
+
 class Document(msgspec.Struct, frozen=True):
     """The stored and transmitted form of a catalogue, or of a delta to one."""
 
--- a/plantainwood/core/dispatching.py
+++ b/plantainwood/core/dispatching.py
@@ -97,6 +97,7 @@
     load.unstarted += 1
     pool.running[request.id] = request
     book.on_upstream.setdefault(load.name, {})[request.id] = request
+    book.router.note_dispatch(request, load)
     book.hints.note(request.prefix, load.name, now_ms)
     book.counters.charge(request.customer, REQUEST_CHARGE_TOKENS)
     out.append(ev.Dispatch(request.id, request.attempt, load.name, request.priority))
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -3,6 +3,10 @@
 import msgspec
 
 from plantainwood.core.errors import ErrorCode, RequestError
+from plantainwood.core.prompts import Prompt
+from plantainwood.core.retries import MAX_ATTEMPTS
+
+FAILED_PAUSE_MS = 2_000
 
 
 class Arrival(msgspec.Struct, frozen=True):
@@ -16,6 +20,13 @@
     fingerprint: str = ""
     prefix: str = ""
     repeatable: bool = True
+    prompt: Prompt = Prompt()
+    tier: int | None = None
+    """The tier where it is not that of the class."""
+    give_up_ms: int = 0
+    """When a waiting request is refused at the latest, on the node's clock; 0: by
+    the class's queue timeout."""
+    max_attempts: int = MAX_ATTEMPTS
 
 
 class AttemptStarted(msgspec.Struct, frozen=True):
@@ -49,6 +60,8 @@
     """The connection broke, as it does when the upstream process dies."""
     proved_not_run: bool
     """No byte was written, or the upstream proved that it did not run it."""
+    pause_ms: int = FAILED_PAUSE_MS
+    """How long the upstream gets no new attempt, where it proved not to have run."""
 
 
 class CallerLeft(msgspec.Struct, frozen=True):
--- a/plantainwood/core/messages.py
+++ b/plantainwood/core/messages.py
@@ -4,7 +4,9 @@
 
 import msgspec
 
+from plantainwood.core.mirror import Item
 from plantainwood.core.usage import UsageRecord
+from plantainwood.core.windows import NodeCounts
 
 WIRE_VERSION = 1
 
@@ -202,6 +204,71 @@
     """The upstreams that the node polls, and whether they answered."""
 
 
+class VmBeat(msgspec.Struct, tag=30, array_like=True, frozen=True):
+    """A VM's heartbeat where every VM hears every other directly."""
+
+    sender: str
+    incarnation: int
+    sequence: int
+    state: NodeState
+    domain: str
+    caller_address: str
+    link_address: str
+    revision: int
+    """The revision of the sender's mirror of the store."""
+    wall_ms: int
+    """The sender's wall clock, for the agreed time."""
+    steady_ms: int
+    """The sender's idea of the agreed time; 0 while it has none."""
+    weight: int
+    """The sender's strength in hundredths of a core."""
+    unread: dict[str, int]
+    """Prompt tokens sent to each engine and not read there yet."""
+    demand: dict[str, int]
+    """Prompt tokens that arrived for each pool in the last period."""
+
+
+class StoreNews(msgspec.Struct, tag=31, array_like=True, frozen=True):
+    """Changes of the store after `base`, up to `revision`, as just read there."""
+
+    sender: str
+    base: int
+    revision: int
+    age_ms: int
+    items: list[Item]
+
+
+class StoreAsk(msgspec.Struct, tag=32, array_like=True, frozen=True):
+    """Ask for the whole mirror, since news after `revision` were missed."""
+
+    sender: str
+    link_address: str
+    revision: int
+
+
+class StoreCopy(msgspec.Struct, tag=33, array_like=True, frozen=True):
+    """A whole mirror."""
+
+    sender: str
+    revision: int
+    age_ms: int
+    items: list[Item]
+
+
+class CrashTold(msgspec.Struct, tag=34, array_like=True, frozen=True):
+    """A crash mark, or its lifting, for every VM."""
+
+    sender: str
+    mark: CrashNews
+
+
+class CountsTold(msgspec.Struct, tag=35, array_like=True, frozen=True):
+    """A VM's counts of started requests, for the holder of the duty."""
+
+    sender: str
+    records: list[NodeCounts]
+
+
 Message = (
     Batch
     | CatalogueNews
@@ -211,4 +278,10 @@
     | ShareAsk
     | ShareGrant
     | NodeDemand
+    | VmBeat
+    | StoreNews
+    | StoreAsk
+    | StoreCopy
+    | CrashTold
+    | CountsTold
 )
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -20,6 +20,7 @@
     request.first_token_ms = now_ms
     load = book.loads[request.upstream]
     load.unstarted -= 1
+    book.router.note_started(request, load)
     load.note_first_token(now_ms - request.dispatched_ms)
 
 
@@ -61,7 +62,8 @@
         _note_crash(book, request, load, now_ms, out)
     if event.proved_not_run:
         request.attempts_made -= 1
-        load.failed_until_ms = now_ms + CRASH_PAUSE_MS
+        request.refusals += 1
+        load.failed_until_ms = now_ms + event.pause_ms
     book.detach(request, now_ms, out)
     error = _why_no_retry(book, request, event, now_ms)
     if error is not None:
@@ -109,7 +111,10 @@
             _stop(book, request.id, now_ms, out)
             error = _make_condemned_error(outcome_of(request))
             out.append(ev.Refuse(request.id, error))
-        elif request.running and request.repeatable and not request.reserved:
+            continue
+        if not book.options.isolate_suspects:
+            continue
+        if request.running and request.repeatable and not request.reserved:
             book.cancel(request, now_ms, out)
             book.enqueue(request, now_ms, front=True)
 
@@ -129,7 +134,12 @@
     outcome = outcome_of(request)
     if book.quarantine.is_condemned(request.fingerprint, now_ms):
         return _make_condemned_error(outcome)
-    if request.attempt >= MAX_ATTEMPTS or not book.budget.spend(request.tier):
+    exhausted = request.attempts_made >= request.max_attempts
+    if request.attempt >= MAX_ATTEMPTS or exhausted:
+        spent = True
+    else:
+        spent = not book.budget.spend(request.tier)
+    if spent:
         message = "the upstreams failed"
         code = ErrorCode.UPSTREAM_FAILED
         return RequestError(code, message, outcome, RETRY_FAILED_MS)
--- /dev/null
+++ b/plantainwood/core/promptrouter.py
@@ -0,0 +1,203 @@
+"""Choice of an engine by unread prompt tokens, with paced work kept apart.
+
+A long prompt that is being read stretches the pauses of every stream beside it, so
+the classes with the tightest pace get engines of their own. Among the others, the
+session's engines in a ranking that all nodes share come first, and unread tokens,
+not requests, are the load.
+"""
+
+import random
+
+import msgspec
+
+from plantainwood.core.hashing import rank_members
+from plantainwood.core.loads import UpstreamLoad
+from plantainwood.core.prompts import PartCache, Prompt, make_cache
+from plantainwood.core.requests import Request
+from plantainwood.core.router import FewChoicesRouter, Router, is_allowed
+
+DEFAULT_ENGINE_TOKENS = 250_000
+TIGHT_RATIO = 0.8
+"""A class is tight where its pace is below this share of the next class's."""
+PACED_SHARE = 0.2
+"""The share of the engines that is kept apart for the tightest pace."""
+REMOTE_LIFETIME_MS = 3_000
+RUNNING_TOKENS = 60
+"""What a running request beside it adds to a request's delay, in prompt tokens."""
+EJECTED_TOKENS = 40_000
+REPORTED_WAITING_TOKENS = 1_500
+"""What a request that an engine reports as waiting is taken to have unread."""
+
+
+class RemoteWork(msgspec.Struct, frozen=True):
+    """Another node's unread tokens and running requests by upstream."""
+
+    unread: dict[str, int]
+    heard_ms: int
+
+
+class EngineState:
+    """What this node has sent to one engine and believes to be cached there."""
+
+    __slots__ = ("cache", "unread", "running")
+
+    def __init__(self, engine_tokens: int) -> None:
+        self.cache: PartCache = make_cache(engine_tokens)
+        self.unread: dict[str, int] = {}
+        """Prompt tokens not yet read, by request."""
+        self.running = 0
+
+    def unread_tokens(self) -> int:
+        """Return the unread tokens of all requests of this node."""
+        return sum(self.unread.values())
+
+
+class PromptRouter(Router):
+    """Send prompts where they are read soonest and delay paced streams least."""
+
+    __slots__ = ("_plain", "_engines", "_remote", "_tight_ms", "_random")
+
+    def __init__(self, generator: random.Random, plain: FewChoicesRouter) -> None:
+        self._random = generator
+        self._plain = plain
+        self._engines: dict[str, EngineState] = {}
+        self._remote: dict[str, RemoteWork] = {}
+        self._tight_ms: dict[str, int] = {}
+
+    def set_paces(self, pool: str, paces_ms: set[int]) -> None:
+        """Take the paces of all classes of a pool; find the tight one, if any."""
+        ordered = sorted(pace for pace in paces_ms if pace > 0)
+        self._tight_ms.pop(pool, None)
+        if len(ordered) >= 2 and ordered[0] < TIGHT_RATIO * ordered[1]:
+            self._tight_ms[pool] = ordered[0]
+
+    def note_remote(self, node: str, unread: dict[str, int], now_ms: int) -> None:
+        """Take another node's unread tokens."""
+        self._remote[node] = RemoteWork(unread, now_ms)
+
+    def own_unread(self) -> dict[str, int]:
+        """Return this node's unread tokens by engine, without the empty ones."""
+        found: dict[str, int] = {}
+        for name, state in self._engines.items():
+            tokens = state.unread_tokens()
+            if tokens:
+                found[name] = tokens
+        return found
+
+    def forget(self, upstream: str) -> None:
+        """Forget what an engine that is gone or restarted held."""
+        self._engines.pop(upstream, None)
+
+    def choose(
+        self, request: Request, group: list[UpstreamLoad], now_ms: int
+    ) -> UpstreamLoad | None:
+        """Return the engine with the least delay for a prompt, or None to wait."""
+        if not request.prompt.tokens:
+            return self._plain.choose(request, group, now_ms)
+        allowed = [load for load in group if is_allowed(request, load, now_ms)]
+        if not allowed:
+            return None
+        preferred = self._select_part(request, group, allowed)
+        ranked = rank_members(
+            request.prompt.session, sorted(load.name for load in preferred)
+        )
+        best = None
+        best_score = 0.0
+        for load in preferred:
+            score = self._score(request, load, ranked, now_ms)
+            if best is None or score < best_score:
+                best = load
+                best_score = score
+        return best
+
+    def is_paced(self, request: Request) -> bool:
+        """Tell whether a request belongs to the tightest-paced class of its pool."""
+        tight_ms = self._tight_ms.get(request.pool, 0)
+        return tight_ms > 0 and request.service_class.between_tokens_ms <= tight_ms
+
+    def _select_part(
+        self, request: Request, group: list[UpstreamLoad], allowed: list[UpstreamLoad]
+    ) -> list[UpstreamLoad]:
+        """Return the allowed engines of the request's side, else all allowed ones."""
+        if request.pool not in self._tight_ms:
+            return allowed
+        names = sorted(load.name for load in group if not load.leaving)
+        apart = set(find_paced_engines(request.pool, names))
+        paced = self.is_paced(request)
+        side = [load for load in allowed if (load.name in apart) == paced]
+        return side or allowed
+
+    def _score(
+        self, request: Request, load: UpstreamLoad, ranked: list[str], now_ms: int
+    ) -> float:
+        """Return the prompt tokens to be read before the request's first token."""
+        state = self._engine(load)
+        prompt = request.prompt
+        cached = state.cache.cached_tokens(prompt.parts)
+        if ranked and ranked[0] == load.name:
+            cached = max(cached, prompt.shared_tokens)
+        score = float(max(0, prompt.tokens - cached))
+        score += self.backlog(load.name, now_ms)
+        score += RUNNING_TOKENS * load.estimate(9, now_ms)
+        if load.ejected:
+            score += EJECTED_TOKENS
+        return score
+
+    def backlog(self, upstream: str, now_ms: int) -> int:
+        """Return the unread tokens at an engine as far as this node knows."""
+        state = self._engines.get(upstream)
+        total = state.unread_tokens() if state is not None else 0
+        for node, work in list(self._remote.items()):
+            if now_ms - work.heard_ms > REMOTE_LIFETIME_MS:
+                del self._remote[node]
+                continue
+            total += work.unread.get(upstream, 0)
+        return total
+
+    def _engine(self, load: UpstreamLoad) -> EngineState:
+        state = self._engines.get(load.name)
+        if state is None:
+            tokens = getattr(load.entry, "memory_tokens", 0) or DEFAULT_ENGINE_TOKENS
+            state = self._engines[load.name] = EngineState(tokens)
+        return state
+
+    def note_dispatch(self, request: Request, load: UpstreamLoad) -> None:
+        """Count a prompt as unread at an engine, and its parts as soon cached."""
+        if not request.prompt.tokens:
+            return
+        state = self._engine(load)
+        cached = state.cache.cached_tokens(request.prompt.parts)
+        state.unread[request.id] = max(0, request.prompt.tokens - cached)
+        state.cache.note_read(request.prompt.parts)
+
+    def note_started(self, request: Request, load: UpstreamLoad) -> None:
+        """Count a prompt as read: its first token has come."""
+        self._drop(request, load)
+
+    def note_end(self, request: Request, load: UpstreamLoad) -> None:
+        """Forget an attempt."""
+        self._drop(request, load)
+
+    def _drop(self, request: Request, load: UpstreamLoad) -> None:
+        state = self._engines.get(load.name)
+        if state is not None:
+            state.unread.pop(request.id, None)
+
+
+def find_paced_engines(pool: str, names: list[str]) -> list[str]:
+    """Return the engines kept apart for paced work; none where there are too few.
+
+    Every node finds the same ones from the same names.
+    """
+    if len(names) < 2:
+        return []
+    count = max(1, round(PACED_SHARE * len(names)))
+    return rank_members(f"paced\0{pool}", names)[:count]
+
+
+def make_prompt_router(generator: random.Random, hints) -> PromptRouter:
+    """Return the router for pools that mix engines and plain services."""
+    return PromptRouter(generator, FewChoicesRouter(generator, hints))
+
+
+__all__ = ["Prompt", "PromptRouter", "find_paced_engines", "make_prompt_router"]
--- a/plantainwood/core/quarantine.py
+++ b/plantainwood/core/quarantine.py
@@ -35,7 +35,7 @@
 class Quarantine:
     """Count, per fingerprint, the crashes of upstreams while it ran.
 
-    After MAX_CRASHES a fingerprint is condemned: refused at once, everywhere, for
+    After `max_crashes` a fingerprint is condemned: refused at once, everywhere, for
     MARK_LIFETIME_MS. A suspect (one mark) reserves its upstream over the fleet, so
     it never shares one with another suspect and a second crash has one suspect only;
     a suspect that runs to its end is absolved. Crashes of several upstreams
@@ -43,9 +43,10 @@
     nobody.
     """
 
-    __slots__ = ("_marks", "_recent")
+    __slots__ = ("_max_crashes", "_marks", "_recent")
 
-    def __init__(self) -> None:
+    def __init__(self, max_crashes: int = MAX_CRASHES) -> None:
+        self._max_crashes = max_crashes
         self._marks: dict[str, dict[str, int]] = {}
         self._recent: deque[Crash] = deque(maxlen=64)
 
@@ -67,7 +68,9 @@
 
     def is_condemned(self, fingerprint: str, now_ms: int) -> bool:
         """Tell whether a fingerprint must be refused at once."""
-        return bool(fingerprint) and self.crashes(fingerprint, now_ms) >= MAX_CRASHES
+        return (
+            bool(fingerprint) and self.crashes(fingerprint, now_ms) >= self._max_crashes
+        )
 
     def note_mark(self, fingerprint: str, upstream: str, now_ms: int) -> None:
         """Take a mark, found here or heard from another node."""
@@ -111,9 +114,10 @@
 
     def _name_crash(self, fingerprint: str, upstream: str) -> str:
         """Return the upstream's name, altered where it already crashed once so."""
-        if upstream in self._marks.get(fingerprint, {}):
-            return upstream + SECOND_CRASH_SUFFIX
-        return upstream
+        place = upstream
+        while place in self._marks.get(fingerprint, {}):
+            place += SECOND_CRASH_SUFFIX
+        return place
 
     def _find_evicted(self, crash: Crash) -> list[Crash]:
         """Return the earlier crashes that show this one to be an eviction."""
--- /dev/null
+++ b/plantainwood/core/reading.py
@@ -0,0 +1,32 @@
+"""Which nodes read the store: few, without an election.
+
+Every node ranks the live nodes alike. The first READERS of them read; any other
+reads too once it was told nothing fresh for a time that grows with its rank, so a
+silent reader is replaced soon and not by all at once. Several readers do no harm:
+a mirror takes each change once.
+"""
+
+from plantainwood.core.hashing import rank_members
+
+READERS = 2
+TAKEOVER_MS = 1_000
+TAKEOVER_STEP_MS = 120
+MAX_TAKEOVER_MS = 2_200
+
+
+def is_reader(node: str, live: list[str], age_ms: int | None) -> bool:
+    """Tell whether a node must read the store now.
+
+    `live` are the nodes heard of, `age_ms` is how old its confirmation is.
+    """
+    ranked = rank_members("reader", sorted(set(live) | {node}))
+    rank = ranked.index(node)
+    if rank < READERS or age_ms is None:
+        return True
+    return age_ms > find_takeover_ms(rank)
+
+
+def find_takeover_ms(rank: int) -> int:
+    """Return the age of a confirmation at which a node of some rank reads itself."""
+    waited = TAKEOVER_MS + TAKEOVER_STEP_MS * (rank - READERS)
+    return min(MAX_TAKEOVER_MS, waited)
--- /dev/null
+++ b/plantainwood/core/reports.py
@@ -0,0 +1,57 @@
+"""Reports of started requests: a window's counts are frozen once, then sent.
+
+A window is created in the store before it is sent, and only the stored value is sent.
+"""
+
+import msgspec
+
+from plantainwood.core.errors import StoreError
+from plantainwood.core.leases import Lease
+from plantainwood.core.steps import Read, SendReport, Steps, Stored, Swap
+from plantainwood.core.windows import WindowTotals
+
+REPORT_PREFIX = "usage/"
+REPORT_LIFETIME_MS = 120_000
+FIRM = ""
+
+
+def report_key(window: int) -> str:
+    """Return the key of a window's frozen counts."""
+    return f"{REPORT_PREFIX}{window}"
+
+
+def report_window(window: int, totals: WindowTotals, lease: Lease) -> Steps:
+    """Freeze a window's counts by create-if-absent and send just those.
+
+    Returns True when the report was taken. Whoever sends reads back what was frozen
+    first, so two holders can only send equal counts.
+    """
+    try:
+        frozen = yield from _freeze(window, totals)
+        if frozen is None or not lease.holds():
+            return False
+        return (
+            yield SendReport(
+                firm=FIRM,
+                window=window,
+                body=frozen,
+                fence=lease.fence,
+                deadline_ms=lease.deadline_ms(),
+            )
+        )
+    except StoreError:
+        return False
+
+
+def _freeze(window: int, totals: WindowTotals) -> Steps:
+    key = report_key(window)
+    counts = msgspec.json.encode(totals.sum(window), order="sorted")
+    try:
+        if (yield Swap(key, counts, 0, REPORT_LIFETIME_MS)):
+            return counts
+    except StoreError:
+        # The write may have been done, or may be done later: only what is read
+        # back may be sent.
+        pass
+    kept = yield Read(key)
+    return kept.value if isinstance(kept, Stored) else None
--- a/plantainwood/core/requests.py
+++ b/plantainwood/core/requests.py
@@ -33,6 +33,11 @@
         "reserving",
         "reserved",
         "retry_at_ms",
+        "prompt",
+        "give_up_ms",
+        "max_attempts",
+        "refusals",
+        "_tier",
     )
 
     def __init__(
@@ -71,11 +76,24 @@
         self.reserved = ""
         """The upstream that is reserved for this request."""
         self.retry_at_ms = 0
+        self.prompt = arrival.prompt
+        self.give_up_ms = arrival.give_up_ms
+        self.max_attempts = arrival.max_attempts
+        self.refusals = 0
+        """Attempts that upstreams proved not to have run."""
+        self._tier = service_class.tier if arrival.tier is None else arrival.tier
 
     @property
     def tier(self) -> int:
-        """Return the tier of the request's class; 0 is the most urgent."""
-        return self.service_class.tier
+        """Return the tier of the request; 0 is the most urgent."""
+        return self._tier
+
+    def queue_timeout_ms(self, now_ms: int) -> int:
+        """Return how long the request may wait from now on."""
+        timeout_ms = self.service_class.queue_timeout_ms
+        if self.give_up_ms:
+            return max(0, min(timeout_ms, self.give_up_ms - now_ms))
+        return timeout_ms
 
     @property
     def priority(self) -> int:
--- a/plantainwood/core/retries.py
+++ b/plantainwood/core/retries.py
@@ -32,6 +32,40 @@
         return True
 
 
+class SharedRetryBudget(RetryBudget):
+    """A node's part of a budget for the whole fleet.
+
+    Over any window the fleet's retries stay below `ratio` of its requests plus
+    `slack`: each node earns its own ratio and holds an equal part of the slack.
+    """
+
+    __slots__ = ("_ratio", "_slack", "_burst")
+
+    def __init__(self, ratio: float, slack: float) -> None:
+        super().__init__()
+        self._ratio = ratio
+        self._slack = slack
+        self._burst = slack
+        self.set_nodes(1)
+        self._total = self._burst
+
+    def set_nodes(self, count: int) -> None:
+        """Share the slack among so many nodes."""
+        self._burst = max(1.0, self._slack / max(1, count))
+        self._total = min(self._total, self._burst)
+
+    def earn(self, tier: int) -> None:
+        """Count a first attempt."""
+        self._total = min(self._burst, self._total + self._ratio)
+
+    def spend(self, tier: int) -> bool:
+        """Take one retry out of this node's part."""
+        if self._total < 1.0:
+            return False
+        self._total -= 1.0
+        return True
+
+
 class UnlimitedRetries(RetryBudget):
     """Allow every retry; the baseline without a budget."""
 
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -24,6 +24,18 @@
     ) -> UpstreamLoad | None:
         """Return the upstream for a request, or None when it must wait."""
 
+    def note_dispatch(self, request: Request, load: UpstreamLoad) -> None:
+        """Take note of an attempt that starts on an upstream."""
+
+    def note_started(self, request: Request, load: UpstreamLoad) -> None:
+        """Take note of an attempt's first token."""
+
+    def note_end(self, request: Request, load: UpstreamLoad) -> None:
+        """Take note of an attempt that ended in any way."""
+
+    def forget(self, upstream: str) -> None:
+        """Forget an upstream that is gone."""
+
 
 def is_allowed(request: Request, load: UpstreamLoad, now_ms: int) -> bool:
     """Tell whether an upstream may take a request at all.
--- a/plantainwood/core/steps.py
+++ b/plantainwood/core/steps.py
@@ -71,5 +71,19 @@
     deadline_ms: int
 
 
-Call = Read | Scan | ScanKeys | Swap | SendOrder | SendReport
+class SendCount(msgspec.Struct, frozen=True):
+    """Order how many upstreams of a service run in a failure domain.
+
+    The reply is True when it was taken, False when none are available there.
+    """
+
+    service: str
+    domain: str
+    desired: int
+    spot: bool
+    fence: int
+    deadline_ms: int
+
+
+Call = Read | Scan | ScanKeys | Swap | SendOrder | SendReport | SendCount
 Steps = Generator[Call, object, object]
--- /dev/null
+++ b/plantainwood/core/vms.py
@@ -0,0 +1,125 @@
+"""The VMs of a fleet in which everyone hears everyone's heartbeats."""
+
+from statistics import median
+
+from plantainwood.core.messages import NodeState, VmBeat
+
+LIVE_BEATS = 4
+MIN_LIVE_MS = 1_200
+FORGET_MS = 60_000
+MAX_CLOCK_ERROR_MS = 400
+BEAT_MS = 300
+BEAT_MS_PER_VM = 15
+
+
+def find_beat_ms(count: int) -> int:
+    """Return the pause between heartbeats in a fleet of some size."""
+    return max(BEAT_MS, BEAT_MS_PER_VM * count)
+
+
+class Vm:
+    """What is known of one other VM."""
+
+    __slots__ = ("beat", "heard_ms")
+
+    def __init__(self, beat: VmBeat, heard_ms: int) -> None:
+        self.beat = beat
+        self.heard_ms = heard_ms
+
+
+class Vms:
+    """The newest heartbeat of each other VM, by name."""
+
+    __slots__ = ("node", "_vms", "_addresses")
+
+    def __init__(self, node: str) -> None:
+        self.node = node
+        self._vms: dict[str, Vm] = {}
+        self._addresses: dict[str, str] = {}
+
+    def learn_address(self, name: str, link_address: str) -> None:
+        """Take the address of a VM that may not have been heard yet."""
+        if name != self.node:
+            self._addresses[name] = link_address
+
+    def forget_address(self, name: str) -> None:
+        """Forget a VM that is no longer registered."""
+        self._addresses.pop(name, None)
+
+    def note(self, beat: VmBeat, now_ms: int) -> bool:
+        """Take a heartbeat; return whether the VM or its run is new."""
+        if beat.sender == self.node:
+            return False
+        current = self._vms.get(beat.sender)
+        if current is not None:
+            known = (current.beat.incarnation, current.beat.sequence)
+            if (beat.incarnation, beat.sequence) <= known:
+                return False
+        self._addresses[beat.sender] = beat.link_address
+        self._vms[beat.sender] = Vm(beat, now_ms)
+        return current is None or current.beat.incarnation < beat.incarnation
+
+    def addresses(self) -> dict[str, str]:
+        """Return the link addresses of all VMs that may exist, by name."""
+        return dict(self._addresses)
+
+    def live(self, now_ms: int) -> list[VmBeat]:
+        """Return the newest heartbeats of the other VMs that are heard."""
+        bound_ms = max(MIN_LIVE_MS, LIVE_BEATS * find_beat_ms(len(self._vms)))
+        found: list[VmBeat] = []
+        for vm in self._vms.values():
+            if now_ms - vm.heard_ms <= bound_ms:
+                found.append(vm.beat)
+        return found
+
+    def live_names(self, now_ms: int) -> list[str]:
+        """Return the names of the other VMs that are heard and not leaving."""
+        found: list[str] = []
+        for beat in self.live(now_ms):
+            if beat.state is NodeState.LIVE:
+                found.append(beat.sender)
+        return found
+
+    def find_gone(self, now_ms: int) -> list[str]:
+        """Return the VMs that have been silent for long, and forget them."""
+        gone: list[str] = []
+        for name, vm in list(self._vms.items()):
+            if now_ms - vm.heard_ms > FORGET_MS:
+                del self._vms[name]
+                self._addresses.pop(name, None)
+                gone.append(name)
+        return gone
+
+
+class AgreedTime:
+    """The time of day that the fleet agrees on, steady while wall clocks jump.
+
+    It is the steady clock plus an offset. The offset is the wall clock's at the
+    start; where the other VMs' median differs by more than MAX_CLOCK_ERROR_MS, this
+    VM's wall clock was off, and the median is taken.
+    """
+
+    __slots__ = ("_offset_ms", "_others")
+
+    def __init__(self, wall_ms: int, now_ms: int) -> None:
+        self._offset_ms = wall_ms - now_ms
+        self._others: dict[str, int] = {}
+
+    def now(self, now_ms: int) -> int:
+        """Return the agreed time in Unix milliseconds."""
+        return now_ms + self._offset_ms
+
+    def note(self, name: str, agreed_ms: int, now_ms: int) -> None:
+        """Take another VM's agreed time, just heard."""
+        self._others[name] = agreed_ms - now_ms
+
+    def settle(self, live: set[str]) -> None:
+        """Correct the offset by the median of the live VMs and this one."""
+        for name in list(self._others):
+            if name not in live:
+                del self._others[name]
+        if len(self._others) < 2:
+            return
+        middle = round(median([*self._others.values(), self._offset_ms]))
+        if abs(middle - self._offset_ms) > MAX_CLOCK_ERROR_MS:
+            self._offset_ms = middle
--- /dev/null
+++ b/plantainwood/edge.py
@@ -0,0 +1,200 @@
+"""The state of one edge node, shared by its services on one loop."""
+
+import asyncio
+import secrets
+
+from plantainwood.board import Board
+from plantainwood.connections import ConnectionPool
+from plantainwood.core import events as ev
+from plantainwood.core.book import Options
+from plantainwood.core.catalogue import Catalogue
+from plantainwood.core.clock import Clock, make_clock
+from plantainwood.core.dispatcher import Dispatcher
+from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.messages import CrashNews, NodeState, VmBeat
+from plantainwood.core.mirror import Item, Mirror
+from plantainwood.core.promptrouter import PromptRouter, make_prompt_router
+from plantainwood.core.retries import SharedRetryBudget
+from plantainwood.core.routes import RouteTable
+from plantainwood.core.sizing import Scaling
+from plantainwood.core.vms import AgreedTime, Vms
+from plantainwood.core.windows import StartCounter, WindowTotals
+from plantainwood.edgesettings import EdgeSettings
+from plantainwood.logs import log_event
+from plantainwood.metrics import Metrics
+from plantainwood.node import INCARNATION_EPOCH_MS
+from plantainwood.procedures import Driver
+
+DUTY = "fleet"
+LEASE_TERM_MS = 4_000
+LEASE_MARGIN_MS = 600
+LEASE_FLIGHT_MS = 600
+MAX_WAITING = 400
+SUBSET_SIZE = 64
+MAX_CRASHES = 3
+BUDGET_PART = 0.6
+"""The part of the fleet's retry budget that is used, since nodes count apart."""
+
+
+class View:
+    """What the store's items mean: the catalogue, the routes, what may be ordered."""
+
+    __slots__ = ("catalogue", "routes", "scaling", "census", "limits")
+
+    def __init__(self) -> None:
+        self.catalogue = Catalogue()
+        self.routes: RouteTable | None = None
+        """None while no configuration is known."""
+        self.scaling: dict[str, Scaling] = {}
+        """By service."""
+        self.census: dict[str, dict] = {}
+        """EngineCensus by failure domain, by service."""
+        self.limits = CallerLimits()
+
+
+class CallerLimits:
+    """What a caller may send."""
+
+    __slots__ = ("header_bytes", "body_bytes", "header_timeout_ms", "idle_timeout_ms")
+
+    def __init__(
+        self,
+        header_bytes: int = 16_384,
+        body_bytes: int = 4_194_304,
+        header_timeout_ms: int = 3_000,
+        idle_timeout_ms: int = 15_000,
+    ) -> None:
+        self.header_bytes = header_bytes
+        self.body_bytes = body_bytes
+        self.header_timeout_ms = header_timeout_ms
+        self.idle_timeout_ms = idle_timeout_ms
+
+
+class Edge:
+    """Everything that the services of an edge node share."""
+
+    def __init__(self, settings: EdgeSettings, clock: Clock, metrics: Metrics) -> None:
+        self.settings = settings
+        self.clock = clock
+        self.metrics = metrics
+        self.incarnation = (clock.wall_ms() - INCARNATION_EPOCH_MS) // 100
+        self.state = NodeState.LIVE
+        self.mirror = Mirror()
+        self.view = View()
+        self.vms = Vms(settings.node)
+        now_ms = clock.now_ms()
+        self.time = AgreedTime(clock.wall_ms(), now_ms)
+        retries = settings.retries
+        self.budget = SharedRetryBudget(
+            retries.ratio * BUDGET_PART, retries.slack * BUDGET_PART
+        )
+        options = Options(
+            make_router=make_prompt_router,
+            make_budget=lambda: self.budget,
+            isolate_suspects=False,
+            preempt=False,
+            move_unstarted=False,
+            max_crashes=MAX_CRASHES,
+            max_waiting=MAX_WAITING,
+            subset_size=SUBSET_SIZE,
+        )
+        dispatcher = Dispatcher(settings.node, secrets.randbits(32), options)
+        self.board = Board(dispatcher, clock, self._act_in_fleet)
+        self.pool = ConnectionPool(clock)
+        self.starts = StartCounter(
+            settings.node, self.incarnation, settings.duties.window_ms
+        )
+        self.totals = WindowTotals()
+        self.lease = Lease(
+            DUTY,
+            settings.node,
+            self.incarnation,
+            clock,
+            LeaseTimes(
+                max(LEASE_TERM_MS, settings.duties.least_lease_ms),
+                LEASE_MARGIN_MS,
+                LEASE_FLIGHT_MS,
+            ),
+        )
+        self.demand: dict[str, int] = {}
+        """Prompt tokens that arrived by pool since the last heartbeat."""
+        self.driver: Driver
+        self.crash_news: asyncio.Queue[CrashNews] = asyncio.Queue()
+        self.open_calls = 0
+        self._sequence = 0
+
+    @property
+    def router(self) -> PromptRouter:
+        """Return the core's router."""
+        router = self.board.dispatcher.book.router
+        assert isinstance(router, PromptRouter)
+        return router
+
+    def make_beat(self) -> VmBeat:
+        """Return a new heartbeat of this node."""
+        now_ms = self.clock.now_ms()
+        addresses = self.settings.addresses
+        self._sequence += 1
+        demand, self.demand = self.demand, {}
+        return VmBeat(
+            sender=self.settings.node,
+            incarnation=self.incarnation,
+            sequence=self._sequence,
+            state=self.state,
+            domain=self.settings.domain,
+            caller_address=addresses.callers if self.is_ready() else "",
+            link_address=f"tcp://{addresses.links}",
+            revision=self.mirror.revision,
+            wall_ms=self.clock.wall_ms(),
+            steady_ms=self.time.now(now_ms),
+            weight=self.settings.strength_percent,
+            unread=self.router.own_unread(),
+            demand=demand,
+        )
+
+    def is_ready(self) -> bool:
+        """Tell whether callers may be sent here."""
+        return self.state is NodeState.LIVE and self.view.routes is not None
+
+    def use_view(self, view: View) -> None:
+        """Put a newer configuration and set of upstreams in force."""
+        self.view = view
+        dispatcher = self.board.dispatcher
+        known = set(dispatcher.book.loads)
+        dispatcher.apply_catalogue(view.catalogue)
+        self.driver.catalogue = view.catalogue
+        paces: dict[str, set[int]] = {}
+        for route in view.routes.routes() if view.routes else ():
+            for branch in route.branches:
+                paces.setdefault(f"service/{branch.service}", set()).add(route.gap_ms)
+        for pool, found in paces.items():
+            self.router.set_paces(pool, found)
+        self._drop_connections(known)
+
+    def _drop_connections(self, known: set[str]) -> None:
+        used = {
+            load.entry.address for load in self.board.dispatcher.book.loads.values()
+        }
+        for address in self.pool.idle_addresses():
+            if address not in used:
+                self.pool.drop(address)
+
+    def _act_in_fleet(self, decision: ev.MarkCrash | ev.Reserve | ev.Unreserve) -> None:
+        if not isinstance(decision, ev.MarkCrash):
+            return
+        log_event(
+            "crash_mark",
+            fingerprint=decision.fingerprint,
+            upstream=decision.upstream,
+            lifted=decision.lifted,
+        )
+        news = CrashNews(decision.fingerprint, decision.upstream, decision.lifted)
+        self.crash_news.put_nowait(news)
+
+
+def make_edge(settings: EdgeSettings) -> Edge:
+    """Return the state of a new edge node on the system's clock."""
+    return Edge(settings, make_clock(), Metrics())
+
+
+__all__ = ["CallerLimits", "Edge", "Item", "View", "make_edge"]
--- /dev/null
+++ b/plantainwood/edgeduties.py
@@ -0,0 +1,225 @@
+"""Duties of the fleet that one holder at a time does: usage reports and orders."""
+
+import asyncio
+import logging
+
+import msgspec
+from mode import Service
+
+from plantainwood.core.errors import StoreError
+from plantainwood.core.hashing import rank_members
+from plantainwood.core.leases import LEASE_PREFIX, LeaseRecord
+from plantainwood.core.messages import CountsTold
+from plantainwood.core.reports import report_window
+from plantainwood.core.sizing import CountOrder, plan_counts
+from plantainwood.core.steps import SendCount, Steps
+from plantainwood.edge import DUTY, Edge
+from plantainwood.edgesettings import Duty
+from plantainwood.fleet import Fleet
+from plantainwood.logs import log_event
+
+CANDIDATES = 3
+KEEP_PAUSE_MS = 1_300
+CONTEND_PAUSE_MS = 400
+TELL_PAUSE_MS = 800
+DUTY_PAUSE_MS = 400
+SETTLE_MS = 2_200
+"""How long after its end a window's counts are waited for."""
+LATE_MARGIN_MS = 500
+REFUSED_PAUSE_MS = 2_000
+REPEAT_ORDER_MS = 15_000
+
+
+class Keeper(Service):
+    """Renew or try to take the lease."""
+
+    def __init__(self, edge: Edge, **kwargs) -> None:
+        self.edge = edge
+        super().__init__(**kwargs)
+
+    @Service.task
+    async def _keep(self) -> None:
+        edge = self.edge
+        held = False
+        while not self.should_stop:
+            if edge.mirror.revision and (edge.lease.holds() or self._is_candidate()):
+                await edge.driver.run(edge.lease.step())
+            if edge.lease.holds() != held:
+                held = not held
+                log_event(
+                    "lease",
+                    held=held,
+                    fence=edge.lease.fence,
+                    previous=edge.lease.previous_holder or "-",
+                )
+            edge.metrics.leases.set({"duty": DUTY}, int(held))
+            pause_ms = KEEP_PAUSE_MS if held else CONTEND_PAUSE_MS
+            await asyncio.sleep(pause_ms / 1_000)
+
+    def _is_candidate(self) -> bool:
+        edge = self.edge
+        live = edge.vms.live_names(edge.clock.now_ms())
+        ranked = rank_members(f"duty\0{DUTY}", sorted({*live, edge.settings.node}))
+        return edge.settings.node in ranked[:CANDIDATES]
+
+
+def find_holder(edge: Edge) -> str:
+    """Return the VM that the mirror names as the holder; empty if none."""
+    item = edge.mirror.items.get(LEASE_PREFIX + DUTY)
+    if item is None or item.value is None:
+        return ""
+    try:
+        record = msgspec.json.decode(item.value, type=LeaseRecord)
+    except msgspec.DecodeError as error:
+        log_event("lease_unreadable", logging.WARNING, reason=str(error))
+        return ""
+    return "" if record.released else record.holder
+
+
+class Teller(Service):
+    """Tell the holder what this node counted."""
+
+    def __init__(self, edge: Edge, fleet: Fleet, **kwargs) -> None:
+        self.edge = edge
+        self._fleet = fleet
+        super().__init__(**kwargs)
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(TELL_PAUSE_MS / 1_000)
+            self.tell()
+
+    def tell(self) -> None:
+        """Send all kept counts; repeats do no harm."""
+        edge = self.edge
+        records = edge.starts.records()
+        for record in records:
+            edge.totals.put(record)
+        holder = find_holder(edge)
+        if records and holder and holder != edge.settings.node:
+            self._fleet.send(holder, CountsTold(edge.settings.node, records))
+
+
+class Reporter(Service):
+    """Report each window that ended, while the lease is held."""
+
+    def __init__(self, edge: Edge, **kwargs) -> None:
+        self.edge = edge
+        self._done = 0
+        super().__init__(**kwargs)
+
+    @Service.task
+    async def _run(self) -> None:
+        edge = self.edge
+        if Duty.USAGE not in edge.settings.duties.enabled:
+            return
+        self._done = self._current_window() - 1
+        while not self.should_stop:
+            await asyncio.sleep(DUTY_PAUSE_MS / 1_000)
+            if not edge.lease.holds():
+                # Another holder reports meanwhile; only what may still be in time
+                # is reported after a change of holders.
+                self._done = max(self._done, self._current_window() - 4)
+                continue
+            await self._report_ended()
+
+    def _current_window(self) -> int:
+        edge = self.edge
+        return edge.starts.window_of(edge.time.now(edge.clock.now_ms()))
+
+    async def _report_ended(self) -> None:
+        edge = self.edge
+        window_ms = edge.settings.duties.window_ms
+        true_ms = edge.time.now(edge.clock.now_ms())
+        newest = edge.starts.window_of(true_ms - SETTLE_MS) - 1
+        for window in range(self._done + 1, newest + 1):
+            late_ms = true_ms - (window + 1) * window_ms
+            taken = await edge.driver.run(
+                report_window(window, edge.totals, edge.lease)
+            )
+            log_event(
+                "usage_report",
+                window=window,
+                taken=taken,
+                late_ms=late_ms,
+                fence=edge.lease.fence,
+            )
+            if not taken and late_ms < edge.settings.duties.report_late_ms * 2:
+                return
+            self._done = window
+        edge.totals.forget_before(newest - 6)
+
+
+class Orderer(Service):
+    """Order how many engines run, while the lease is held."""
+
+    def __init__(self, edge: Edge, **kwargs) -> None:
+        self.edge = edge
+        self._taken: dict[tuple[str, str, bool], tuple[int, int]] = {}
+        """Number ordered and when, by service, failure domain and sort."""
+        self._refused_until_ms: dict[tuple[str, str, bool], int] = {}
+        super().__init__(**kwargs)
+
+    @Service.task
+    async def _run(self) -> None:
+        edge = self.edge
+        if Duty.SCALING not in edge.settings.duties.enabled:
+            return
+        while not self.should_stop:
+            await asyncio.sleep(DUTY_PAUSE_MS / 1_000)
+            if not edge.lease.holds():
+                self._taken.clear()
+                continue
+            for service, scaling in edge.view.scaling.items():
+                census = edge.view.census.get(service, {})
+                wanted = len(edge.settings.domains)
+                orders = plan_counts(
+                    service, scaling, edge.settings.domains, census, wanted
+                )
+                for order in orders:
+                    await self._send(order)
+
+    async def _send(self, order: CountOrder) -> None:
+        """Send an order unless the same one is in force."""
+        edge = self.edge
+        now_ms = edge.clock.now_ms()
+        key = (order.service, order.domain, order.spot)
+        desired, sent_ms = self._taken.get(key, (-1, 0))
+        if desired == order.desired and now_ms - sent_ms < REPEAT_ORDER_MS:
+            return
+        if now_ms < self._refused_until_ms.get(key, 0):
+            return
+        taken = await edge.driver.run(issue_count(edge, order))
+        if taken:
+            self._taken[key] = (order.desired, now_ms)
+        else:
+            self._refused_until_ms[key] = now_ms + REFUSED_PAUSE_MS
+        log_event(
+            "order",
+            service=order.service,
+            domain=order.domain,
+            desired=order.desired,
+            spot=order.spot,
+            taken=taken,
+            fence=edge.lease.fence,
+        )
+
+
+def issue_count(edge: Edge, order: CountOrder) -> Steps:
+    """Send one order under the lease; return whether it was taken."""
+    if not edge.lease.holds():
+        return False
+    call = SendCount(
+        order.service,
+        order.domain,
+        order.desired,
+        order.spot,
+        edge.lease.fence,
+        edge.lease.deadline_ms(),
+    )
+    try:
+        return (yield call)
+    except StoreError as error:
+        log_event("order_unanswered", logging.WARNING, reason=str(error))
+        return False
--- /dev/null
+++ b/plantainwood/edgesettings.py
@@ -0,0 +1,116 @@
+"""Settings of an edge node: a VM that serves callers on a platform's discovery."""
+
+from enum import Enum
+from typing import Annotated
+
+import msgspec
+
+from plantainwood.core.checks import check_struct
+from plantainwood.documents import read_yaml
+from plantainwood.settings import (
+    Logs,
+    Millis,
+    Name,
+    Port,
+    Section,
+    SettingsError,
+    Traces,
+)
+
+Share = Annotated[float, msgspec.Meta(ge=0)]
+Address = Annotated[str, msgspec.Meta(pattern=r"^[^\s:]+:[0-9]{1,5}$")]
+
+
+class EdgeAddresses(Section, frozen=True):
+    """The addresses this node listens on, as host:port."""
+
+    callers: Address
+    ready: Address
+    directory: Address
+    links: Address
+    metrics_port: Port
+
+
+class EdgeStore(Section, frozen=True):
+    """The platform's store and the interface for orders and reports."""
+
+    address: Address
+    orders_address: str = ""
+    timeout_ms: Millis = 700
+
+
+class Duty(Enum):
+    """A duty of one holder at a time."""
+
+    USAGE = "usage_reporting"
+    SCALING = "scaling"
+
+
+class EdgeDuties(Section, frozen=True):
+    """What one holder at a time does."""
+
+    enabled: list[Duty] = []
+    window_ms: Millis = 5_000
+    report_late_ms: Millis = 10_000
+    least_lease_ms: Millis = 3_000
+
+
+class EdgeRetries(Section, frozen=True):
+    """The budget for attempts after the first, over the whole fleet."""
+
+    ratio: Share = 0.2
+    slack: Share = 50.0
+    window_ms: Millis = 10_000
+
+
+class EdgeDrain(Section, frozen=True):
+    """How the node shuts down."""
+
+    grace_ms: Millis = 8_000
+    address_lifetime_ms: Millis = 1_000
+
+
+class EdgeSettings(Section, frozen=True):
+    """Everything that an edge node is told at its start."""
+
+    node: Name
+    domain: Name
+    domains: list[str]
+    addresses: EdgeAddresses
+    store: EdgeStore
+    fleet: Annotated[str, msgspec.Meta(min_length=16)]
+    """What the links of this fleet are authenticated with."""
+    seeds: list[str] = []
+    """Addresses of a few nodes, which may be gone; links have one port everywhere."""
+    cpu_share: Share = 1.0
+    cores: Share = 1.0
+    duties: EdgeDuties = EdgeDuties()
+    retries: EdgeRetries = EdgeRetries()
+    drain: EdgeDrain = EdgeDrain()
+    logs: Logs = Logs()
+    traces: Traces = Traces()
+
+    @property
+    def strength_percent(self) -> int:
+        """Return the processor time of this VM in hundredths of a core."""
+        return round(100 * self.cpu_share * self.cores)
+
+    def seed_links(self) -> list[str]:
+        """Return the link addresses of the seeds."""
+        port = self.addresses.links.rpartition(":")[2]
+        return [f"{seed.rpartition(':')[0]}:{port}" for seed in self.seeds]
+
+
+def parse_edge_settings(text: str) -> EdgeSettings:
+    """Return the settings in a YAML text; raise SettingsError with all problems."""
+    source = read_yaml(text)
+    problems = check_struct(source.data, EdgeSettings, "")
+    if problems:
+        raise SettingsError([source.describe(problem) for problem in problems])
+    return msgspec.convert(source.data, EdgeSettings)
+
+
+def load_edge_settings(path: str) -> EdgeSettings:
+    """Return the settings in a file."""
+    with open(path, encoding="utf-8") as file:
+        return parse_edge_settings(file.read())
--- a/plantainwood/engines.py
+++ b/plantainwood/engines.py
@@ -8,6 +8,8 @@
 import aiohttp
 import msgspec
 
+from plantainwood.core.events import FAILED_PAUSE_MS
+
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
 MAX_EVENT_BYTES = 262_144
@@ -53,10 +55,18 @@
 class AttemptError(Exception):
     """Report a failed attempt and what is known of it."""
 
-    def __init__(self, reason: str, crashed: bool, proved_not_run: bool) -> None:
+    def __init__(
+        self,
+        reason: str,
+        crashed: bool,
+        proved_not_run: bool,
+        pause_ms: int = FAILED_PAUSE_MS,
+    ) -> None:
         super().__init__(reason)
         self.crashed = crashed
         self.proved_not_run = proved_not_run
+        self.pause_ms = pause_ms
+        """How long the upstream gets no new attempt, where it did not run this."""
 
 
 class EngineClient(ABC):
--- /dev/null
+++ b/plantainwood/forwarding.py
@@ -0,0 +1,479 @@
+"""Forwarding of opaque requests: the core's attempts, relayed byte for byte."""
+
+import asyncio
+import logging
+from abc import ABC, abstractmethod
+from enum import Enum
+
+import msgspec
+
+from plantainwood.board import Board, Ticket
+from plantainwood.connections import Connection, ConnectionPool, Headers, Response
+from plantainwood.core import events as ev
+from plantainwood.core.catalogue import DiscoveredUpstream
+from plantainwood.core.clock import Clock
+from plantainwood.core.errors import ErrorCode, Outcome, RequestError
+from plantainwood.core.eventstream import EventSplitter, EventTooLong
+from plantainwood.core.keys import Identity
+from plantainwood.core.prompts import Prompt
+from plantainwood.core.routes import Repetition, Route
+from plantainwood.engines import AttemptError
+from plantainwood.logs import log_event
+
+BUSY_PAUSE_MS = 150
+"""How long an upstream that was full gets no new attempt from here."""
+WRONG_PAUSE_MS = 1_000
+BROKEN_PAUSE_MS = 300
+PROBE_TIMEOUT_MS = 80
+STALL_FACTOR = 3
+MIN_STALL_MS = 1_500
+MIN_PLAIN_STALL_MS = 400
+TIMEOUT_MARGIN_MS = 20
+"""How long before a route's timeout the answer is given."""
+STARTED_STATUS = 200
+
+
+class Call(msgspec.Struct):
+    """A caller's request with all that the core and an attempt need to know."""
+
+    request_id: str
+    """The caller's own id, the same on all attempts."""
+    local_id: str
+    """Unique on this node, also where a caller repeats its id."""
+    method: bytes
+    target: bytes
+    """Path and query as they came."""
+    headers: Headers
+    body: bytes
+    route: Route
+    service: str
+    customer: str
+    keyed: bool
+    tier: int
+    prompt: Prompt
+    fingerprint: str
+    arrived_ms: int
+    give_up_ms: int
+    """When the caller gives up or the route's timeout comes, whichever is first."""
+    last_event_id: str = ""
+    """The last event that the caller has from an earlier request."""
+
+
+class Verdict(Enum):
+    """What a response says about the attempt."""
+
+    ANSWER = "answer"
+    BUSY = "busy"
+    """Not run: the upstream is full or refuses work for now."""
+    WRONG_INSTANCE = "wrong_instance"
+    """Not run: another process has the address."""
+    FAILED = "failed"
+    """Run, or perhaps run, and failed."""
+
+
+class Codec(ABC):
+    """The form in which upstreams are called."""
+
+    id_header: bytes
+    """The lower-case name of the header that matches a response to its request."""
+
+    @abstractmethod
+    def encode(
+        self,
+        call: Call,
+        entry: DiscoveredUpstream,
+        priority: int,
+        left_ms: int,
+        last_id: str,
+    ) -> bytes:
+        """Return the bytes of an attempt."""
+
+    @abstractmethod
+    def judge(self, response: Response) -> Verdict:
+        """Return what a response's head says."""
+
+    @abstractmethod
+    def find_load(self, response: Response) -> tuple[int, int] | None:
+        """Return (running, waiting) at the upstream, where the response tells."""
+
+
+class Sink(ABC):
+    """Where an answer goes."""
+
+    started: bool
+    """Whether a byte of the answer went to the caller."""
+
+    @abstractmethod
+    async def answer(self, response: Response, body: bytes) -> None:
+        """Give a whole answer."""
+
+    @abstractmethod
+    async def start_stream(self, response: Response) -> None:
+        """Give the head of a stream."""
+
+    @abstractmethod
+    async def write(self, data: bytes) -> None:
+        """Give whole events."""
+
+    @abstractmethod
+    async def finish(self) -> None:
+        """End a whole stream."""
+
+    @abstractmethod
+    def abort(self) -> None:
+        """Break a stream off so that it can't be taken for a whole one."""
+
+
+class Starts(ABC):
+    """Told of each request that an upstream begins to run."""
+
+    @abstractmethod
+    def note(self, call: Call) -> None:
+        """Count a request as begun now."""
+
+
+class Finished:
+    """Tell that the whole answer was given."""
+
+    __slots__ = ()
+
+
+class Trail:
+    """What became of one call, for its log line."""
+
+    __slots__ = ("attempts", "upstream", "first_ms", "events", "status", "reasons")
+
+    def __init__(self) -> None:
+        self.attempts = 0
+        self.upstream = ""
+        self.first_ms = -1
+        self.events = 0
+        self.status = 0
+        self.reasons: list[str] = []
+
+
+class Forwarder:
+    """Serve calls by the decisions of the core."""
+
+    def __init__(
+        self, board: Board, pool: ConnectionPool, codec: Codec, starts: Starts
+    ) -> None:
+        self.board = board
+        self.pool = pool
+        self.codec = codec
+        self.starts = starts
+
+    async def forward(self, call: Call, sink: Sink, clock: Clock) -> Trail:
+        """Give the whole answer, or raise RequestError with an honest outcome."""
+        run = Run(self, call, sink, clock)
+        return await run.serve()
+
+
+class Run:
+    """One call from its arrival to its answer."""
+
+    def __init__(
+        self, forwarder: Forwarder, call: Call, sink: Sink, clock: Clock
+    ) -> None:
+        self.forwarder = forwarder
+        self.call = call
+        self.sink = sink
+        self.clock = clock
+        self.trail = Trail()
+        self.splitter = EventSplitter()
+        self._sent = False
+        """Whether an attempt was sent that was not proved not to have run."""
+        self._ticket = Ticket(
+            call.local_id, Identity(call.customer, ""), not call.keyed
+        )
+
+    async def serve(self) -> Trail:
+        """Register with the core, act on its decisions, end in time."""
+        board = self.forwarder.board
+        board.open(self._ticket)
+        left_ms = self.call.give_up_ms - self.clock.now_ms() - TIMEOUT_MARGIN_MS
+        try:
+            async with asyncio.timeout(max(0, left_ms) / 1_000):
+                board.feed(self._make_arrival())
+                await self._act()
+        except TimeoutError as error:
+            raise self._make_timeout() from error
+        finally:
+            board.close(self._ticket)
+        return self.trail
+
+    def _make_arrival(self) -> ev.Arrival:
+        call = self.call
+        return ev.Arrival(
+            request_id=call.local_id,
+            customer=call.customer,
+            class_name=call.route.name,
+            pool=f"service/{call.service}",
+            fingerprint=call.fingerprint,
+            repeatable=call.route.idempotent,
+            prompt=call.prompt,
+            tier=call.tier,
+            give_up_ms=call.give_up_ms,
+            max_attempts=call.route.attempts,
+        )
+
+    def _make_timeout(self) -> RequestError:
+        if self._sent:
+            message = "no whole answer came in the time of the route"
+            return RequestError(ErrorCode.UPSTREAM_TIMEOUT, message, Outcome.UNKNOWN)
+        message = "no upstream was free in the time of the route"
+        return RequestError(
+            ErrorCode.QUEUE_TIMEOUT, message, Outcome.NOT_RUN, BUSY_PAUSE_MS
+        )
+
+    async def _act(self) -> None:
+        """Carry out the core's decisions until the answer is given."""
+        inbox = self._ticket.decisions
+        attempt: asyncio.Task | None = None
+        try:
+            while True:
+                decision = await inbox.get()
+                if isinstance(decision, Finished):
+                    return
+                if attempt is not None:
+                    await _stop(attempt)
+                    attempt = None
+                if isinstance(decision, ev.Refuse):
+                    raise decision.error
+                if isinstance(decision, ev.Dispatch):
+                    attempt = asyncio.create_task(self._attempt(decision))
+        finally:
+            if attempt is not None:
+                await _stop(attempt)
+
+    async def _attempt(self, dispatch: ev.Dispatch) -> None:
+        """Run one attempt and tell the core how it ended."""
+        board = self.forwarder.board
+        self.trail.attempts += 1
+        self.trail.upstream = dispatch.upstream
+        load = board.dispatcher.book.loads.get(dispatch.upstream)
+        try:
+            if load is None:
+                raise AttemptError("the upstream is gone", False, proved_not_run=True)
+            await self._exchange(dispatch, load.entry)
+        except AttemptError as error:
+            self._tell_failure(dispatch, error)
+            return
+        except ConnectionError:
+            message = "the caller closed the connection"
+            error = RequestError(ErrorCode.CALLER_LEFT, message, Outcome.UNKNOWN)
+            self._ticket.decisions.put_nowait(ev.Refuse(dispatch.request_id, error))
+            return
+        except Exception as error:
+            log_event(
+                "attempt_error",
+                logging.ERROR,
+                request=self.call.request_id,
+                error=repr(error),
+            )
+            failure = RequestError(
+                ErrorCode.INTERNAL, "the router failed", Outcome.UNKNOWN
+            )
+            self._ticket.decisions.put_nowait(ev.Refuse(dispatch.request_id, failure))
+            return
+        board.feed(ev.AttemptDone(dispatch.request_id, dispatch.attempt))
+        self._ticket.decisions.put_nowait(Finished())
+
+    def _tell_failure(self, dispatch: ev.Dispatch, error: AttemptError) -> None:
+        self.trail.reasons.append(str(error))
+        log_event(
+            "attempt_failed",
+            request=self.call.request_id,
+            upstream=dispatch.upstream,
+            attempt=dispatch.attempt,
+            reason=str(error),
+            proved_not_run=error.proved_not_run,
+            crashed=error.crashed,
+        )
+        if not error.proved_not_run:
+            self._sent = True
+        self.forwarder.board.feed(
+            ev.AttemptFailed(
+                dispatch.request_id,
+                dispatch.attempt,
+                error.crashed,
+                error.proved_not_run,
+                error.pause_ms,
+            )
+        )
+
+    async def _exchange(self, dispatch: ev.Dispatch, entry: DiscoveredUpstream) -> None:
+        """Send an attempt and relay its answer; raise AttemptError if it fails."""
+        connection = await self.forwarder.pool.acquire(entry.address)
+        done = False
+        sent_before = self._sent
+        try:
+            left_ms = self.call.give_up_ms - self.clock.now_ms()
+            last_id = self.splitter.last_id or self.call.last_event_id
+            data = self.forwarder.codec.encode(
+                self.call, entry, dispatch.priority, left_ms, last_id
+            )
+            self._sent = True
+            connection.send(
+                data, self.call.request_id.encode(), self.forwarder.codec.id_header
+            )
+            response = await self._read_head(connection, dispatch, entry)
+            await self._relay(connection, response, dispatch)
+            done = True
+        except AttemptError as error:
+            if error.proved_not_run:
+                self._sent = sent_before
+            raise
+        finally:
+            if done:
+                self.forwarder.pool.release(connection)
+            else:
+                connection.close()
+
+    async def _read_head(
+        self, connection: Connection, dispatch: ev.Dispatch, entry: DiscoveredUpstream
+    ) -> Response:
+        """Return the head of the answer to pass on."""
+        stall_ms = self._find_first_stall_ms()
+        try:
+            async with asyncio.timeout(stall_ms / 1_000 if stall_ms else None):
+                response = await connection.read_head()
+        except TimeoutError as error:
+            reason = f"no answer began within {stall_ms} ms"
+            raise AttemptError(reason, False, proved_not_run=False) from error
+        except AttemptError as error:
+            error.crashed = await self._refuses(entry.address)
+            raise
+        codec = self.forwarder.codec
+        load = codec.find_load(response)
+        if load is not None:
+            running, waiting = load
+            self.forwarder.board.feed(
+                ev.LoadReported(dispatch.upstream, (0,) * 9 + (running + waiting,), 0)
+            )
+        verdict = codec.judge(response)
+        if verdict is Verdict.BUSY:
+            raise _make_not_run("the upstream is full", BUSY_PAUSE_MS)
+        if verdict is Verdict.WRONG_INSTANCE:
+            raise _make_not_run("another process has the address", WRONG_PAUSE_MS)
+        if verdict is Verdict.FAILED and self._may_repeat():
+            raise AttemptError(f"status {response.status}", False, False)
+        return response
+
+    def _may_repeat(self) -> bool:
+        """Tell whether a failed answer is worth another attempt."""
+        if self.call.route.repetition is not Repetition.SAFE:
+            return False
+        return self.trail.attempts < self.call.route.attempts
+
+    def _find_first_stall_ms(self) -> int:
+        """Return the time after which an attempt without an answer is given up.
+
+        0 where it may not run again, so that giving up would serve nobody.
+        """
+        route = self.call.route
+        if not route.idempotent or self.trail.attempts >= route.attempts:
+            return 0
+        least = MIN_STALL_MS
+        if route.repetition is Repetition.SAFE:
+            least = MIN_PLAIN_STALL_MS
+        return max(least, STALL_FACTOR * route.first_byte_ms)
+
+    async def _refuses(self, address: str) -> bool:
+        """Tell whether nobody listens at an address any more, as after a crash."""
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_MS / 1_000):
+                connection = await self.forwarder.pool.acquire(address, fresh=True)
+        except (AttemptError, TimeoutError):
+            return True
+        connection.close()
+        return False
+
+    async def _relay(
+        self, connection: Connection, response: Response, dispatch: ev.Dispatch
+    ) -> None:
+        stream = self.call.route.repetition is Repetition.STREAM
+        if stream and response.status == STARTED_STATUS:
+            await self._relay_stream(connection, response, dispatch)
+            return
+        body = bytearray()
+        while True:
+            piece = await connection.read_piece()
+            if not piece:
+                break
+            body += piece
+        self._note_started(dispatch, 0)
+        self.trail.status = response.status
+        await self.sink.answer(response, bytes(body))
+
+    async def _relay_stream(
+        self, connection: Connection, response: Response, dispatch: ev.Dispatch
+    ) -> None:
+        """Pass whole events on; a broken attempt leaves no part of an event."""
+        self.splitter.drop_rest()
+        self.trail.status = response.status
+        stall_ms = self._find_gap_stall_ms()
+        first = True
+        while True:
+            piece = await self._read_event_piece(connection, stall_ms)
+            if not piece:
+                break
+            try:
+                before = self.splitter.events
+                whole = self.splitter.feed(piece)
+            except EventTooLong as error:
+                raise AttemptError(str(error), False, False) from error
+            if not whole:
+                continue
+            if not self.sink.started:
+                await self.sink.start_stream(response)
+            self._note_started(dispatch, self.splitter.events - before, first)
+            first = False
+            await self.sink.write(whole)
+        if self.splitter.rest:
+            raise AttemptError("the stream ended within an event", False, False)
+        if not self.sink.started:
+            await self.sink.start_stream(response)
+        await self.sink.finish()
+
+    async def _read_event_piece(self, connection: Connection, stall_ms: int) -> bytes:
+        try:
+            async with asyncio.timeout(stall_ms / 1_000 if stall_ms else None):
+                return await connection.read_piece()
+        except TimeoutError as error:
+            reason = f"no event within {stall_ms} ms"
+            raise AttemptError(reason, False, proved_not_run=False) from error
+        except AttemptError as error:
+            error.crashed = await self._refuses(connection.address)
+            raise
+
+    def _find_gap_stall_ms(self) -> int:
+        route = self.call.route
+        if not route.resumable or self.trail.attempts >= route.attempts:
+            return 0
+        return max(MIN_STALL_MS, STALL_FACTOR * route.gap_ms)
+
+    def _note_started(
+        self, dispatch: ev.Dispatch, events: int, first: bool = True
+    ) -> None:
+        board = self.forwarder.board
+        if first:
+            if self.trail.first_ms < 0:
+                self.trail.first_ms = self.clock.now_ms() - self.call.arrived_ms
+                self.forwarder.starts.note(self.call)
+            board.feed(ev.AttemptStarted(dispatch.request_id, dispatch.attempt))
+        if events:
+            self.trail.events += events
+            board.feed(ev.TokensRelayed(dispatch.request_id, dispatch.attempt, events))
+
+
+def _make_not_run(reason: str, pause_ms: int) -> AttemptError:
+    return AttemptError(reason, crashed=False, proved_not_run=True, pause_ms=pause_ms)
+
+
+async def _stop(task: asyncio.Task) -> None:
+    """Cancel an attempt and wait until it writes no more."""
+    task.cancel()
+    await asyncio.wait([task])
+    if not task.cancelled() and task.exception() is not None:
+        raise task.exception()
--- a/plantainwood/platform.py
+++ b/plantainwood/platform.py
@@ -9,7 +9,7 @@
 
 from plantainwood.core.clock import Clock
 from plantainwood.core.errors import StoreError, StoreUnsent
-from plantainwood.core.steps import SendOrder, SendReport
+from plantainwood.core.steps import SendCount, SendOrder, SendReport
 
 
 class Vm(msgspec.Struct, frozen=True):
@@ -31,6 +31,10 @@
     async def send_report(self, report: SendReport) -> bool:
         """Send a report unless its deadline has come; return whether it was taken."""
 
+    async def send_count(self, order: SendCount) -> bool:
+        """Order a number of upstreams, on platforms that take such orders."""
+        raise StoreUnsent("this platform takes no orders by number")
+
     @abstractmethod
     async def list_vms(self) -> dict[str, Vm] | None:
         """Return the listed VMs by node name, or None where there is no list."""
--- a/plantainwood/procedures.py
+++ b/plantainwood/procedures.py
@@ -9,6 +9,7 @@
     Read,
     Scan,
     ScanKeys,
+    SendCount,
     SendOrder,
     SendReport,
     Steps,
@@ -57,6 +58,8 @@
                 entry = self.catalogue.upstreams.get(call.upstream)
                 checks = entry.checks_fencing if entry is not None else False
                 return await self.platform.send_order(call, checks)
+            case SendCount():
+                return await self.platform.send_count(call)
             case SendReport():
                 return await self.platform.send_report(call)
         raise TypeError(f"unknown call {call!r}")
