--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -21,6 +21,9 @@
 """A class is tight where its pace is below this share of the next class's."""
 PACED_SHARE = 0.2
 """The share of the engines that is kept apart for the tightest pace."""
+READ_TOKENS_PER_MS = 40.0
+BACKLOG_SHARE = 0.5
+MIN_BACKLOG_TOKENS = 4_000.0
 REMOTE_LIFETIME_MS = 3_000
 RUNNING_TOKENS = 60
 """What a running request beside it adds to a request's delay, in prompt tokens."""
@@ -55,7 +58,7 @@
 class PromptRouter(Router):
     """Send prompts where they are read soonest and delay paced streams least."""
 
-    __slots__ = ("_plain", "_engines", "_remote", "_tight_ms", "_random")
+    __slots__ = ("_plain", "_engines", "_remote", "_tight_ms", "_aims_ms", "_random")
 
     def __init__(self, generator: random.Random, plain: FewChoicesRouter) -> None:
         self._random = generator
@@ -63,6 +66,7 @@
         self._engines: dict[str, EngineState] = {}
         self._remote: dict[str, RemoteWork] = {}
         self._tight_ms: dict[str, int] = {}
+        self._aims_ms: dict[str, int] = {}
 
     def set_paces(self, pool: str, paces_ms: set[int]) -> None:
         """Take the paces of all classes of a pool; find the tight one, if any."""
@@ -71,6 +75,10 @@
         if len(ordered) >= 2 and ordered[0] < TIGHT_RATIO * ordered[1]:
             self._tight_ms[pool] = ordered[0]
 
+    def set_aim(self, pool: str, aim_ms: int) -> None:
+        """Take the shortest time to a first token among a pool's classes."""
+        self._aims_ms[pool] = aim_ms
+
     def note_remote(self, node: str, unread: dict[str, int], now_ms: int) -> None:
         """Take another node's unread tokens."""
         self._remote[node] = RemoteWork(unread, now_ms)
@@ -98,6 +106,12 @@
         if not allowed:
             return None
         preferred = self._select_part(request, group, allowed)
+        limit = self._backlog_limit(request.pool)
+        preferred = [
+            load for load in preferred if self.backlog(load.name, now_ms) < limit
+        ]
+        if not preferred:
+            return None
         ranked = rank_members(
             request.prompt.session, sorted(load.name for load in preferred)
         )
@@ -110,6 +124,17 @@
                 best_score = score
         return best
 
+    def _backlog_limit(self, pool: str) -> float:
+        """Return the unread tokens at an engine from which on prompts wait here.
+
+        An engine reads in its own order: what a more urgent request finds unread
+        there, it stands behind. So that much stays below its time to a first token.
+        """
+        aim_ms = self._aims_ms.get(pool, 0)
+        if not aim_ms:
+            return float("inf")
+        return max(MIN_BACKLOG_TOKENS, BACKLOG_SHARE * aim_ms * READ_TOKENS_PER_MS)
+
     def is_paced(self, request: Request) -> bool:
         """Tell whether a request belongs to the tightest-paced class of its pool."""
         tight_ms = self._tight_ms.get(request.pool, 0)
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -164,11 +164,16 @@
         dispatcher.apply_catalogue(view.catalogue)
         self.driver.catalogue = view.catalogue
         paces: dict[str, set[int]] = {}
+        aims: dict[str, int] = {}
         for route in view.routes.routes() if view.routes else ():
             for branch in route.branches:
-                paces.setdefault(f"service/{branch.service}", set()).add(route.gap_ms)
+                pool = f"service/{branch.service}"
+                paces.setdefault(pool, set()).add(route.gap_ms)
+                aim_ms = route.first_byte_ms or route.timeout_ms
+                aims[pool] = min(aims.get(pool, aim_ms), aim_ms)
         for pool, found in paces.items():
             self.router.set_paces(pool, found)
+            self.router.set_aim(pool, aims[pool])
         self._drop_connections(known)
 
     def _drop_connections(self, known: set[str]) -> None:
