Order two spot engines in each failure domain

Cause: four engines read at most about 114,000 prompt tokens a second beside the paced one; a burst of the largest class takes that, and a reclaimed zone takes a quarter more away.

Tried first: prompts wait at our door once an engine's unread tokens pass half of the shortest aim.

--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -19,6 +19,7 @@
 from plantainwood.logs import log_event
 
 CANDIDATES = 3
+ENGINES_PER_DOMAIN = 2
 KEEP_PAUSE_MS = 1_300
 CONTEND_PAUSE_MS = 400
 TELL_PAUSE_MS = 800
@@ -173,7 +174,7 @@
                 continue
             for service, scaling in edge.view.scaling.items():
                 census = edge.view.census.get(service, {})
-                wanted = len(edge.settings.domains)
+                wanted = ENGINES_PER_DOMAIN * len(edge.settings.domains)
                 orders = plan_counts(
                     service, scaling, edge.settings.domains, census, wanted
                 )
