Size by demand; stand in for reclaimed spot engines with regular ones

Two engines were left for all of the traffic.

Change: engines wanted follow the peak of unread tokens; a reclaimed zone is ordered anew, and regular engines cover what spot ones on their way do not.

--- a/plantainwood/core/messages.py
+++ b/plantainwood/core/messages.py
@@ -225,7 +225,7 @@
     unread: dict[str, int]
     """Prompt tokens sent to each engine and not read there yet."""
     demand: dict[str, int]
-    """Prompt tokens that arrived for each pool in the last period."""
+    """Unread prompt tokens sent to each service in the last period."""
 
 
 class StoreNews(msgspec.Struct, tag=31, array_like=True, frozen=True):
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -58,10 +58,20 @@
 class PromptRouter(Router):
     """Send prompts where they are read soonest and delay paced streams least."""
 
-    __slots__ = ("_plain", "_engines", "_remote", "_tight_ms", "_aims_ms", "_random")
+    __slots__ = (
+        "sent",
+        "_plain",
+        "_engines",
+        "_remote",
+        "_tight_ms",
+        "_aims_ms",
+        "_random",
+    )
 
     def __init__(self, generator: random.Random, plain: FewChoicesRouter) -> None:
         self._random = generator
+        self.sent: dict[str, int] = {}
+        """Unread tokens sent to each pool since the owner last took them."""
         self._plain = plain
         self._engines: dict[str, EngineState] = {}
         self._remote: dict[str, RemoteWork] = {}
@@ -192,7 +202,9 @@
             return
         state = self._engine(load)
         cached = state.cache.cached_tokens(request.prompt.parts)
-        state.unread[request.id] = max(0, request.prompt.tokens - cached)
+        unread = max(0, request.prompt.tokens - cached)
+        state.unread[request.id] = unread
+        self.sent[request.pool] = self.sent.get(request.pool, 0) + unread
         state.cache.note_read(request.prompt.parts)
 
     def note_started(self, request: Request, load: UpstreamLoad) -> None:
--- a/plantainwood/core/sizing.py
+++ b/plantainwood/core/sizing.py
@@ -1,7 +1,27 @@
-"""How many engines run where: orders by number for each failure domain."""
+"""How many engines run where: orders by number for each failure domain.
+
+Spot engines are cheap and vanish a failure domain at a time. So the wanted number is
+ordered as spot engines, spread over the domains, and regular ones stand in for those
+that are gone, refused or not up yet.
+"""
+
+import math
 
 import msgspec
 
+READ_TOKENS_PER_S = 35_000.0
+"""Prompt tokens that one engine reads in a second beside its other work."""
+TARGET_LOAD = 0.45
+"""The share of the reading rate that is planned to be used."""
+PACED_ENGINES_SHARE = 0.2
+ENGINES_PER_DOMAIN = 2
+"""The least number that is kept, on average over the failure domains."""
+BOOT_MARGIN_MS = 1_500
+REFUSED_MS = 2_000
+"""How long a failure domain that had no spot engines is left alone."""
+PEAK_MS = 15_000
+BUCKET_MS = 2_000
+
 
 class Scaling(msgspec.Struct, frozen=True):
     """What may be ordered of a service, for each failure domain."""
@@ -30,30 +50,157 @@
     spot: int = 0
 
 
-def plan_counts(
-    service: str,
-    scaling: Scaling,
-    domains: list[str],
-    census: dict[str, EngineCensus],
-    wanted: int,
-) -> list[CountOrder]:
-    """Return the orders for `wanted` engines in all: spot ones, spread over domains.
-
-    The regular ones are given back in a domain only once a spot one serves there,
-    and each domain keeps what the platform asks for at least.
-    """
-    spots = _spread(wanted, scaling, domains)
-    orders: list[CountOrder] = []
-    for domain in domains:
-        counted = census.get(domain, EngineCensus())
-        spot = spots[domain] if scaling.spot_price else 0
-        regular = 0 if spot else max(scaling.min, spots[domain])
-        if counted.spot < min(1, spot):
-            regular = max(regular, min(counted.regular, scaling.max - spot))
-        if spot:
-            orders.append(CountOrder(service, domain, spot, True))
-        orders.append(CountOrder(service, domain, regular, False))
-    return orders
+class DemandPeak:
+    """The highest rate of unread prompt tokens in the recent past."""
+
+    __slots__ = ("_buckets",)
+
+    def __init__(self) -> None:
+        self._buckets: dict[int, int] = {}
+
+    def note(self, tokens: int, now_ms: int) -> None:
+        """Add tokens that arrived."""
+        bucket = now_ms // BUCKET_MS
+        self._buckets[bucket] = self._buckets.get(bucket, 0) + tokens
+        for old in list(self._buckets):
+            if old < bucket - PEAK_MS // BUCKET_MS:
+                del self._buckets[old]
+
+    def per_second(self, now_ms: int) -> float:
+        """Return the rate in the busiest bucket, in tokens a second."""
+        oldest = now_ms // BUCKET_MS - PEAK_MS // BUCKET_MS
+        peak = 0
+        for bucket, tokens in self._buckets.items():
+            if bucket >= oldest:
+                peak = max(peak, tokens)
+        return peak * 1_000 / BUCKET_MS
+
+
+def find_wanted(tokens_per_s: float, domains: int, least: int) -> int:
+    """Return how many engines read a demand with room for a burst and a loss."""
+    reading = tokens_per_s / (READ_TOKENS_PER_S * TARGET_LOAD)
+    wanted = math.ceil(reading / (1 - PACED_ENGINES_SHARE))
+    return max(wanted, least, ENGINES_PER_DOMAIN * domains)
+
+
+class Sizer:
+    """Keep track of what was ordered of one service, and plan what to order next."""
+
+    __slots__ = ("_service", "_ordered_ms", "_refused_ms")
+
+    def __init__(self, service: str) -> None:
+        self._service = service
+        self._ordered_ms: dict[str, int] = {}
+        """When spot engines were last ordered, by failure domain."""
+        self._refused_ms: dict[str, int] = {}
+
+    def note_answer(self, order: CountOrder, taken: bool, now_ms: int) -> None:
+        """Take the platform's answer to an order."""
+        if not order.spot:
+            return
+        if taken:
+            self._ordered_ms[order.domain] = now_ms
+            self._refused_ms.pop(order.domain, None)
+        else:
+            self._refused_ms[order.domain] = now_ms
+
+    def plan(
+        self,
+        scaling: Scaling,
+        domains: list[str],
+        census: dict[str, EngineCensus],
+        wanted: int,
+        now_ms: int,
+    ) -> list[CountOrder]:
+        """Return the orders for `wanted` engines in all, spot ones first."""
+        spots = dict.fromkeys(domains, 0)
+        if scaling.spot_price:
+            spots = _spread(wanted, scaling, domains)
+        ready = 0
+        coming = 0
+        orders: list[CountOrder] = []
+        for domain in domains:
+            counted = census.get(domain, EngineCensus())
+            ready += counted.spot
+            if self._is_refused(domain, now_ms):
+                continue
+            if self._is_booting(domain, scaling, now_ms):
+                coming += max(0, spots[domain] - counted.spot)
+            orders.append(CountOrder(self._service, domain, spots[domain], True))
+        regular = self._plan_regular(scaling, domains, census, wanted, ready, coming)
+        for domain in domains:
+            orders.append(CountOrder(self._service, domain, regular[domain], False))
+        return orders
+
+    def _plan_regular(
+        self,
+        scaling: Scaling,
+        domains: list[str],
+        census: dict[str, EngineCensus],
+        wanted: int,
+        ready: int,
+        coming: int,
+    ) -> dict[str, int]:
+        """Return the regular engines by domain that make up for missing spot ones.
+
+        Those that run are kept until the spot ones serve; more are ordered only for
+        what the spot ones on their way don't cover.
+        """
+        running = {
+            domain: census.get(domain, EngineCensus()).regular for domain in domains
+        }
+        kept = min(sum(running.values()), max(0, wanted - ready))
+        needed = max(0, wanted - ready - coming)
+        left = max(kept, needed)
+        counts = dict.fromkeys(domains, 0)
+        by_price = sorted(
+            domains, key=lambda name: scaling.domain_prices.get(name, 1.0)
+        )
+        left = _fill(counts, by_price, running, left)
+        limits = {
+            domain: scaling.max - census.get(domain, EngineCensus()).spot
+            for domain in domains
+        }
+        while left > 0:
+            before = left
+            for domain in by_price:
+                if left > 0 and counts[domain] < limits[domain]:
+                    counts[domain] += 1
+                    left -= 1
+            if left == before:
+                break
+        return counts
+
+    def _is_refused(self, domain: str, now_ms: int) -> bool:
+        refused_ms = self._refused_ms.get(domain)
+        return refused_ms is not None and now_ms - refused_ms < REFUSED_MS
+
+    def _is_booting(self, domain: str, scaling: Scaling, now_ms: int) -> bool:
+        ordered_ms = self._ordered_ms.get(domain)
+        if ordered_ms is None:
+            return False
+        return now_ms - ordered_ms < scaling.boot_ms + BOOT_MARGIN_MS
+
+    def is_due(self, order: CountOrder, census: EngineCensus, now_ms: int) -> bool:
+        """Tell whether an order that was taken before must be sent again.
+
+        Engines that were reclaimed come back only when they are ordered anew.
+        """
+        if not order.spot or census.spot >= order.desired:
+            return False
+        ordered_ms = self._ordered_ms.get(order.domain, 0)
+        return now_ms - ordered_ms >= BOOT_MARGIN_MS
+
+
+def _fill(
+    counts: dict[str, int], ordered: list[str], limits: dict[str, int], left: int
+) -> int:
+    """Add up to `left` to the counts within limits; return what is left."""
+    for name in ordered:
+        added = min(left, max(0, limits[name]))
+        counts[name] += added
+        left -= added
+    return left
 
 
 def _spread(wanted: int, scaling: Scaling, domains: list[str]) -> dict[str, int]:
--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -5,7 +5,7 @@
 from plantainwood.core.messages import NodeState, VmBeat
 
 LIVE_BEATS = 4
-MIN_LIVE_MS = 1_200
+MIN_LIVE_MS = 1_000
 FORGET_MS = 60_000
 MAX_CLOCK_ERROR_MS = 400
 BEAT_MS = 100
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -16,7 +16,7 @@
 from plantainwood.core.promptrouter import PromptRouter, make_prompt_router
 from plantainwood.core.retries import SharedRetryBudget
 from plantainwood.core.routes import RouteTable
-from plantainwood.core.sizing import Scaling
+from plantainwood.core.sizing import DemandPeak, Scaling
 from plantainwood.core.vms import AgreedTime, Vms
 from plantainwood.core.windows import StartCounter, WindowTotals
 from plantainwood.edgesettings import EdgeSettings
@@ -116,13 +116,22 @@
                 LEASE_FLIGHT_MS,
             ),
         )
-        self.demand: dict[str, int] = {}
-        """Prompt tokens that arrived by pool since the last heartbeat."""
+        self.peaks: dict[str, DemandPeak] = {}
         self.driver: Driver
         self.crash_news: asyncio.Queue[CrashNews] = asyncio.Queue()
         self.open_calls = 0
         self._sequence = 0
 
+    def peak_of(self, service: str) -> DemandPeak:
+        """Return the recent demand for a service over the whole fleet."""
+        return self.peaks.setdefault(service, DemandPeak())
+
+    def note_demand(self, demand: dict[str, int]) -> None:
+        """Take the unread tokens that a VM sent in its last period, by service."""
+        now_ms = self.clock.now_ms()
+        for service, tokens in demand.items():
+            self.peak_of(service).note(tokens, now_ms)
+
     @property
     def router(self) -> PromptRouter:
         """Return the core's router."""
@@ -135,7 +144,9 @@
         now_ms = self.clock.now_ms()
         addresses = self.settings.addresses
         self._sequence += 1
-        demand, self.demand = self.demand, {}
+        sent, self.router.sent = self.router.sent, {}
+        demand = {pool.removeprefix("service/"): sent[pool] for pool in sent}
+        self.note_demand(demand)
         return VmBeat(
             sender=self.settings.node,
             incarnation=self.incarnation,
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -11,7 +11,7 @@
 from plantainwood.core.leases import LEASE_PREFIX, LeaseRecord
 from plantainwood.core.messages import CountsTold
 from plantainwood.core.reports import report_window
-from plantainwood.core.sizing import CountOrder, plan_counts
+from plantainwood.core.sizing import CountOrder, EngineCensus, Sizer, find_wanted
 from plantainwood.core.steps import SendCount, Steps
 from plantainwood.edge import DUTY, Edge
 from plantainwood.edgesettings import Duty
@@ -19,7 +19,6 @@
 from plantainwood.logs import log_event
 
 CANDIDATES = 3
-ENGINES_PER_DOMAIN = 2
 KEEP_PAUSE_MS = 1_300
 CONTEND_PAUSE_MS = 400
 TELL_PAUSE_MS = 800
@@ -27,8 +26,7 @@
 SETTLE_MS = 2_200
 """How long after its end a window's counts are waited for."""
 LATE_MARGIN_MS = 500
-REFUSED_PAUSE_MS = 2_000
-REPEAT_ORDER_MS = 15_000
+ORDER_PAUSE_MS = 250
 
 
 class Keeper(Service):
@@ -157,9 +155,10 @@
 
     def __init__(self, edge: Edge, **kwargs) -> None:
         self.edge = edge
-        self._taken: dict[tuple[str, str, bool], tuple[int, int]] = {}
-        """Number ordered and when, by service, failure domain and sort."""
-        self._refused_until_ms: dict[tuple[str, str, bool], int] = {}
+        self._taken: dict[tuple[str, str, bool], int] = {}
+        """Number in force by service, failure domain and sort."""
+        self._sizers: dict[str, Sizer] = {}
+        self._least: dict[str, int] = {}
         super().__init__(**kwargs)
 
     @Service.task
@@ -168,43 +167,55 @@
         if Duty.SCALING not in edge.settings.duties.enabled:
             return
         while not self.should_stop:
-            await asyncio.sleep(DUTY_PAUSE_MS / 1_000)
+            await asyncio.sleep(ORDER_PAUSE_MS / 1_000)
             if not edge.lease.holds():
                 self._taken.clear()
                 continue
-            for service, scaling in edge.view.scaling.items():
-                census = edge.view.census.get(service, {})
-                wanted = ENGINES_PER_DOMAIN * len(edge.settings.domains)
-                orders = plan_counts(
-                    service, scaling, edge.settings.domains, census, wanted
-                )
-                for order in orders:
-                    await self._send(order)
+            for service in list(edge.view.scaling):
+                await self._order(service)
 
-    async def _send(self, order: CountOrder) -> None:
-        """Send an order unless the same one is in force."""
+    async def _order(self, service: str) -> None:
+        """Send what changes of one service's orders."""
         edge = self.edge
         now_ms = edge.clock.now_ms()
-        key = (order.service, order.domain, order.spot)
-        desired, sent_ms = self._taken.get(key, (-1, 0))
-        if desired == order.desired and now_ms - sent_ms < REPEAT_ORDER_MS:
-            return
-        if now_ms < self._refused_until_ms.get(key, 0):
-            return
-        taken = await edge.driver.run(issue_count(edge, order))
-        if taken:
-            self._taken[key] = (order.desired, now_ms)
-        else:
-            self._refused_until_ms[key] = now_ms + REFUSED_PAUSE_MS
-        log_event(
-            "order",
-            service=order.service,
-            domain=order.domain,
-            desired=order.desired,
-            spot=order.spot,
-            taken=taken,
-            fence=edge.lease.fence,
-        )
+        scaling = edge.view.scaling[service]
+        census = edge.view.census.get(service, {})
+        sizer = self._sizers.setdefault(service, Sizer(service))
+        wanted = self._find_wanted(service, census, now_ms)
+        domains = edge.settings.domains
+        for order in sizer.plan(scaling, domains, census, wanted, now_ms):
+            key = (order.service, order.domain, order.spot)
+            counted = census.get(order.domain, EngineCensus())
+            same = self._taken.get(key) == order.desired
+            if same and not sizer.is_due(order, counted, now_ms):
+                continue
+            taken = await edge.driver.run(issue_count(edge, order))
+            sizer.note_answer(order, taken, edge.clock.now_ms())
+            if taken:
+                self._taken[key] = order.desired
+            log_event(
+                "order",
+                service=order.service,
+                domain=order.domain,
+                desired=order.desired,
+                spot=order.spot,
+                taken=taken,
+                wanted=wanted,
+                demand=round(edge.peak_of(service).per_second(now_ms)),
+                fence=edge.lease.fence,
+            )
+
+    def _find_wanted(
+        self, service: str, census: dict[str, EngineCensus], now_ms: int
+    ) -> int:
+        """Return the wanted number; until traffic shows the demand, as many as run."""
+        edge = self.edge
+        running = sum(item.regular + item.spot for item in census.values())
+        rate = edge.peak_of(service).per_second(now_ms)
+        if not rate:
+            self._least[service] = max(self._least.get(service, 0), running)
+        least = self._least.get(service, 0) if not rate else 0
+        return find_wanted(rate, len(edge.settings.domains), least)
 
 
 def issue_count(edge: Edge, order: CountOrder) -> Steps:
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -151,6 +151,7 @@
             log_event("vm_heard", vm=beat.sender, domain=beat.domain)
             self.hurry()
         edge.time.note(beat.sender, beat.steady_ms, now_ms)
+        edge.note_demand(beat.demand)
         edge.router.note_remote(beat.sender, beat.unread, now_ms)
         if beat.revision > edge.mirror.revision and edge.mirror.revision == 0:
             self._ask(beat.sender)
