--- a/plantainwood/core/sizing.py
+++ b/plantainwood/core/sizing.py
@@ -11,7 +11,7 @@
 
 READ_TOKENS_PER_S = 35_000.0
 """Prompt tokens that one engine reads in a second beside its other work."""
-TARGET_LOAD = 0.45
+TARGET_LOAD = 0.7
 """The share of the reading rate that is planned to be used."""
 PACED_ENGINES_SHARE = 0.2
 ENGINES_PER_DOMAIN = 2
