Tell counts to those who may hold the duty next; never retake a released lease

Change: a VM that leaves doesn't contend. Changed counts go to the holder and the candidates; a new holder gets all that anyone knows and waits 1.8 s for it. The term is 3 s. A VM of third rank waits 1.25 s, not 1, before it reads the store, since it flapped between two news.

--- a/plantainwood/core/reading.py
+++ b/plantainwood/core/reading.py
@@ -9,7 +9,7 @@
 from plantainwood.core.hashing import rank_members
 
 READERS = 2
-TAKEOVER_MS = 1_000
+TAKEOVER_MS = 1_250
 TAKEOVER_STEP_MS = 120
 MAX_TAKEOVER_MS = 2_200
 
--- a/plantainwood/core/windows.py
+++ b/plantainwood/core/windows.py
@@ -74,6 +74,13 @@
         if current is None or current.sequence < record.sequence:
             records[key] = record
 
+    def all(self) -> list[NodeCounts]:
+        """Return all records."""
+        found: list[NodeCounts] = []
+        for records in self._records.values():
+            found.extend(records.values())
+        return found
+
     def sum(self, window: int) -> dict[str, int]:
         """Return a window's total for each customer."""
         total: dict[str, int] = {}
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -26,8 +26,8 @@
 from plantainwood.procedures import Driver
 
 DUTY = "fleet"
-LEASE_TERM_MS = 4_000
-LEASE_MARGIN_MS = 600
+LEASE_TERM_MS = 3_000
+LEASE_MARGIN_MS = 500
 LEASE_FLIGHT_MS = 600
 MAX_WAITING = 400
 SUBSET_SIZE = 64
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -9,23 +9,25 @@
 from plantainwood.core.errors import StoreError
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.leases import LEASE_PREFIX, LeaseRecord
-from plantainwood.core.messages import CountsTold
+from plantainwood.core.messages import CountsTold, NodeState
 from plantainwood.core.reports import report_window
 from plantainwood.core.sizing import CountOrder, EngineCensus, Sizer, find_wanted
 from plantainwood.core.steps import SendCount, Steps
+from plantainwood.core.windows import NodeCounts
 from plantainwood.edge import DUTY, Edge
 from plantainwood.edgesettings import Duty
 from plantainwood.fleet import Fleet
 from plantainwood.logs import log_event
 
 CANDIDATES = 3
-KEEP_PAUSE_MS = 1_300
+KEEP_PAUSE_MS = 1_000
 CONTEND_PAUSE_MS = 400
 TELL_PAUSE_MS = 800
 DUTY_PAUSE_MS = 400
 SETTLE_MS = 2_200
 """How long after its end a window's counts are waited for."""
-LATE_MARGIN_MS = 500
+GATHER_MS = 1_800
+"""How long a new holder waits for the counts that the others know."""
 ORDER_PAUSE_MS = 250
 
 
@@ -41,7 +43,7 @@
         edge = self.edge
         held = False
         while not self.should_stop:
-            if edge.mirror.revision and (edge.lease.holds() or self._is_candidate()):
+            if self._may_step():
                 await edge.driver.run(edge.lease.step())
             if edge.lease.holds() != held:
                 held = not held
@@ -55,11 +57,19 @@
             pause_ms = KEEP_PAUSE_MS if held else CONTEND_PAUSE_MS
             await asyncio.sleep(pause_ms / 1_000)
 
-    def _is_candidate(self) -> bool:
+    def _may_step(self) -> bool:
+        """Tell whether to renew or contend; a VM that leaves takes no lease again."""
         edge = self.edge
-        live = edge.vms.live_names(edge.clock.now_ms())
-        ranked = rank_members(f"duty\0{DUTY}", sorted({*live, edge.settings.node}))
-        return edge.settings.node in ranked[:CANDIDATES]
+        if not edge.mirror.revision or edge.state is not NodeState.LIVE:
+            return False
+        return edge.lease.holds() or edge.settings.node in find_candidates(edge)
+
+
+def find_candidates(edge: Edge) -> list[str]:
+    """Return the few live VMs that try to hold the duty."""
+    live = edge.vms.live_names(edge.clock.now_ms())
+    ranked = rank_members(f"duty\0{DUTY}", sorted({*live, edge.settings.node}))
+    return ranked[:CANDIDATES]
 
 
 def find_holder(edge: Edge) -> str:
@@ -76,11 +86,14 @@
 
 
 class Teller(Service):
-    """Tell the holder what this node counted."""
+    """Tell the holder, and those that may follow it, what this node counted."""
 
     def __init__(self, edge: Edge, fleet: Fleet, **kwargs) -> None:
         self.edge = edge
         self._fleet = fleet
+        self._told: dict[int, int] = {}
+        """The sequence last told, by window."""
+        self._holder = ""
         super().__init__(**kwargs)
 
     @Service.task
@@ -90,14 +103,31 @@
             self.tell()
 
     def tell(self) -> None:
-        """Send all kept counts; repeats do no harm."""
+        """Send what changed; to a new holder, all that is known of any VM."""
         edge = self.edge
-        records = edge.starts.records()
-        for record in records:
-            edge.totals.put(record)
         holder = find_holder(edge)
-        if records and holder and holder != edge.settings.node:
-            self._fleet.send(holder, CountsTold(edge.settings.node, records))
+        changed: list[NodeCounts] = []
+        for record in edge.starts.records():
+            edge.totals.put(record)
+            if self._told.get(record.window, 0) < record.sequence:
+                changed.append(record)
+                self._told[record.window] = record.sequence
+        if changed:
+            message = CountsTold(edge.settings.node, changed)
+            for name in {holder, *find_candidates(edge)} - {edge.settings.node, ""}:
+                self._fleet.send(name, message)
+        if holder not in (self._holder, edge.settings.node, ""):
+            known = edge.totals.all()
+            if known:
+                self._fleet.send(holder, CountsTold(edge.settings.node, known))
+        self._holder = holder
+
+    def tell_all(self) -> None:
+        """Send all own counts to every VM, before this one stops."""
+        edge = self.edge
+        records = edge.starts.records()
+        if records:
+            self._fleet.broadcast(CountsTold(edge.settings.node, records))
 
 
 class Reporter(Service):
@@ -121,6 +151,8 @@
                 # is reported after a change of holders.
                 self._done = max(self._done, self._current_window() - 4)
                 continue
+            if edge.clock.now_ms() - edge.lease.taken_at_ms < GATHER_MS:
+                continue
             await self._report_ended()
 
     def _current_window(self) -> int:
