--- /dev/null
+++ b/tests/test_event_stream.py
@@ -0,0 +1,33 @@
+"""Event streams: whole events only, bytes unchanged."""
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainwood.core.eventstream import MAX_EVENT_BYTES, EventSplitter, EventTooLong
+
+STREAM = b"id: 1\ndata: one\n\nid: 2\r\ndata: two\r\n\r\nversion: 3\nid: 3\ndata: x\n\n"
+
+
+@given(st.lists(st.integers(0, len(STREAM)), max_size=8))
+def test_any_cut_of_the_bytes_gives_the_same_events(cuts):
+    splitter = EventSplitter()
+    edges = [0, *sorted(cuts), len(STREAM)]
+    out = b""
+    for start, end in zip(edges, edges[1:]):
+        out += splitter.feed(STREAM[start:end])
+    assert out == STREAM
+    assert (splitter.events, splitter.last_id, splitter.rest) == (3, "3", b"")
+
+
+def test_a_part_of_an_event_is_kept_back_and_can_be_dropped():
+    splitter = EventSplitter()
+    assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
+    assert splitter.last_id == "1"
+    splitter.drop_rest()
+    assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
+
+
+def test_an_event_without_an_end_is_refused():
+    with pytest.raises(EventTooLong):
+        EventSplitter().feed(b"x" * (MAX_EVENT_BYTES + 1))
--- /dev/null
+++ b/tests/test_prompt_router.py
@@ -0,0 +1,140 @@
+"""Routing of prompts: affinity, paced work kept apart, unread tokens as the load."""
+
+import random
+
+from plantainwood.core.affinity import PrefixHints
+from plantainwood.core.catalogue import (
+    DiscoveredUpstream,
+    ServiceClass,
+    UpstreamKind,
+)
+from plantainwood.core.events import Arrival
+from plantainwood.core.loads import UpstreamLoad
+from plantainwood.core.promptrouter import find_paced_engines, make_prompt_router
+from plantainwood.core.prompts import Part, PartCache, Prompt
+from plantainwood.core.requests import Request
+
+POOL = "service/pool"
+TIGHT_MS = 150
+LOOSE_MS = 600
+
+
+def make_load(name: str) -> UpstreamLoad:
+    """Return the state of an engine."""
+    entry = DiscoveredUpstream(
+        owner="",
+        kind=UpstreamKind.ENGINE,
+        address="10.0.0.1:80",
+        domain="d0",
+        service="pool",
+        slots=64,
+        memory_tokens=400_000,
+    )
+    return UpstreamLoad(name, entry)
+
+
+def make_request(
+    serial: int, session: str, tokens: int, gap_ms: int = LOOSE_MS
+) -> Request:
+    """Return a request of a session with a shared part of 4,000 tokens."""
+    parts = (Part("shared", 1_000), Part(session, 3_000), Part(f"own{serial}", tokens))
+    prompt = Prompt(parts, 4_000 + tokens, 50)
+    service_class = ServiceClass(owner="", tier=1, between_tokens_ms=gap_ms)
+    arrival = Arrival(f"r{serial}", "c", "k", POOL, prompt=prompt)
+    return Request(arrival, service_class, True, 0)
+
+
+def make_router(engines: int):
+    """Return a router and its engines."""
+    router = make_prompt_router(random.Random(1), PrefixHints())
+    router.set_paces(POOL, {TIGHT_MS, LOOSE_MS})
+    return router, [make_load(f"e{number}") for number in range(engines)]
+
+
+def test_a_session_stays_with_its_engine_while_that_is_not_behind():
+    router, group = make_router(6)
+    chosen = set()
+    for serial in range(20):
+        request = make_request(serial, "s1", 200)
+        load = router.choose(request, group, 0)
+        router.note_dispatch(request, load)
+        router.note_started(request, load)
+        chosen.add(load.name)
+    assert len(chosen) == 1
+
+
+def test_two_nodes_send_one_session_to_the_same_engine():
+    first, group = make_router(6)
+    second, others = make_router(6)
+    for session in ("s1", "s2", "s3", "s4"):
+        request = make_request(1, session, 200)
+        found = first.choose(request, group, 0)
+        assert found.name == second.choose(request, others, 0).name
+
+
+def test_unread_tokens_move_a_session_away_once_they_outweigh_its_cached_parts():
+    router, group = make_router(6)
+    request = make_request(1, "s1", 200)
+    home = router.choose(request, group, 0)
+    router.note_remote("vm-2", {home.name: 3_000}, 0)
+    assert router.choose(request, group, 0) is home
+    router.note_remote("vm-2", {home.name: 30_000}, 0)
+    assert router.choose(request, group, 0) is not home
+
+
+def test_news_of_a_silent_node_are_forgotten():
+    router, group = make_router(2)
+    router.note_remote("vm-2", {"e0": 30_000}, 0)
+    assert router.backlog("e0", 0) == 30_000
+    assert router.backlog("e0", 10_000) == 0
+
+
+def test_paced_requests_and_long_prompts_never_share_an_engine_under_load():
+    router, group = make_router(5)
+    paced = set()
+    others = set()
+    for serial in range(200):
+        gap_ms = TIGHT_MS if serial % 3 == 0 else LOOSE_MS
+        request = make_request(serial, f"s{serial % 17}", 2_000, gap_ms)
+        load = router.choose(request, group, 0)
+        router.note_dispatch(request, load)
+        (paced if gap_ms == TIGHT_MS else others).add(load.name)
+    assert paced and others and not paced & others
+    assert paced == set(find_paced_engines(POOL, [load.name for load in group]))
+
+
+def test_paced_requests_go_anywhere_when_their_engines_are_gone():
+    router, group = make_router(5)
+    for load in group:
+        if load.name in find_paced_engines(POOL, [item.name for item in group]):
+            load.failed_until_ms = 1_000
+    load = router.choose(make_request(1, "s1", 200, TIGHT_MS), group, 0)
+    assert load is not None and load.failed_until_ms == 0
+
+
+def test_classes_of_one_pace_share_all_engines():
+    router, group = make_router(5)
+    router.set_paces(POOL, {LOOSE_MS})
+    names = set()
+    for serial in range(60):
+        request = make_request(serial, f"s{serial}", 2_000)
+        names.add(router.choose(request, group, 0).name)
+    assert len(names) == 5
+
+
+def test_a_part_helps_only_where_all_parts_before_it_are_cached():
+    cache = PartCache(10_000)
+    cache.note_read([Part("b", 500)])
+    assert cache.cached_tokens([Part("a", 100), Part("b", 500)]) == 0
+    cache.note_read([Part("a", 100)])
+    assert cache.cached_tokens([Part("a", 100), Part("b", 500), Part("c", 1)]) == 600
+
+
+def test_the_least_recently_read_parts_make_room():
+    cache = PartCache(1_000)
+    for name in ("a", "b"):
+        cache.note_read([Part(name, 500)])
+    cache.note_read([Part("a", 500)])
+    cache.note_read([Part("c", 500)])
+    assert cache.cached_tokens([Part("a", 500)]) == 500
+    assert cache.cached_tokens([Part("b", 500)]) == 0
--- /dev/null
+++ b/tests/test_sizing.py
@@ -0,0 +1,86 @@
+"""Orders by number under reclaimed, refused and booting spot engines."""
+
+from plantainwood.core.sizing import (
+    CountOrder,
+    DemandPeak,
+    EngineCensus,
+    Scaling,
+    Sizer,
+    find_wanted,
+)
+
+SCALING = Scaling(1, 6, 4_000, 0.2, {"a": 1.0, "b": 0.8, "c": 1.2})
+DOMAINS = ["a", "b", "c"]
+
+
+def total(orders: list[CountOrder], spot: bool) -> int:
+    """Return the number of engines ordered of a sort."""
+    return sum(order.desired for order in orders if order.spot == spot)
+
+
+def full(spot: int) -> dict[str, EngineCensus]:
+    """Return a census with as many spot engines in each domain."""
+    return {domain: EngineCensus(0, spot) for domain in DOMAINS}
+
+
+def test_spot_engines_are_spread_and_regular_ones_given_back():
+    orders = Sizer("s").plan(SCALING, DOMAINS, full(2), 6, 0)
+    assert total(orders, spot=True) == 6
+    assert total(orders, spot=False) == 0
+    assert all(order.desired == 2 for order in orders if order.spot)
+
+
+def test_regular_engines_stay_until_the_spot_ones_serve():
+    sizer = Sizer("s")
+    census = {"a": EngineCensus(3, 0), "b": EngineCensus(2, 0)}
+    for domain in DOMAINS:
+        sizer.note_answer(CountOrder("s", domain, 2, True), True, 0)
+    orders = sizer.plan(SCALING, DOMAINS, census, 6, 1_000)
+    assert total(orders, spot=False) == 5
+
+
+def test_regular_engines_stand_in_at_once_where_no_spot_ones_are_to_be_had():
+    sizer = Sizer("s")
+    census = {"a": EngineCensus(0, 2)}
+    for domain in ("b", "c"):
+        sizer.note_answer(CountOrder("s", domain, 2, True), False, 0)
+    orders = sizer.plan(SCALING, DOMAINS, census, 6, 100)
+    assert total(orders, spot=False) == 4
+    asked = {order.domain for order in orders if order.spot}
+    assert asked == {"a"}
+
+
+def test_a_domain_that_refused_is_asked_again_after_a_while():
+    sizer = Sizer("s")
+    sizer.note_answer(CountOrder("s", "b", 2, True), False, 0)
+    orders = sizer.plan(SCALING, DOMAINS, full(2), 6, 60_000)
+    assert {order.domain for order in orders if order.spot} == set(DOMAINS)
+
+
+def test_a_reclaimed_domain_is_ordered_anew_though_the_number_is_the_same():
+    sizer = Sizer("s")
+    order = CountOrder("s", "a", 2, True)
+    sizer.note_answer(order, True, 0)
+    assert not sizer.is_due(order, EngineCensus(0, 0), 500)
+    assert sizer.is_due(order, EngineCensus(0, 0), 10_000)
+    assert not sizer.is_due(order, EngineCensus(0, 2), 10_000)
+
+
+def test_orders_never_exceed_what_a_domain_may_have():
+    scaling = Scaling(1, 2, 4_000, 0.2, {})
+    orders = Sizer("s").plan(scaling, DOMAINS, full(2), 40, 0)
+    assert all(order.desired <= 2 for order in orders if order.spot)
+    assert total(orders, spot=False) == 0
+
+
+def test_more_demand_wants_more_engines():
+    assert find_wanted(0, 3, 5) >= 5
+    assert find_wanted(200_000, 3, 0) > find_wanted(50_000, 3, 0)
+
+
+def test_the_peak_is_the_busiest_bucket_and_is_forgotten():
+    peak = DemandPeak()
+    peak.note(10_000, 1_000)
+    peak.note(30_000, 5_000)
+    assert peak.per_second(6_000) == 15_000
+    assert peak.per_second(60_000) == 0
--- /dev/null
+++ b/tests/test_windows.py
@@ -0,0 +1,140 @@
+"""Counts by window, the agreed time, and reports that can't differ."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainwood.core.clock import VirtualClock
+from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.reports import report_key, report_window
+from plantainwood.core.steps import SendReport, Swap
+from plantainwood.core.vms import AgreedTime
+from plantainwood.core.windows import NodeCounts, StartCounter, WindowTotals
+from tests.fakes import FakeStore
+
+WINDOW_MS = 5_000
+
+
+def make_totals(counts: dict[str, int], sequence: int = 1) -> WindowTotals:
+    """Return totals with one record of window 7."""
+    totals = WindowTotals()
+    totals.put(NodeCounts("vm-1", 1, 7, sequence, counts))
+    return totals
+
+
+def make_lease(name: str, clock: VirtualClock, store: FakeStore) -> Lease:
+    """Return a lease that is held."""
+    lease = Lease("fleet", name, 1, clock, LeaseTimes(3_000, 500, 500))
+    drive(lease.step(), store, [])
+    return lease
+
+
+def drive(steps, store: FakeStore, sent: list[SendReport], lose: str = "") -> object:
+    """Run a procedure; `lose` names what happens to its write."""
+    reply = None
+    error = None
+    while True:
+        try:
+            call = steps.throw(error) if error else steps.send(reply)
+        except StopIteration as stop:
+            return stop.value
+        error = None
+        if isinstance(call, SendReport):
+            sent.append(call)
+            reply = True
+            continue
+        if isinstance(call, Swap) and lose:
+            from plantainwood.core.errors import StoreError
+
+            if lose == "after":
+                store.perform(call)
+            elif lose == "late":
+                store.late.append(call)
+            lose = ""
+            error = StoreError("no answer")
+            continue
+        reply = store.perform(call)
+
+
+def test_counts_are_summed_over_nodes_and_runs_and_repeats_change_nothing():
+    totals = make_totals({"a": 3})
+    totals.put(NodeCounts("vm-1", 2, 7, 1, {"a": 2, "b": 1}))
+    totals.put(NodeCounts("vm-1", 1, 7, 1, {"a": 3}))
+    assert totals.sum(7) == {"a": 5, "b": 1}
+
+
+@given(st.permutations([1, 2, 3, 4]))
+def test_the_newest_record_of_a_run_counts_in_any_order(order):
+    totals = WindowTotals()
+    for sequence in order:
+        totals.put(NodeCounts("vm-1", 1, 7, sequence, {"a": sequence}))
+    assert totals.sum(7) == {"a": 4}
+
+
+def test_a_counter_gives_records_whose_sequence_grows():
+    counter = StartCounter("vm-1", 1, WINDOW_MS)
+    counter.count("a", 35_001)
+    counter.count("a", 39_999)
+    counter.count("b", 40_000)
+    assert [(r.window, r.sequence, r.counts) for r in counter.records()] == [
+        (7, 2, {"a": 2}),
+        (8, 1, {"b": 1}),
+    ]
+
+
+def test_two_holders_can_only_send_what_was_frozen_first():
+    clock, store, sent = VirtualClock(), FakeStore(), []
+    first = make_lease("vm-1", clock, store)
+    assert drive(report_window(7, make_totals({"a": 3}), first), store, sent)
+    clock.advance(60_000)
+    second = Lease("fleet", "vm-2", 1, clock, LeaseTimes(3_000, 500, 500))
+    drive(second.step(), store, [])
+    clock.advance(60_000)
+    drive(second.step(), store, [])
+    assert drive(report_window(7, make_totals({"a": 4}), second), store, sent)
+    assert sent[0].body == sent[1].body
+    assert sent[0].fence < sent[1].fence
+
+
+def test_a_freeze_whose_answer_is_lost_is_sent_only_as_stored():
+    clock, store, sent = VirtualClock(), FakeStore(), []
+    lease = make_lease("vm-1", clock, store)
+    totals = make_totals({"a": 3})
+    assert drive(report_window(7, totals, lease), store, sent, lose="after")
+    assert sent[0].body == store.items[report_key(7)].value
+
+
+def test_a_freeze_that_may_still_come_sends_nothing():
+    clock, store, sent = VirtualClock(), FakeStore(), []
+    lease = make_lease("vm-1", clock, store)
+    assert not drive(
+        report_window(7, make_totals({"a": 3}), lease), store, sent, lose="late"
+    )
+    assert sent == []
+    grown = make_totals({"a": 4}, sequence=2)
+    assert drive(report_window(7, grown, lease), store, sent)
+    store.land(0)
+    assert store.items[report_key(7)].value == sent[0].body
+
+
+def test_a_holder_whose_lease_ran_out_sends_nothing():
+    clock, store, sent = VirtualClock(), FakeStore(), []
+    lease = make_lease("vm-1", clock, store)
+    clock.advance(10_000)
+    assert not drive(report_window(7, make_totals({"a": 3}), lease), store, sent)
+    assert sent == []
+
+
+def test_the_agreed_time_ignores_a_clock_that_is_off():
+    agreed = AgreedTime(wall_ms=1_002_400, now_ms=0)
+    agreed.note("vm-2", 1_000_010, 10)
+    agreed.note("vm-3", 1_000_020, 10)
+    agreed.settle({"vm-2", "vm-3"})
+    assert abs(agreed.now(10) - 1_000_010) < 50
+
+
+def test_the_agreed_time_keeps_steady_through_small_differences():
+    agreed = AgreedTime(wall_ms=1_000_000, now_ms=0)
+    agreed.note("vm-2", 1_000_110, 10)
+    agreed.note("vm-3", 1_000_120, 10)
+    agreed.settle({"vm-2", "vm-3"})
+    assert agreed.now(10) == 1_000_010
