--- a/plantainwood/core/clock.py
+++ b/plantainwood/core/clock.py
@@ -3,6 +3,9 @@
 import time
 from abc import ABC, abstractmethod
 
+INCARNATION_EPOCH_MS = 1_767_225_600_000
+"""2026-01-01; incarnations count tenths of a second, to stay within 32 bits."""
+
 
 class Clock(ABC):
     """Give the current time; values never go backwards."""
@@ -57,6 +60,11 @@
         return self._now_ms
 
 
+def make_incarnation(clock: Clock) -> int:
+    """Return a number that is higher for later starts of a process."""
+    return (clock.wall_ms() - INCARNATION_EPOCH_MS) // 100
+
+
 def make_clock() -> Clock:
     """Return the clock that a daemon runs on."""
     return SystemClock()
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -8,7 +8,7 @@
 from plantainwood.core import events as ev
 from plantainwood.core.book import Options
 from plantainwood.core.catalogue import Catalogue
-from plantainwood.core.clock import Clock, make_clock
+from plantainwood.core.clock import Clock, make_clock, make_incarnation
 from plantainwood.core.dispatcher import Dispatcher
 from plantainwood.core.leases import Lease, LeaseTimes
 from plantainwood.core.messages import CrashNews, NodeState, VmBeat
@@ -22,7 +22,6 @@
 from plantainwood.edgesettings import EdgeSettings
 from plantainwood.logs import log_event
 from plantainwood.metrics import Metrics
-from plantainwood.node import INCARNATION_EPOCH_MS
 from plantainwood.procedures import Driver
 
 DUTY = "fleet"
@@ -77,7 +76,7 @@
         self.settings = settings
         self.clock = clock
         self.metrics = metrics
-        self.incarnation = (clock.wall_ms() - INCARNATION_EPOCH_MS) // 100
+        self.incarnation = make_incarnation(clock)
         self.state = NodeState.LIVE
         self.mirror = Mirror()
         self.view = View()
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -21,8 +21,8 @@
 from plantainwood.core.mirror import Item
 from plantainwood.core.vms import find_beat_ms
 from plantainwood.edge import Edge
-from plantainwood.links import Transport, make_transport
 from plantainwood.logs import log_event
+from plantainwood.transport import Transport, make_transport
 
 ASK_PAUSE_MS = 400
 
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -19,6 +19,7 @@
 from plantainwood.core.routes import Repetition, Route
 from plantainwood.engines import AttemptError
 from plantainwood.logs import log_event
+from plantainwood.spans import Spans
 
 BUSY_PAUSE_MS = 150
 """How long an upstream that was full gets no new attempt from here."""
@@ -156,8 +157,14 @@
     """Serve calls by the decisions of the core."""
 
     def __init__(
-        self, board: Board, pool: ConnectionPool, codec: Codec, starts: Starts
+        self,
+        board: Board,
+        pool: ConnectionPool,
+        codec: Codec,
+        starts: Starts,
+        spans: Spans,
     ) -> None:
+        self.spans = spans
         self.board = board
         self.pool = pool
         self.codec = codec
@@ -255,7 +262,8 @@
         try:
             if load is None:
                 raise AttemptError("the upstream is gone", False, proved_not_run=True)
-            await self._exchange(dispatch, load.entry)
+            with self.forwarder.spans.open("attempt", upstream=dispatch.upstream):
+                await self._exchange(dispatch, load.entry)
         except AttemptError as error:
             self._tell_failure(dispatch, error)
             return
@@ -362,7 +370,7 @@
 
     def _may_repeat(self) -> bool:
         """Tell whether a failed answer is worth another attempt."""
-        if self.call.route.repetition is not Repetition.SAFE:
+        if not self.call.route.idempotent:
             return False
         return self.trail.attempts < self.call.route.attempts
 
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -8,7 +8,7 @@
 from plantainwood.board import Board
 from plantainwood.core import events as ev
 from plantainwood.core.catalogue import Catalogue, Document, merge_document
-from plantainwood.core.clock import Clock, make_clock
+from plantainwood.core.clock import Clock, make_clock, make_incarnation
 from plantainwood.core.confirmation import Confirmation
 from plantainwood.core.digests import DigestTable
 from plantainwood.core.dispatcher import Dispatcher, Options
@@ -37,8 +37,6 @@
 from plantainwood.settings import Settings
 from plantainwood.traces import make_tracer
 
-INCARNATION_EPOCH_MS = 1_767_225_600_000
-"""2026-01-01; incarnations count tenths of a second, to stay within 32 bits."""
 FULL_REQUESTS = 400
 """Open requests at which a VM calls itself fully busy."""
 UNRESERVE_TRIES = 3
@@ -94,7 +92,7 @@
     def __init__(self, settings: Settings, clock: Clock, metrics: Metrics) -> None:
         self.settings = settings
         self.clock = clock
-        self.incarnation = (clock.wall_ms() - INCARNATION_EPOCH_MS) // 100
+        self.incarnation = make_incarnation(clock)
         self.catalogue = Catalogue()
         self.stored_revision = 0
         """The key-value revision of the catalogue that was last read."""
