--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -65,6 +65,7 @@
         "_remote",
         "_tight_ms",
         "_aims_ms",
+        "_chosen",
         "_random",
     )
 
@@ -77,6 +78,8 @@
         self._remote: dict[str, RemoteWork] = {}
         self._tight_ms: dict[str, int] = {}
         self._aims_ms: dict[str, int] = {}
+        self._chosen: dict[str, int] = {}
+        """Unread tokens of the requests whose choice was made just now."""
 
     def set_paces(self, pool: str, paces_ms: set[int]) -> None:
         """Take the paces of all classes of a pool; find the tight one, if any."""
@@ -132,6 +135,9 @@
             if best is None or score < best_score:
                 best = load
                 best_score = score
+        if best is not None:
+            unread = self._estimate_unread(request, best, ranked[0])
+            self._chosen[request.id] = unread
         return best
 
     def _backlog_limit(self, pool: str) -> float:
@@ -166,18 +172,25 @@
         self, request: Request, load: UpstreamLoad, ranked: list[str], now_ms: int
     ) -> float:
         """Return the prompt tokens to be read before the request's first token."""
-        state = self._engine(load)
-        prompt = request.prompt
-        cached = state.cache.cached_tokens(prompt.parts)
-        if ranked and ranked[0] == load.name:
-            cached = max(cached, prompt.shared_tokens)
-        score = float(max(0, prompt.tokens - cached))
+        score = float(self._estimate_unread(request, load, ranked[0]))
         score += self.backlog(load.name, now_ms)
         score += RUNNING_TOKENS * load.estimate(9, now_ms)
         if load.ejected:
             score += EJECTED_TOKENS
         return score
 
+    def _estimate_unread(self, request: Request, load: UpstreamLoad, home: str) -> int:
+        """Return the tokens of a prompt that an engine would have to read.
+
+        The session's first engine in the ranking is taken to hold what is shared,
+        since the other nodes send the session there too.
+        """
+        prompt = request.prompt
+        cached = self._engine(load).cache.cached_tokens(prompt.parts)
+        if load.name == home:
+            cached = max(cached, prompt.shared_tokens)
+        return max(0, prompt.tokens - cached)
+
     def backlog(self, upstream: str, now_ms: int) -> int:
         """Return the unread tokens at an engine as far as this node knows."""
         state = self._engines.get(upstream)
@@ -201,8 +214,7 @@
         if not request.prompt.tokens:
             return
         state = self._engine(load)
-        cached = state.cache.cached_tokens(request.prompt.parts)
-        unread = max(0, request.prompt.tokens - cached)
+        unread = self._chosen.pop(request.id, request.prompt.tokens)
         state.unread[request.id] = unread
         self.sent[request.pool] = self.sent.get(request.pool, 0) + unread
         state.cache.note_read(request.prompt.parts)
