--- a/plantainwood/core/sizing.py
+++ b/plantainwood/core/sizing.py
@@ -86,24 +86,34 @@
 class Sizer:
     """Keep track of what was ordered of one service, and plan what to order next."""
 
-    __slots__ = ("_service", "_ordered_ms", "_refused_ms", "_missing_since_ms")
+    __slots__ = (
+        "_service",
+        "_ordered_ms",
+        "_refused_ms",
+        "_missing_since_ms",
+        "_regular",
+    )
 
     def __init__(self, service: str) -> None:
         self._service = service
         self._ordered_ms: dict[str, int] = {}
         """When spot engines were last ordered, by failure domain."""
         self._refused_ms: dict[str, int] = {}
+        """When spot engines were refused, by domain, until an order is taken."""
         self._missing_since_ms: dict[str, int] = {}
+        self._regular: dict[str, int] = {}
+        """Regular engines in the last plan, by domain."""
 
     def note_answer(self, order: CountOrder, taken: bool, now_ms: int) -> None:
         """Take the platform's answer to an order."""
         if not order.spot:
             return
-        if taken:
-            self._ordered_ms[order.domain] = now_ms
-            self._refused_ms.pop(order.domain, None)
-        else:
+        if not taken:
             self._refused_ms[order.domain] = now_ms
+            return
+        self._ordered_ms[order.domain] = now_ms
+        if self._refused_ms.pop(order.domain, None) is not None:
+            self._missing_since_ms[order.domain] = now_ms
 
     def plan(
         self,
@@ -125,11 +135,10 @@
             ready += counted.spot
             missing = max(0, spots[domain] - counted.spot)
             self._note_missing(domain, missing, now_ms)
-            if self._is_refused(domain, now_ms):
-                continue
             if self._is_coming(domain, scaling, now_ms):
                 coming += missing
-            orders.append(CountOrder(self._service, domain, spots[domain], True))
+            if not self._is_left_alone(domain, now_ms):
+                orders.append(CountOrder(self._service, domain, spots[domain], True))
         regular = self._plan_regular(scaling, domains, census, wanted, ready, coming)
         for domain in domains:
             orders.append(CountOrder(self._service, domain, regular[domain], False))
@@ -146,38 +155,30 @@
     ) -> dict[str, int]:
         """Return the regular engines by domain that make up for missing spot ones.
 
-        Those that run are kept until the spot ones serve; more are ordered only for
-        what the spot ones on their way don't cover.
+        Those that run or start are kept until the spot ones serve; more are ordered
+        only for what the spot ones on their way don't cover.
         """
-        running = {
-            domain: census.get(domain, EngineCensus()).regular for domain in domains
-        }
-        kept = min(sum(running.values()), max(0, wanted - ready))
-        needed = max(0, wanted - ready - coming)
-        left = max(kept, needed)
-        counts = dict.fromkeys(domains, 0)
+        before: dict[str, int] = {}
+        limits: dict[str, int] = {}
+        for domain in domains:
+            counted = census.get(domain, EngineCensus())
+            before[domain] = self._regular.get(domain, counted.regular)
+            limits[domain] = max(0, scaling.max - counted.spot)
+        kept = min(sum(before.values()), max(0, wanted - ready))
+        left = max(kept, wanted - ready - coming)
         by_price = sorted(
             domains, key=lambda name: scaling.domain_prices.get(name, 1.0)
         )
-        left = _fill(counts, by_price, running, left)
-        limits = {
-            domain: scaling.max - census.get(domain, EngineCensus()).spot
-            for domain in domains
-        }
+        counts = dict.fromkeys(domains, 0)
+        left = _fill(counts, by_price, before, left)
         while left > 0:
-            before = left
-            for domain in by_price:
-                if left > 0 and counts[domain] < limits[domain]:
-                    counts[domain] += 1
-                    left -= 1
-            if left == before:
+            open_domains = [name for name in by_price if counts[name] < limits[name]]
+            if not open_domains:
                 break
+            left = _fill(counts, open_domains, dict.fromkeys(open_domains, 1), left)
+        self._regular = counts
         return counts
 
-    def _is_refused(self, domain: str, now_ms: int) -> bool:
-        refused_ms = self._refused_ms.get(domain)
-        return refused_ms is not None and now_ms - refused_ms < REFUSED_MS
-
     def _note_missing(self, domain: str, missing: int, now_ms: int) -> None:
         """Note since when a domain has fewer spot engines than are wanted there."""
         if not missing:
@@ -185,8 +186,14 @@
         else:
             self._missing_since_ms.setdefault(domain, now_ms)
 
+    def _is_left_alone(self, domain: str, now_ms: int) -> bool:
+        refused_ms = self._refused_ms.get(domain)
+        return refused_ms is not None and now_ms - refused_ms < REFUSED_MS
+
     def _is_coming(self, domain: str, scaling: Scaling, now_ms: int) -> bool:
         """Tell whether missing spot engines may still be starting."""
+        if domain in self._refused_ms:
+            return False
         since_ms = self._missing_since_ms.get(domain, now_ms)
         return now_ms - since_ms < scaling.boot_ms + BOOT_MARGIN_MS
 
@@ -195,13 +202,16 @@
     ) -> bool:
         """Tell whether an order that was taken before must be sent again.
 
-        Engines that were reclaimed come back only when they are ordered anew.
+        Engines that were reclaimed come back only when they are ordered anew, so
+        that is done as soon as they are missed.
         """
         if not order.spot or census.spot >= order.desired:
             return False
         ordered_ms = self._ordered_ms.get(order.domain)
         if ordered_ms is None:
             return True
+        if self._missing_since_ms.get(order.domain, now_ms) > ordered_ms:
+            return True
         return now_ms - ordered_ms >= scaling.boot_ms + BOOT_MARGIN_MS
 
 
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -81,6 +81,30 @@
     assert total(sizer.plan(SCALING, DOMAINS, census, 6, 9_000), spot=False) == 2
 
 
+def test_a_reclaimed_domain_is_ordered_anew_as_soon_as_it_is_missed():
+    sizer = Sizer("s")
+    order = CountOrder("s", "a", 2, True)
+    sizer.plan(SCALING, DOMAINS, full(2), 6, 0)
+    sizer.note_answer(order, True, 0)
+    census = {**full(2), "a": EngineCensus(0, 0)}
+    sizer.plan(SCALING, DOMAINS, census, 6, 1_000)
+    assert sizer.is_due(order, SCALING, census["a"], 1_000)
+
+
+def test_regular_engines_that_start_are_not_given_back_while_a_domain_is_asked_again():
+    sizer = Sizer("s")
+    sizer.plan(SCALING, DOMAINS, full(2), 6, 0)
+    census = {**full(2), "a": EngineCensus(0, 0)}
+    ordered = []
+    for now_ms in range(250, 10_000, 250):
+        orders = sizer.plan(SCALING, DOMAINS, census, 6, now_ms)
+        for order in orders:
+            if order.spot:
+                sizer.note_answer(order, order.domain != "a", now_ms)
+        ordered.append(total(orders, spot=False))
+    assert ordered[1:] == [2] * len(ordered[1:])
+
+
 def test_orders_never_exceed_what_a_domain_may_have():
     scaling = Scaling(1, 2, 4_000, 0.2, {})
     orders = Sizer("s").plan(scaling, DOMAINS, full(2), 40, 0)
