--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -60,6 +60,7 @@
 def test_a_reclaimed_domain_is_ordered_anew_though_the_number_is_the_same():
     sizer = Sizer("s")
     order = CountOrder("s", "a", 2, True)
+    sizer.plan(SCALING, DOMAINS, {}, 6, 0)
     sizer.note_answer(order, True, 0)
     assert not sizer.is_due(order, SCALING, EngineCensus(0, 0), 5_000)
     assert sizer.is_due(order, SCALING, EngineCensus(0, 0), 10_000)
