Size for the loss of a failure domain

Change: the number that the operators started with is kept in the store once; so many engines are to be left after the loss of any one zone, and one more.

--- a/plantainwood/core/sizing.py
+++ b/plantainwood/core/sizing.py
@@ -9,13 +9,16 @@
 
 import msgspec
 
+from plantainwood.core.errors import StoreError
+from plantainwood.core.steps import Steps, Swap
+
 READ_TOKENS_PER_S = 35_000.0
 """Prompt tokens that one engine reads in a second beside its other work."""
 TARGET_LOAD = 0.7
 """The share of the reading rate that is planned to be used."""
 PACED_ENGINES_SHARE = 0.2
-ENGINES_PER_DOMAIN = 2
-"""The least number that is kept, on average over the failure domains."""
+SPARE_ENGINES = 1
+BASE_PREFIX = "sizes/"
 BOOT_MARGIN_MS = 1_500
 REFUSED_MS = 2_000
 """How long a failure domain that had no spot engines is left alone."""
@@ -76,11 +79,29 @@
         return peak * 1_000 / BUCKET_MS
 
 
-def find_wanted(tokens_per_s: float, domains: int, least: int) -> int:
-    """Return how many engines read a demand with room for a burst and a loss."""
+def find_wanted(tokens_per_s: float, domains: int, base: int) -> int:
+    """Return how many engines read a demand, also after the loss of a domain.
+
+    `base` is the number that the operators started the service with.
+    """
     reading = tokens_per_s / (READ_TOKENS_PER_S * TARGET_LOAD)
     wanted = math.ceil(reading / (1 - PACED_ENGINES_SHARE))
-    return max(wanted, least, ENGINES_PER_DOMAIN * domains)
+    kept = 1.0 if domains < 2 else 1 - 1 / domains
+    return max(wanted, math.ceil(base / kept) + SPARE_ENGINES)
+
+
+def keep_base(service: str, running: int) -> Steps:
+    """Store the number that the service was started with, unless it is there."""
+    try:
+        yield Swap(base_key(service), b"%d" % running, 0)
+    except StoreError:
+        return False
+    return True
+
+
+def base_key(service: str) -> str:
+    """Return the key of the number that a service was started with."""
+    return f"{BASE_PREFIX}{service}"
 
 
 class Sizer:
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -11,7 +11,14 @@
 from plantainwood.core.leases import LEASE_PREFIX, LeaseRecord
 from plantainwood.core.messages import CountsTold, NodeState
 from plantainwood.core.reports import report_window
-from plantainwood.core.sizing import CountOrder, EngineCensus, Sizer, find_wanted
+from plantainwood.core.sizing import (
+    CountOrder,
+    EngineCensus,
+    Sizer,
+    base_key,
+    find_wanted,
+    keep_base,
+)
 from plantainwood.core.steps import SendCount, Steps
 from plantainwood.core.windows import NodeCounts
 from plantainwood.edge import DUTY, Edge
@@ -29,6 +36,8 @@
 GATHER_MS = 1_800
 """How long a new holder waits for the counts that the others know."""
 ORDER_PAUSE_MS = 250
+BASE_AFTER_MS = 3_000
+"""When all upstreams that were there at the start have registered."""
 
 
 class Keeper(Service):
@@ -190,7 +199,6 @@
         self._taken: dict[tuple[str, str, bool], int] = {}
         """Number in force by service, failure domain and sort."""
         self._sizers: dict[str, Sizer] = {}
-        self._least: dict[str, int] = {}
         super().__init__(**kwargs)
 
     @Service.task
@@ -213,7 +221,7 @@
         scaling = edge.view.scaling[service]
         census = edge.view.census.get(service, {})
         sizer = self._sizers.setdefault(service, Sizer(service))
-        wanted = self._find_wanted(service, census, now_ms)
+        wanted = await self._find_wanted(service, census, now_ms)
         domains = edge.settings.domains
         for order in sizer.plan(scaling, domains, census, wanted, now_ms):
             key = (order.service, order.domain, order.spot)
@@ -237,17 +245,19 @@
                 fence=edge.lease.fence,
             )
 
-    def _find_wanted(
+    async def _find_wanted(
         self, service: str, census: dict[str, EngineCensus], now_ms: int
     ) -> int:
-        """Return the wanted number; until traffic shows the demand, as many as run."""
+        """Return the wanted number from the demand and the size at the start."""
         edge = self.edge
-        running = sum(item.regular for item in census.values())
+        base = sum(item.regular for item in census.values())
+        kept = edge.mirror.items.get(base_key(service))
+        if kept is not None and kept.value is not None and kept.value.isdigit():
+            base = int(kept.value)
+        elif now_ms - edge.lease.taken_at_ms >= BASE_AFTER_MS:
+            await edge.driver.run(keep_base(service, base))
         rate = edge.peak_of(service).per_second(now_ms)
-        if not rate:
-            self._least[service] = max(self._least.get(service, 0), running)
-        least = self._least.get(service, 0) if not rate else 0
-        return find_wanted(rate, len(edge.settings.domains), least)
+        return find_wanted(rate, len(edge.settings.domains), base)
 
 
 def issue_count(edge: Edge, order: CountOrder) -> Steps:
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -114,7 +114,8 @@
 
 
 def test_more_demand_wants_more_engines():
-    assert find_wanted(0, 3, 5) >= 5
+    assert find_wanted(0, 3, 5) * 2 / 3 >= 5
+    assert find_wanted(0, 4, 5) * 3 / 4 >= 5
     assert find_wanted(200_000, 3, 0) > find_wanted(50_000, 3, 0)
 
 
