Order nothing before the size at the start is known

Cause: the holder planned with the one or two engines that had registered when it took the lease, and gave the others back at once; the small number that was left was then kept as the size at the start.

--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -222,6 +222,8 @@
         census = edge.view.census.get(service, {})
         sizer = self._sizers.setdefault(service, Sizer(service))
         wanted = await self._find_wanted(service, census, now_ms)
+        if not wanted:
+            return
         domains = edge.settings.domains
         for order in sizer.plan(scaling, domains, census, wanted, now_ms):
             key = (order.service, order.domain, order.spot)
@@ -248,14 +250,18 @@
     async def _find_wanted(
         self, service: str, census: dict[str, EngineCensus], now_ms: int
     ) -> int:
-        """Return the wanted number from the demand and the size at the start."""
+        """Return the wanted number from the demand and the size at the start.
+
+        0 while the size at the start is not known, since not all have registered.
+        """
         edge = self.edge
-        base = sum(item.regular for item in census.values())
         kept = edge.mirror.items.get(base_key(service))
-        if kept is not None and kept.value is not None and kept.value.isdigit():
-            base = int(kept.value)
-        elif now_ms - edge.lease.taken_at_ms >= BASE_AFTER_MS:
-            await edge.driver.run(keep_base(service, base))
+        if kept is None or kept.value is None or not kept.value.isdigit():
+            running = sum(item.regular + item.spot for item in census.values())
+            if now_ms - edge.lease.taken_at_ms >= BASE_AFTER_MS:
+                await edge.driver.run(keep_base(service, running))
+            return 0
+        base = int(kept.value)
         rate = edge.peak_of(service).per_second(now_ms)
         return find_wanted(rate, len(edge.settings.domains), base)
 
