Order headroom as spot engines only; let them take regular ones' room

Cause: a zone holds a number of engines of both sorts together.

Change: regular engines only make up for what reads the demand.

--- a/plantainwood/core/sizing.py
+++ b/plantainwood/core/sizing.py
@@ -79,15 +79,25 @@
         return peak * 1_000 / BUCKET_MS
 
 
-def find_wanted(tokens_per_s: float, domains: int, base: int) -> int:
+class Wanted(msgspec.Struct, frozen=True):
+    """How many engines a service should have."""
+
+    needed: int
+    """What reads the demand; regular engines make up for what is missing of it."""
+    spot: int
+    """With what may be lost at once; only spot engines are ordered for that."""
+
+
+def find_wanted(tokens_per_s: float, domains: int, base: int) -> Wanted:
     """Return how many engines read a demand, also after the loss of a domain.
 
     `base` is the number that the operators started the service with.
     """
     reading = tokens_per_s / (READ_TOKENS_PER_S * TARGET_LOAD)
-    wanted = math.ceil(reading / (1 - PACED_ENGINES_SHARE))
+    demanded = math.ceil(reading / (1 - PACED_ENGINES_SHARE))
     kept = 1.0 if domains < 2 else 1 - 1 / domains
-    return max(wanted, math.ceil(base / kept) + SPARE_ENGINES)
+    needed = max(base, demanded)
+    return Wanted(needed, max(demanded, math.ceil(base / kept) + SPARE_ENGINES))
 
 
 def keep_base(service: str, running: int) -> Steps:
@@ -141,13 +151,13 @@
         scaling: Scaling,
         domains: list[str],
         census: dict[str, EngineCensus],
-        wanted: int,
+        wanted: Wanted,
         now_ms: int,
     ) -> list[CountOrder]:
-        """Return the orders for `wanted` engines in all, spot ones first."""
+        """Return the orders for the wanted engines, spot ones first."""
         spots = dict.fromkeys(domains, 0)
         if scaling.spot_price:
-            spots = _spread(wanted, scaling, domains)
+            spots = _spread(wanted.spot, scaling, domains)
         ready = 0
         coming = 0
         orders: list[CountOrder] = []
@@ -160,7 +170,9 @@
                 coming += missing
             if not self._is_left_alone(domain, now_ms):
                 orders.append(CountOrder(self._service, domain, spots[domain], True))
-        regular = self._plan_regular(scaling, domains, census, wanted, ready, coming)
+        regular = self._plan_regular(
+            scaling, domains, census, wanted.needed, ready, coming
+        )
         for domain in domains:
             orders.append(CountOrder(self._service, domain, regular[domain], False))
         return orders
@@ -170,7 +182,7 @@
         scaling: Scaling,
         domains: list[str],
         census: dict[str, EngineCensus],
-        wanted: int,
+        needed: int,
         ready: int,
         coming: int,
     ) -> dict[str, int]:
@@ -185,8 +197,8 @@
             counted = census.get(domain, EngineCensus())
             before[domain] = self._regular.get(domain, counted.regular)
             limits[domain] = max(0, scaling.max - counted.spot)
-        kept = min(sum(before.values()), max(0, wanted - ready))
-        left = max(kept, wanted - ready - coming)
+        kept = min(sum(before.values()), max(0, needed - ready))
+        left = max(kept, needed - ready - coming)
         by_price = sorted(
             domains, key=lambda name: scaling.domain_prices.get(name, 1.0)
         )
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -222,7 +222,7 @@
         census = edge.view.census.get(service, {})
         sizer = self._sizers.setdefault(service, Sizer(service))
         wanted = await self._find_wanted(service, census, now_ms)
-        if not wanted:
+        if wanted is None:
             return
         domains = edge.settings.domains
         for order in sizer.plan(scaling, domains, census, wanted, now_ms):
@@ -242,17 +242,18 @@
                 desired=order.desired,
                 spot=order.spot,
                 taken=taken,
-                wanted=wanted,
+                wanted=wanted.spot,
+                needed=wanted.needed,
                 demand=round(edge.peak_of(service).per_second(now_ms)),
                 fence=edge.lease.fence,
             )
 
     async def _find_wanted(
         self, service: str, census: dict[str, EngineCensus], now_ms: int
-    ) -> int:
-        """Return the wanted number from the demand and the size at the start.
+    ) -> Wanted | None:
+        """Return the wanted numbers from the demand and the size at the start.
 
-        0 while the size at the start is not known, since not all have registered.
+        None while the size at the start is not known, since not all have registered.
         """
         edge = self.edge
         kept = edge.mirror.items.get(base_key(service))
@@ -260,7 +261,7 @@
             running = sum(item.regular + item.spot for item in census.values())
             if now_ms - edge.lease.taken_at_ms >= BASE_AFTER_MS:
                 await edge.driver.run(keep_base(service, running))
-            return 0
+            return None
         base = int(kept.value)
         rate = edge.peak_of(service).per_second(now_ms)
         return find_wanted(rate, len(edge.settings.domains), base)
