--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -15,6 +15,7 @@
     CountOrder,
     EngineCensus,
     Sizer,
+    Wanted,
     base_key,
     find_wanted,
     keep_base,
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -6,11 +6,13 @@
     EngineCensus,
     Scaling,
     Sizer,
+    Wanted,
     find_wanted,
 )
 
 SCALING = Scaling(1, 6, 4_000, 0.2, {"a": 1.0, "b": 0.8, "c": 1.2})
 DOMAINS = ["a", "b", "c"]
+SIX = Wanted(6, 6)
 
 
 def total(orders: list[CountOrder], spot: bool) -> int:
@@ -24,7 +26,7 @@
 
 
 def test_spot_engines_are_spread_and_regular_ones_given_back():
-    orders = Sizer("s").plan(SCALING, DOMAINS, full(2), 6, 0)
+    orders = Sizer("s").plan(SCALING, DOMAINS, full(2), SIX, 0)
     assert total(orders, spot=True) == 6
     assert total(orders, spot=False) == 0
     assert all(order.desired == 2 for order in orders if order.spot)
@@ -35,7 +37,7 @@
     census = {"a": EngineCensus(3, 0), "b": EngineCensus(2, 0)}
     for domain in DOMAINS:
         sizer.note_answer(CountOrder("s", domain, 2, True), True, 0)
-    orders = sizer.plan(SCALING, DOMAINS, census, 6, 1_000)
+    orders = sizer.plan(SCALING, DOMAINS, census, SIX, 1_000)
     assert total(orders, spot=False) == 5
 
 
@@ -44,7 +46,7 @@
     census = {"a": EngineCensus(0, 2)}
     for domain in ("b", "c"):
         sizer.note_answer(CountOrder("s", domain, 2, True), False, 0)
-    orders = sizer.plan(SCALING, DOMAINS, census, 6, 100)
+    orders = sizer.plan(SCALING, DOMAINS, census, SIX, 100)
     assert total(orders, spot=False) == 4
     asked = {order.domain for order in orders if order.spot}
     assert asked == {"a"}
@@ -53,14 +55,14 @@
 def test_a_domain_that_refused_is_asked_again_after_a_while():
     sizer = Sizer("s")
     sizer.note_answer(CountOrder("s", "b", 2, True), False, 0)
-    orders = sizer.plan(SCALING, DOMAINS, full(2), 6, 60_000)
+    orders = sizer.plan(SCALING, DOMAINS, full(2), SIX, 60_000)
     assert {order.domain for order in orders if order.spot} == set(DOMAINS)
 
 
 def test_a_reclaimed_domain_is_ordered_anew_though_the_number_is_the_same():
     sizer = Sizer("s")
     order = CountOrder("s", "a", 2, True)
-    sizer.plan(SCALING, DOMAINS, {}, 6, 0)
+    sizer.plan(SCALING, DOMAINS, {}, SIX, 0)
     sizer.note_answer(order, True, 0)
     assert not sizer.is_due(order, SCALING, EngineCensus(0, 0), 5_000)
     assert sizer.is_due(order, SCALING, EngineCensus(0, 0), 10_000)
@@ -71,34 +73,34 @@
     sizer = Sizer("s")
     census = {"a": EngineCensus(3, 0), "b": EngineCensus(2, 0)}
     for now_ms in (0, 2_000, 4_000):
-        orders = sizer.plan(SCALING, DOMAINS, census, 6, now_ms)
+        orders = sizer.plan(SCALING, DOMAINS, census, SIX, now_ms)
         assert total(orders, spot=False) == 5
 
 
 def test_regular_engines_stand_in_for_spot_ones_that_never_come():
     sizer = Sizer("s")
     census = {"a": EngineCensus(0, 2), "b": EngineCensus(0, 2)}
-    assert total(sizer.plan(SCALING, DOMAINS, census, 6, 0), spot=False) == 0
-    assert total(sizer.plan(SCALING, DOMAINS, census, 6, 9_000), spot=False) == 2
+    assert total(sizer.plan(SCALING, DOMAINS, census, SIX, 0), spot=False) == 0
+    assert total(sizer.plan(SCALING, DOMAINS, census, SIX, 9_000), spot=False) == 2
 
 
 def test_a_reclaimed_domain_is_ordered_anew_as_soon_as_it_is_missed():
     sizer = Sizer("s")
     order = CountOrder("s", "a", 2, True)
-    sizer.plan(SCALING, DOMAINS, full(2), 6, 0)
+    sizer.plan(SCALING, DOMAINS, full(2), SIX, 0)
     sizer.note_answer(order, True, 0)
     census = {**full(2), "a": EngineCensus(0, 0)}
-    sizer.plan(SCALING, DOMAINS, census, 6, 1_000)
+    sizer.plan(SCALING, DOMAINS, census, SIX, 1_000)
     assert sizer.is_due(order, SCALING, census["a"], 1_000)
 
 
 def test_regular_engines_that_start_are_not_given_back_while_a_domain_is_asked_again():
     sizer = Sizer("s")
-    sizer.plan(SCALING, DOMAINS, full(2), 6, 0)
+    sizer.plan(SCALING, DOMAINS, full(2), SIX, 0)
     census = {**full(2), "a": EngineCensus(0, 0)}
     ordered = []
     for now_ms in range(250, 10_000, 250):
-        orders = sizer.plan(SCALING, DOMAINS, census, 6, now_ms)
+        orders = sizer.plan(SCALING, DOMAINS, census, SIX, now_ms)
         for order in orders:
             if order.spot:
                 sizer.note_answer(order, order.domain != "a", now_ms)
@@ -108,15 +110,15 @@
 
 def test_orders_never_exceed_what_a_domain_may_have():
     scaling = Scaling(1, 2, 4_000, 0.2, {})
-    orders = Sizer("s").plan(scaling, DOMAINS, full(2), 40, 0)
+    orders = Sizer("s").plan(scaling, DOMAINS, full(2), Wanted(40, 40), 0)
     assert all(order.desired <= 2 for order in orders if order.spot)
     assert total(orders, spot=False) == 0
 
 
 def test_more_demand_wants_more_engines():
-    assert find_wanted(0, 3, 5) * 2 / 3 >= 5
-    assert find_wanted(0, 4, 5) * 3 / 4 >= 5
-    assert find_wanted(200_000, 3, 0) > find_wanted(50_000, 3, 0)
+    assert find_wanted(0, 3, 5).spot * 2 / 3 >= 5
+    assert find_wanted(0, 4, 5).spot * 3 / 4 >= 5
+    assert find_wanted(200_000, 3, 0).needed > find_wanted(50_000, 3, 0).needed
 
 
 def test_the_peak_is_the_busiest_bucket_and_is_forgotten():
@@ -125,3 +127,14 @@
     peak.note(30_000, 5_000)
     assert peak.per_second(6_000) == 15_000
     assert peak.per_second(60_000) == 0
+
+
+def test_a_domain_full_of_regular_engines_gives_room_to_spot_ones():
+    scaling = Scaling(1, 3, 4_000, 0.2, {})
+    census = {"a": EngineCensus(2, 1), "b": EngineCensus(2, 1), "c": EngineCensus(1, 2)}
+    sizer = Sizer("s")
+    wanted = Wanted(needed=5, spot=9)
+    for now_ms in (0, 8_000):
+        orders = sizer.plan(scaling, DOMAINS, census, wanted, now_ms)
+    assert total(orders, spot=False) == 1
+    assert total(orders, spot=True) == 9
