Log to standard output without blocking; mend the mutation check

Cause: logs went to standard error through a handler that waits for its reader; the third mutant's text had changed, so none of the later ones ran.

Change: a handler on a descriptor that never blocks keeps 256 KB and counts what it drops. A test holds that every mutant's text stands once; ten mutants for what the platform brought. Settings of the platform's role are tested, with the template and the exit code.

--- a/experiments/mutants.py
+++ b/experiments/mutants.py
@@ -14,7 +14,15 @@
 import msgspec
 
 ROOT = Path(__file__).resolve().parent.parent
-COPIED = ("plantainwood", "plantainctl", "standins", "tests", "pyproject.toml")
+COPIED = (
+    "plantainwood",
+    "plantainctl",
+    "platform",
+    "deploy",
+    "standins",
+    "tests",
+    "pyproject.toml",
+)
 RUN_BOUND_S = 300
 PARALLEL = 4
 
@@ -57,7 +65,7 @@
         2,
         "no reserved share",
         CORE + "pools.py",
-        "        if self.credit < 1.0:\n            return False",
+        "        if self.credit <= 0.0:\n            return False",
         "        return False",
         PROOFS + "test_starvation.py",
     ),
@@ -250,6 +258,90 @@
         "",
         PROOFS + "test_reservations.py",
     ),
+    Mutant(
+        13,
+        "the mirror takes an older value",
+        CORE + "mirror.py",
+        "        if item.revision <= known:\n            return False\n",
+        "",
+        "tests/test_mirror.py",
+    ),
+    Mutant(
+        13,
+        "the mirror takes changes across a gap",
+        CORE + "mirror.py",
+        "        if base > self.revision:\n            return None\n",
+        "",
+        "tests/test_mirror.py",
+    ),
+    Mutant(
+        13,
+        "an older configuration replaces a newer one",
+        "platform/bridge/view.py",
+        "config.version <= self._config.version",
+        "False",
+        "tests/test_edge.py",
+    ),
+    Mutant(
+        7,
+        "send counts whose freeze may still come",
+        CORE + "reports.py",
+        "    return kept.value if isinstance(kept, Stored) else None\n",
+        "    return kept.value if isinstance(kept, Stored) else counts\n",
+        "tests/test_windows.py",
+    ),
+    Mutant(
+        8,
+        "an answer to an earlier request is taken",
+        "plantainwood/connections.py",
+        "given is not None and given != self._request_id",
+        "False",
+        "tests/test_connections.py",
+    ),
+    Mutant(
+        8,
+        "a connection with bytes left over is used again",
+        "plantainwood/connections.py",
+        "        if not self._expecting:\n"
+        '            self._fail("bytes came that belong to no request")\n'
+        "            return\n",
+        "",
+        "tests/test_connections.py",
+    ),
+    Mutant(
+        8,
+        "part of an event is passed on before a break",
+        CORE + "eventstream.py",
+        "        return buffer[:end]\n",
+        "        self._rest = b''\n        return buffer\n",
+        "tests/test_edge.py",
+    ),
+    Mutant(
+        10,
+        "a lost answer is taken for a request that did not run",
+        "plantainwood/connections.py",
+        "raise AttemptError(self._lost, crashed=True, proved_not_run=False)\n"
+        "            await self._wait()\n        return self._heads[0]",
+        "raise AttemptError(self._lost, crashed=True, proved_not_run=True)\n"
+        "            await self._wait()\n        return self._heads[0]",
+        "tests/test_edge.py",
+    ),
+    Mutant(
+        11,
+        "a draining runner stays in the catalogue",
+        "platform/bridge/view.py",
+        "server.service not in services or server.state != READY",
+        "server.service not in services",
+        "tests/test_edge.py",
+    ),
+    Mutant(
+        3,
+        "headers that the system sets are taken from callers",
+        "platform/bridge/codec.py",
+        "    dropped = set(HOP_HEADERS) | OWN_HEADERS | _find_connection_names(headers)",
+        "    dropped = set(HOP_HEADERS) | _find_connection_names(headers)",
+        "tests/test_edge.py",
+    ),
 ]
 
 
--- a/plantainwood/logs.py
+++ b/plantainwood/logs.py
@@ -1,6 +1,7 @@
 """Logs: one line of key=value pairs for each event."""
 
 import logging
+import os
 import sys
 from typing import Any
 
@@ -8,6 +9,7 @@
 from pythonjsonlogger.core import BaseJsonFormatter
 
 LOGGER_NAME = "plantainwood"
+MAX_KEPT_BYTES = 262_144
 FIELDS = ["asctime", "levelname", "message"]
 RENAMED = {"asctime": "time", "levelname": "level", "message": "event"}
 
@@ -43,10 +45,58 @@
     return record.name == LOGGER_NAME or record.levelno >= logging.WARNING
 
 
-def setup_logs(level: str, as_json: bool) -> None:
-    """Send this program's events to standard error."""
+class BoundedHandler(logging.Handler):
+    """Write lines to a descriptor that never blocks, and count what it drops.
+
+    What the reader does not take is kept up to MAX_KEPT_BYTES; beyond that whole
+    lines are dropped, and a line says how many once there is room again.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._kept = bytearray()
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one line, or keep or drop it where that would block."""
+        try:
+            line = self.format(record).encode("utf-8", "backslashreplace") + b"\n"
+        except Exception:
+            self.handleError(record)
+            return
+        if len(self._kept) + len(line) > MAX_KEPT_BYTES:
+            self.dropped += 1
+            self.flush()
+            return
+        if self.dropped and not self._kept:
+            self._kept += b"event=log_lines_dropped count=%d\n" % self.dropped
+            self.dropped = 0
+        self._kept += line
+        self.flush()
+
+    def flush(self) -> None:
+        """Write as much as the reader takes now."""
+        while self._kept:
+            try:
+                written = os.write(self._descriptor, self._kept)
+            except BlockingIOError:
+                return
+            except OSError:
+                # Nobody reads any more; there is no place left to report it.
+                self.dropped += 1
+                self._kept.clear()
+                return
+            del self._kept[:written]
+
+
+def setup_logs(
+    level: str, as_json: bool, handler: logging.Handler | None = None
+) -> None:
+    """Send this program's events to a handler, by default to standard output."""
     maker = JsonFormatter if as_json else KeyValueFormatter
-    handler = logging.StreamHandler(sys.stderr)
+    handler = handler or BoundedHandler(sys.stdout.fileno())
     handler.addFilter(is_ours)
     handler.setFormatter(maker(FIELDS, rename_fields=RENAMED))
     root = logging.getLogger()
--- /dev/null
+++ b/tests/test_edge_settings.py
@@ -0,0 +1,94 @@
+"""Settings of an edge node: checked whole, and the platform's template of them."""
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from plantainwood.edgesettings import parse_edge_settings
+from plantainwood.settings import SettingsError
+
+ROOT = Path(__file__).resolve().parent.parent
+VALID = """
+node: vm-1
+domain: a
+domains: [a, b]
+addresses:
+  callers: 10.0.0.1:80
+  ready: 10.0.0.1:81
+  directory: 10.0.0.1:82
+  links: 10.0.0.1:83
+  metrics_port: 9464
+store: {address: "10.0.1.1:80", orders_address: "10.0.1.2:80"}
+fleet: 10.0.1.1:80/10.0.1.2:80
+seeds: ["10.0.0.2:85"]
+duties: {enabled: [usage_reporting, scaling], window_ms: 5000}
+"""
+
+
+def test_valid_settings_and_the_links_of_the_seeds():
+    settings = parse_edge_settings(VALID)
+    assert settings.seed_links() == ["10.0.0.2:83"]
+    assert settings.duties.window_ms == 5_000
+
+
+def test_every_problem_is_told_with_its_path_and_what_is_allowed():
+    text = VALID.replace("metrics_port: 9464", "metrics_port: 99999")
+    text = text.replace("domain: a\n", "domian: a\n").replace(":81", "")
+    with pytest.raises(SettingsError) as caught:
+        parse_edge_settings(text)
+    found = "\n".join(caught.value.problems)
+    for part in ("addresses.metrics_port", "domian", "domain: is required", "ready"):
+        assert part in found, found
+
+
+@pytest.mark.parametrize(
+    ("text", "code"), [(VALID, 0), (VALID.replace("node: vm-1", ""), 2), ("{", 2)]
+)
+def test_the_platforms_role_checks_its_settings(tmp_path, text, code):
+    path = tmp_path / "settings.yaml"
+    path.write_text(text)
+    result = subprocess.run(
+        [sys.executable, "platform/main.py", "--check_settings", "--settings", path],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=30,
+        env=os.environ,
+    )
+    assert result.returncode == code, result.stderr
+
+
+def test_the_template_names_only_settings_that_exist():
+    lines = (ROOT / "deploy/settings.yaml").read_text().splitlines()
+    text = "\n".join(lines)
+    for name in ("node", "domain", "domains", "addresses", "store", "fleet", "duties"):
+        assert f"{name}:" in text
+    filled = (
+        text.replace('[{{#zones}}"{{@}}"{{,}}{{/zones}}]', '["a"]')
+        .replace('[{{#seeds}}"{{.}}"{{,}}{{/seeds}}]', "[]")
+        .replace("{{cloud.duties|json}}{{^cloud.duties}}[]{{/cloud.duties}}", "[]")
+        .replace("{{node}}", "vm-1")
+        .replace("{{zone}}", "a")
+        .replace("{{ip}}:{{internalPorts.0}}", "10.0.0.1:83")
+    )
+    for name in ("listen.front", "listen.ready", "listen.directory"):
+        filled = filled.replace("{{%s}}" % name, "10.0.0.1:80")
+    for name in ("platform.address", "cloud.address"):
+        filled = filled.replace("{{%s}}" % name, "10.0.1.1:80")
+    for name in (
+        "limits.cpuShare",
+        "limits.cores",
+        "bounds.usageWindowS",
+        "bounds.usageLateS",
+        "bounds.leaseMs",
+        "bounds.retryBudgetRatio",
+        "bounds.budgetSlack",
+        "bounds.budgetWindowS",
+        "bounds.graceS",
+    ):
+        filled = filled.replace("{{%s}}" % name, "1")
+    assert "{{" not in filled
+    assert parse_edge_settings(filled).node == "vm-1"
--- /dev/null
+++ b/tests/test_logs.py
@@ -0,0 +1,61 @@
+"""Logs that never block, and the lines that lead from a request to its cause."""
+
+import logging
+import os
+
+from plantainwood.logs import (
+    FIELDS,
+    MAX_KEPT_BYTES,
+    RENAMED,
+    BoundedHandler,
+    KeyValueFormatter,
+)
+
+
+def make_handler(descriptor: int) -> BoundedHandler:
+    """Return a handler that writes key=value lines."""
+    handler = BoundedHandler(descriptor)
+    handler.setFormatter(KeyValueFormatter(FIELDS, rename_fields=RENAMED))
+    return handler
+
+
+def emit(handler: BoundedHandler, event: str) -> None:
+    """Log one event."""
+    handler.emit(logging.LogRecord("plantainwood", 20, "", 1, event, None, None))
+
+
+def test_a_reader_that_stands_still_blocks_nothing_and_costs_bounded_memory():
+    reader, writer = os.pipe()
+    handler = make_handler(writer)
+    for number in range(20_000):
+        emit(handler, f"event-{number}")
+    assert handler.dropped > 0
+    assert len(handler._kept) <= MAX_KEPT_BYTES
+    os.close(reader)
+    os.close(writer)
+
+
+def test_what_was_dropped_is_counted_in_a_line_once_there_is_room():
+    reader, writer = os.pipe()
+    handler = make_handler(writer)
+    while not handler.dropped:
+        emit(handler, "x" * 200)
+    text = b""
+    while handler._kept:
+        text += os.read(reader, 65_536)
+        handler.flush()
+    emit(handler, "after")
+    text += os.read(reader, 65_536)
+    assert b"event=log_lines_dropped count=1" in text
+    assert text.endswith(b"event=after\n")
+    os.close(reader)
+    os.close(writer)
+
+
+def test_a_reader_that_is_gone_harms_nothing():
+    reader, writer = os.pipe()
+    handler = make_handler(writer)
+    os.close(reader)
+    emit(handler, "x")
+    assert handler.dropped == 1
+    os.close(writer)
--- /dev/null
+++ b/tests/test_mutants.py
@@ -0,0 +1,11 @@
+"""Each mutant of the mutation check still finds the text that it replaces."""
+
+import pytest
+
+from experiments.mutants import MUTANTS, ROOT
+
+
+@pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
+def test_the_text_of_a_mutant_stands_once_in_its_file(mutant):
+    assert (ROOT / mutant.file).read_text().count(mutant.before) == 1
+    assert (ROOT / mutant.test.partition("::")[0]).exists()
