--- a/plantainwood/reader.py
+++ b/plantainwood/reader.py
@@ -14,7 +14,7 @@
 from plantainwood.edge import Edge
 from plantainwood.logs import log_event
 
-READ_PAUSE_MS = 350
+READ_PAUSE_MS = 500
 CHECK_PAUSE_MS = 60
 FAILED_PAUSE_MS = 300
 WAIT_MS = 500
