--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,179 @@
+"""Several nodes of the platform in one process: news, turned-away nodes, handover."""
+
+import asyncio
+import contextlib
+
+from bridge.daemon import Daemon
+from fakes.store import MetaStore
+from plantainwood.core.reading import is_reader
+from plantainwood.edgeduties import find_holder
+from plantainwood.edgesettings import EdgeAddresses, EdgeSettings, EdgeStore
+from tests.test_edge import find_free_ports, make_config
+
+WAIT_S = 20
+
+
+def make_settings(name: str, store: str, ports: list[int]) -> EdgeSettings:
+    """Return the settings of one node."""
+    addresses = [f"127.0.0.1:{port}" for port in ports]
+    return EdgeSettings(
+        node=name,
+        domain="a",
+        domains=["a"],
+        addresses=EdgeAddresses(*addresses[:4], metrics_port=ports[4]),
+        store=EdgeStore(store, "127.0.0.1:1"),
+        fleet="0123456789abcdef",
+    )
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(count: int):
+    """Run a store and some nodes until they have heard each other."""
+    store = MetaStore()
+    await store.start()
+    store.put("op/config", make_config())
+    ports = find_free_ports(5 * count)
+    daemons: list[Daemon] = []
+    for number in range(count):
+        own = ports[5 * number : 5 * number + 5]
+        daemons.append(Daemon(make_settings(f"vm-{number}", store.address, own)))
+    try:
+        async with asyncio.timeout(WAIT_S):
+            for daemon in daemons:
+                await daemon.start()
+            await wait_until(lambda: all(heard(d) == count - 1 for d in daemons))
+            yield store, daemons
+    finally:
+        for daemon in daemons:
+            await daemon.stop()
+        await store.stop()
+
+
+def heard(daemon: Daemon) -> int:
+    """Return how many other nodes a node hears."""
+    edge = daemon.edge
+    return len(edge.vms.live(edge.clock.now_ms()))
+
+
+async def wait_until(condition) -> None:
+    """Wait until a condition holds."""
+    while not condition():
+        await asyncio.sleep(0.02)
+
+
+def run(scenario, count: int = 4) -> None:
+    """Run a scenario on a fleet."""
+
+    async def main() -> None:
+        async with run_fleet(count) as (store, daemons):
+            await scenario(store, daemons)
+
+    asyncio.run(main())
+
+
+def split_readers(daemons: list[Daemon]) -> tuple[list[Daemon], list[Daemon]]:
+    """Return the nodes that read the store, and the others."""
+    names = [daemon.edge.settings.node for daemon in daemons]
+    readers = []
+    others = []
+    for daemon in daemons:
+        reads = is_reader(daemon.edge.settings.node, names, 0)
+        (readers if reads else others).append(daemon)
+    return readers, others
+
+
+def version_of(daemon: Daemon) -> int:
+    """Return the configuration's version in force on a node."""
+    routes = daemon.edge.view.routes
+    return routes.version if routes is not None else 0
+
+
+def test_a_change_reaches_all_nodes_though_few_read_the_store():
+    async def scenario(store, daemons):
+        await asyncio.sleep(0.5)
+        store.calls.clear()
+        store.put("op/config", make_config(2))
+        await wait_until(lambda: all(version_of(d) == 2 for d in daemons))
+        await asyncio.sleep(1.0)
+        assert store.calls.count("kv-watch") <= 10
+        assert store.calls.count("kv-range") == 0
+
+    run(scenario)
+
+
+def test_a_reader_that_stops_is_replaced():
+    async def scenario(store, daemons):
+        readers, others = split_readers(daemons)
+        for daemon in readers:
+            await daemon.stop()
+        await asyncio.sleep(0.3)
+        store.put("op/config", make_config(3))
+        await wait_until(lambda: all(version_of(d) == 3 for d in others))
+
+    run(scenario)
+
+
+def test_a_store_that_is_down_stops_no_service_and_its_return_is_noticed():
+    async def scenario(store, daemons):
+        store.faults.down = True
+        await asyncio.sleep(1.5)
+        assert all(daemon.edge.is_ready() for daemon in daemons)
+        store.faults.down = False
+        store.put("op/config", make_config(4))
+        await wait_until(lambda: all(version_of(d) == 4 for d in daemons))
+
+    run(scenario)
+
+
+def test_one_node_holds_the_duty_and_a_leaving_one_hands_it_over():
+    async def scenario(store, daemons):
+        def holders() -> list[Daemon]:
+            return [daemon for daemon in daemons if daemon.edge.lease.holds()]
+
+        await wait_until(lambda: len(holders()) == 1)
+        first = holders()[0]
+        draining = asyncio.ensure_future(first.drain())
+        await wait_until(lambda: holders() and holders()[0] is not first)
+        second = holders()[0]
+        assert second.edge.lease.fence == first.edge.lease.fence + 1
+        await wait_until(
+            lambda: all(
+                find_holder(d.edge) == second.edge.settings.node for d in daemons
+            )
+        )
+        await asyncio.sleep(1.0)
+        assert holders() == [second]
+        draining.cancel()
+
+    run(scenario)
+
+
+def test_counts_reach_whoever_may_hold_the_duty_next():
+    async def scenario(store, daemons):
+        await wait_until(lambda: any(d.edge.lease.holds() for d in daemons))
+        edge = daemons[0].edge
+        for _ in range(3):
+            edge.starts.count("acme", edge.time.now(edge.clock.now_ms()))
+        window = edge.starts.records()[0].window
+
+        def knowing() -> int:
+            return sum(d.edge.totals.sum(window) == {"acme": 3} for d in daemons)
+
+        await wait_until(lambda: knowing() >= 3)
+
+    run(scenario)
+
+
+def test_a_leaving_node_is_dropped_from_every_directory_at_once():
+    from bridge.directory import find_addresses
+
+    async def scenario(store, daemons):
+        await wait_until(lambda: all(len(find_addresses(d.edge)) == 4 for d in daemons))
+        draining = asyncio.ensure_future(daemons[0].drain())
+        async with asyncio.timeout(1):
+            await wait_until(
+                lambda: all(len(find_addresses(d.edge)) == 3 for d in daemons)
+            )
+        draining.cancel()
+
+    run(scenario)
