--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -202,6 +202,12 @@
             total += work.unread.get(upstream, 0)
         return total
 
+    def explain(self, load: UpstreamLoad, now_ms: int) -> dict[str, int]:
+        """Return what a choice of this upstream rested on, for the logs."""
+        found = super().explain(load, now_ms)
+        found["backlog_tokens"] = self.backlog(load.name, now_ms)
+        return found
+
     def _engine(self, load: UpstreamLoad) -> EngineState:
         state = self._engines.get(load.name)
         if state is None:
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -36,6 +36,10 @@
     def forget(self, upstream: str) -> None:
         """Forget an upstream that is gone."""
 
+    def explain(self, load: UpstreamLoad, now_ms: int) -> dict[str, int]:
+        """Return what a choice of this upstream rested on, for the logs."""
+        return {"own": load.own(), "estimate": load.estimate(TIERS - 1, now_ms)}
+
 
 def is_allowed(request: Request, load: UpstreamLoad, now_ms: int) -> bool:
     """Tell whether an upstream may take a request at all.
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -15,6 +15,7 @@
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.eventstream import EventSplitter, EventTooLong
 from plantainwood.core.keys import Identity
+from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.prompts import Prompt
 from plantainwood.core.routes import Repetition, Route
 from plantainwood.engines import AttemptError
@@ -262,6 +263,7 @@
         try:
             if load is None:
                 raise AttemptError("the upstream is gone", False, proved_not_run=True)
+            self._log_dispatch(dispatch, load)
             with self.forwarder.spans.open("attempt", upstream=dispatch.upstream):
                 await self._exchange(dispatch, load.entry)
         except AttemptError as error:
@@ -287,6 +289,21 @@
         board.feed(ev.AttemptDone(dispatch.request_id, dispatch.attempt))
         self._ticket.decisions.put_nowait(Finished())
 
+    def _log_dispatch(self, dispatch: ev.Dispatch, load: UpstreamLoad) -> None:
+        now_ms = self.clock.now_ms()
+        router = self.forwarder.board.dispatcher.book.router
+        log_event(
+            "dispatched",
+            request=self.call.request_id,
+            upstream=dispatch.upstream,
+            attempt=dispatch.attempt,
+            tier=self.call.tier,
+            waited_ms=now_ms - self.call.arrived_ms,
+            left_ms=self.call.give_up_ms - now_ms,
+            last_event=self.splitter.last_id or "-",
+            **router.explain(load, now_ms),
+        )
+
     def _tell_failure(self, dispatch: ev.Dispatch, error: AttemptError) -> None:
         self.trail.reasons.append(str(error))
         log_event(
