--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -177,3 +177,25 @@
         draining.cancel()
 
     run(scenario)
+
+
+def test_after_the_loss_of_all_nodes_a_cold_start_serves_from_the_store_in_a_second():
+    async def main() -> None:
+        async with run_fleet(2) as (store, daemons):
+            await wait_until(lambda: all(version_of(d) == 1 for d in daemons))
+            addresses = [daemon.edge.settings for daemon in daemons]
+            revision = store.put("op/config", make_config(9))
+            for daemon in daemons:
+                await daemon.stop()
+            reborn = [Daemon(settings) for settings in addresses]
+            try:
+                async with asyncio.timeout(1):
+                    for daemon in reborn:
+                        await daemon.start()
+                    await wait_until(lambda: all(version_of(d) == 9 for d in reborn))
+                assert all(d.edge.mirror.revision >= revision for d in reborn)
+            finally:
+                for daemon in reborn:
+                    await daemon.stop()
+
+    asyncio.run(main())
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -15,6 +15,7 @@
     Demand,
     UpstreamState,
 )
+from plantainwood.core.retries import SharedRetryBudget
 from plantainwood.core.stragglers import mark_stragglers
 
 DOMAINS = ["d0", "d1", "d2", "d3"]
@@ -171,3 +172,21 @@
     ]
     assert favourite[0] == favourite[1]
     assert len(set(favourite)) > 1
+
+
+@given(
+    arrivals=st.lists(st.integers(0, 3), min_size=1, max_size=200),
+    nodes=st.integers(1, 8),
+)
+def test_the_fleets_retries_stay_within_ratio_and_slack(arrivals, nodes):
+    ratio, slack = 0.2, 50.0
+    budgets = [SharedRetryBudget(ratio, slack) for _ in range(nodes)]
+    for budget in budgets:
+        budget.set_nodes(nodes)
+    retries = 0
+    for position, wanted in enumerate(arrivals):
+        budget = budgets[position % nodes]
+        budget.earn(0)
+        for _ in range(wanted * 5):
+            retries += budget.spend(0)
+    assert retries <= ratio * len(arrivals) + max(slack, nodes)
