--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -18,7 +18,7 @@
 
 KEY = "Token secret-key"
 HOST = "front.example"
-WAIT_S = 8
+WAIT_S = 15
 
 
 def make_config(version: int = 1, **changes) -> bytes:
@@ -39,7 +39,7 @@
         {**base, "name": "r4", "prefix": "/o/", "kind": "safe", "public": True},
         {**base, "name": "r5", "prefix": "/t/", "kind": "safe", "timeoutMs": 300},
         {**base, "name": "r6", "prefix": "/s/deep/", "kind": "safe"},
-        {**base, "name": "r7", "prefix": "/n/", "kind": "stream"},
+        {**base, "name": "r7", "prefix": "/n/", "kind": "stream", "timeoutMs": 9_000},
     ]
     config = {
         "version": version,
@@ -97,7 +97,7 @@
             "Host": HOST,
             "Request-Id": "id-1",
             "Authorization": KEY,
-            "Deadline-Remaining": "5000",
+            "Deadline-Remaining": "9000",
         }
         given.update({name.replace("_", "-"): text for name, text in headers.items()})
         async with self.session.request(
@@ -557,3 +557,33 @@
         draining.cancel()
 
     run(scenario)
+
+
+def test_a_drain_finishes_what_runs_and_serves_callers_that_still_come():
+    async def script(seen, writer):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: " + seen.request_id + b"\r\n"
+            b"Response-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        for number in range(1, 9):
+            event = b"id: %d\ndata: x\n\n" % number
+            writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(0.5)
+        writer.write(b"0\r\n\r\n")
+
+    async def scenario(site):
+        stream = asyncio.ensure_future(site.call("POST", "/n/x", b"b"))
+        await site.wait_until(lambda: len(site.runners[0].seen) == 1)
+        draining = asyncio.ensure_future(site.daemon.drain())
+        await asyncio.sleep(0.1)
+        late = asyncio.ensure_future(site.call("POST", "/n/x", b"b"))
+        status, headers, body = await stream
+        assert (status, body.count(b"id:")) == (200, 8)
+        status, headers, body = await late
+        assert (status, body.count(b"id:")) == (200, 8)
+        await draining
+        status, _, _ = await site.call("GET", "/r/x")
+        assert status == 503
+
+    run(scenario, script=script)
