Make up beforehand for the next loss while no spot engines are to be had

Change: while some zone refuses spot engines, regular ones are ordered so that the largest other zone may be lost as well.

--- a/plantainwood/core/sizing.py
+++ b/plantainwood/core/sizing.py
@@ -199,6 +199,11 @@
             limits[domain] = max(0, scaling.max - counted.spot)
         kept = min(sum(before.values()), max(0, needed - ready))
         left = max(kept, needed - ready - coming)
+        if self._refused_ms:
+            # No spot engines are to be had in some domain: the next loss of one
+            # could not be made up for in time, so regular ones go before it.
+            exposed = max(counted.spot for counted in census.values()) if census else 0
+            left = max(left, needed - ready + exposed)
         by_price = sorted(
             domains, key=lambda name: scaling.domain_prices.get(name, 1.0)
         )
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -47,7 +47,7 @@
     for domain in ("b", "c"):
         sizer.note_answer(CountOrder("s", domain, 2, True), False, 0)
     orders = sizer.plan(SCALING, DOMAINS, census, SIX, 100)
-    assert total(orders, spot=False) == 4
+    assert total(orders, spot=False) == 6
     asked = {order.domain for order in orders if order.spot}
     assert asked == {"a"}
 
@@ -105,7 +105,7 @@
             if order.spot:
                 sizer.note_answer(order, order.domain != "a", now_ms)
         ordered.append(total(orders, spot=False))
-    assert ordered[1:] == [2] * len(ordered[1:])
+    assert ordered[1:] == [4] * len(ordered[1:])
 
 
 def test_orders_never_exceed_what_a_domain_may_have():
@@ -138,3 +138,12 @@
         orders = sizer.plan(scaling, DOMAINS, census, wanted, now_ms)
     assert total(orders, spot=False) == 1
     assert total(orders, spot=True) == 9
+
+
+def test_while_a_domain_has_none_the_loss_of_another_is_made_up_for_beforehand():
+    sizer = Sizer("s")
+    census = {"a": EngineCensus(0, 3), "b": EngineCensus(0, 3)}
+    sizer.plan(SCALING, DOMAINS, census, Wanted(5, 9), 0)
+    sizer.note_answer(CountOrder("s", "c", 3, True), False, 0)
+    orders = sizer.plan(SCALING, DOMAINS, census, Wanted(5, 9), 250)
+    assert total(orders, spot=False) == 2
