--- a/plantainwood/connections.py
+++ b/plantainwood/connections.py
@@ -14,7 +14,6 @@
 from plantainwood.core.clock import Clock
 from plantainwood.engines import AttemptError
 
-CONNECT_TIMEOUT_MS = 800
 DEFAULT_IDLE_MS = 4_000
 IDLE_MARGIN_MS = 600
 USER_TIMEOUT_MS = 1_500
@@ -255,70 +254,3 @@
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
-
-
-class ConnectionPool:
-    """Keep idle connections to upstreams, the most recently used on top."""
-
-    def __init__(self, clock: Clock) -> None:
-        self._clock = clock
-        self._idle: dict[str, list[Connection]] = {}
-        self.opened = 0
-
-    async def acquire(self, address: str, fresh: bool = False) -> Connection:
-        """Return a connection; raise AttemptError where none can be made."""
-        idle = self._idle.get(address, [])
-        while idle and not fresh:
-            connection = idle.pop()
-            if connection.usable and self._clock.now_ms() < connection.idle_until_ms:
-                return connection
-            connection.close()
-        return await self._connect(address)
-
-    async def _connect(self, address: str) -> Connection:
-        host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self.opened += 1
-        try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000):
-                _, connection = await loop.create_connection(
-                    lambda: Connection(address, self._clock), host, int(port)
-                )
-        except (OSError, TimeoutError) as error:
-            raise AttemptError(repr(error), False, proved_not_run=True) from error
-        return connection
-
-    def release(self, connection: Connection) -> None:
-        """Take a connection back after a request."""
-        connection.finish()
-        if connection.usable:
-            self._idle.setdefault(connection.address, []).append(connection)
-
-    def close_idle(self) -> None:
-        """Close the connections that upstreams are about to close."""
-        now_ms = self._clock.now_ms()
-        for address, idle in list(self._idle.items()):
-            kept: list[Connection] = []
-            for connection in idle:
-                if connection.usable and now_ms < connection.idle_until_ms:
-                    kept.append(connection)
-                    continue
-                connection.close()
-            if kept:
-                self._idle[address] = kept
-            else:
-                del self._idle[address]
-
-    def idle_addresses(self) -> list[str]:
-        """Return the addresses with idle connections."""
-        return list(self._idle)
-
-    def drop(self, address: str) -> None:
-        """Close the idle connections to an address."""
-        for connection in self._idle.pop(address, []):
-            connection.close()
-
-    def close(self) -> None:
-        """Close all idle connections."""
-        for address in list(self._idle):
-            self.drop(address)
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -4,7 +4,7 @@
 import secrets
 
 from plantainwood.board import Board
-from plantainwood.connections import ConnectionPool
+from plantainwood.connectionpool import ConnectionPool
 from plantainwood.core import events as ev
 from plantainwood.core.book import Options
 from plantainwood.core.catalogue import Catalogue
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -2,13 +2,11 @@
 
 import asyncio
 import logging
-from abc import ABC, abstractmethod
-from enum import Enum
-
-import msgspec
 
 from plantainwood.board import Board, Ticket
-from plantainwood.connections import Connection, ConnectionPool, Headers, Response
+from plantainwood.calls import Call, Codec, Sink, Starts, Verdict
+from plantainwood.connectionpool import ConnectionPool
+from plantainwood.connections import Connection, Response
 from plantainwood.core import events as ev
 from plantainwood.core.catalogue import DiscoveredUpstream
 from plantainwood.core.clock import Clock
@@ -16,8 +14,7 @@
 from plantainwood.core.eventstream import EventSplitter, EventTooLong
 from plantainwood.core.keys import Identity
 from plantainwood.core.loads import UpstreamLoad
-from plantainwood.core.prompts import Prompt
-from plantainwood.core.routes import Repetition, Route
+from plantainwood.core.routes import Repetition
 from plantainwood.engines import AttemptError
 from plantainwood.logs import log_event
 from plantainwood.spans import Spans
@@ -35,105 +32,6 @@
 STARTED_STATUS = 200
 
 
-class Call(msgspec.Struct):
-    """A caller's request with all that the core and an attempt need to know."""
-
-    request_id: str
-    """The caller's own id, the same on all attempts."""
-    local_id: str
-    """Unique on this node, also where a caller repeats its id."""
-    method: bytes
-    target: bytes
-    """Path and query as they came."""
-    headers: Headers
-    body: bytes
-    route: Route
-    service: str
-    customer: str
-    keyed: bool
-    tier: int
-    prompt: Prompt
-    fingerprint: str
-    arrived_ms: int
-    give_up_ms: int
-    """When the caller gives up or the route's timeout comes, whichever is first."""
-    last_event_id: str = ""
-    """The last event that the caller has from an earlier request."""
-
-
-class Verdict(Enum):
-    """What a response says about the attempt."""
-
-    ANSWER = "answer"
-    BUSY = "busy"
-    """Not run: the upstream is full or refuses work for now."""
-    WRONG_INSTANCE = "wrong_instance"
-    """Not run: another process has the address."""
-    FAILED = "failed"
-    """Run, or perhaps run, and failed."""
-
-
-class Codec(ABC):
-    """The form in which upstreams are called."""
-
-    id_header: bytes
-    """The lower-case name of the header that matches a response to its request."""
-
-    @abstractmethod
-    def encode(
-        self,
-        call: Call,
-        entry: DiscoveredUpstream,
-        priority: int,
-        left_ms: int,
-        last_id: str,
-    ) -> bytes:
-        """Return the bytes of an attempt."""
-
-    @abstractmethod
-    def judge(self, response: Response) -> Verdict:
-        """Return what a response's head says."""
-
-    @abstractmethod
-    def find_load(self, response: Response) -> tuple[int, int] | None:
-        """Return (running, waiting) at the upstream, where the response tells."""
-
-
-class Sink(ABC):
-    """Where an answer goes."""
-
-    started: bool
-    """Whether a byte of the answer went to the caller."""
-
-    @abstractmethod
-    async def answer(self, response: Response, body: bytes) -> None:
-        """Give a whole answer."""
-
-    @abstractmethod
-    async def start_stream(self, response: Response) -> None:
-        """Give the head of a stream."""
-
-    @abstractmethod
-    async def write(self, data: bytes) -> None:
-        """Give whole events."""
-
-    @abstractmethod
-    async def finish(self) -> None:
-        """End a whole stream."""
-
-    @abstractmethod
-    def abort(self) -> None:
-        """Break a stream off so that it can't be taken for a whole one."""
-
-
-class Starts(ABC):
-    """Told of each request that an upstream begins to run."""
-
-    @abstractmethod
-    def note(self, call: Call) -> None:
-        """Count a request as begun now."""
-
-
 class Finished:
     """Tell that the whole answer was given."""
 
--- a/tests/test_connections.py
+++ b/tests/test_connections.py
@@ -5,7 +5,7 @@
 import pytest
 
 from fakes.runner import Runner, make_answer, reset
-from plantainwood.connections import ConnectionPool
+from plantainwood.connectionpool import ConnectionPool
 from plantainwood.core.clock import make_clock
 from plantainwood.engines import AttemptError
 
