--- a/plantainwood/core/sizing.py
+++ b/plantainwood/core/sizing.py
@@ -86,6 +86,8 @@
     """What reads the demand; regular engines make up for what is missing of it."""
     spot: int
     """With what may be lost at once; only spot engines are ordered for that."""
+    least: int = 0
+    """What is to be left after one more loss while no spot engines are to be had."""
 
 
 def find_wanted(tokens_per_s: float, domains: int, base: int) -> Wanted:
@@ -97,7 +99,8 @@
     demanded = math.ceil(reading / (1 - PACED_ENGINES_SHARE))
     kept = 1.0 if domains < 2 else 1 - 1 / domains
     needed = max(base, demanded)
-    return Wanted(needed, max(demanded, math.ceil(base / kept) + SPARE_ENGINES))
+    spot = max(demanded, math.ceil(base / kept) + SPARE_ENGINES)
+    return Wanted(needed, spot, base)
 
 
 def keep_base(service: str, running: int) -> Steps:
@@ -170,9 +173,7 @@
                 coming += missing
             if not self._is_left_alone(domain, now_ms):
                 orders.append(CountOrder(self._service, domain, spots[domain], True))
-        regular = self._plan_regular(
-            scaling, domains, census, wanted.needed, ready, coming
-        )
+        regular = self._plan_regular(scaling, domains, census, wanted, ready, coming)
         for domain in domains:
             orders.append(CountOrder(self._service, domain, regular[domain], False))
         return orders
@@ -182,7 +183,7 @@
         scaling: Scaling,
         domains: list[str],
         census: dict[str, EngineCensus],
-        needed: int,
+        wanted: Wanted,
         ready: int,
         coming: int,
     ) -> dict[str, int]:
@@ -197,13 +198,13 @@
             counted = census.get(domain, EngineCensus())
             before[domain] = self._regular.get(domain, counted.regular)
             limits[domain] = max(0, scaling.max - counted.spot)
-        kept = min(sum(before.values()), max(0, needed - ready))
-        left = max(kept, needed - ready - coming)
+        kept = min(sum(before.values()), max(0, wanted.needed - ready))
+        left = max(kept, wanted.needed - ready - coming)
         if self._refused_ms:
             # No spot engines are to be had in some domain: the next loss of one
             # could not be made up for in time, so regular ones go before it.
             exposed = max(counted.spot for counted in census.values()) if census else 0
-            left = max(left, needed - ready + exposed)
+            left = max(left, wanted.least - ready + exposed)
         by_price = sorted(
             domains, key=lambda name: scaling.domain_prices.get(name, 1.0)
         )
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -12,7 +12,7 @@
 
 SCALING = Scaling(1, 6, 4_000, 0.2, {"a": 1.0, "b": 0.8, "c": 1.2})
 DOMAINS = ["a", "b", "c"]
-SIX = Wanted(6, 6)
+SIX = Wanted(6, 6, 6)
 
 
 def total(orders: list[CountOrder], spot: bool) -> int:
@@ -143,7 +143,7 @@
 def test_while_a_domain_has_none_the_loss_of_another_is_made_up_for_beforehand():
     sizer = Sizer("s")
     census = {"a": EngineCensus(0, 3), "b": EngineCensus(0, 3)}
-    sizer.plan(SCALING, DOMAINS, census, Wanted(5, 9), 0)
+    sizer.plan(SCALING, DOMAINS, census, Wanted(5, 9, 5), 0)
     sizer.note_answer(CountOrder("s", "c", 3, True), False, 0)
-    orders = sizer.plan(SCALING, DOMAINS, census, Wanted(5, 9), 250)
+    orders = sizer.plan(SCALING, DOMAINS, census, Wanted(5, 9, 5), 250)
     assert total(orders, spot=False) == 2
