--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,8 +6,15 @@
 from bridge.daemon import Daemon
 from fakes.store import MetaStore
 from plantainwood.core.reading import is_reader
-from plantainwood.edgeduties import find_holder
-from plantainwood.edgesettings import EdgeAddresses, EdgeSettings, EdgeStore
+from plantainwood.core.reports import report_key
+from plantainwood.edgeduties import Reporter, find_holder
+from plantainwood.edgesettings import (
+    Duty,
+    EdgeAddresses,
+    EdgeDuties,
+    EdgeSettings,
+    EdgeStore,
+)
 from tests.test_edge import find_free_ports, make_config
 
 WAIT_S = 20
@@ -23,6 +30,7 @@
         addresses=EdgeAddresses(*addresses[:4], metrics_port=ports[4]),
         store=EdgeStore(store, "127.0.0.1:1"),
         fleet="0123456789abcdef",
+        duties=EdgeDuties(enabled=[Duty.USAGE]),
     )
 
 
@@ -199,3 +207,32 @@
                     await daemon.stop()
 
     asyncio.run(main())
+
+
+def test_a_window_that_can_no_longer_be_in_time_holds_up_no_other():
+    async def scenario(store, daemons):
+        await wait_until(lambda: any(d.edge.lease.holds() for d in daemons))
+        holder = next(d for d in daemons if d.edge.lease.holds())
+        reporter = next(s for s in holder._services if isinstance(s, Reporter))
+        current = reporter._current_window()
+        reporter._done = current - 6
+        await wait_until(lambda: reporter._done >= current - 4)
+        assert not any(key == report_key(current - 5) for key in store.items)
+
+    run(scenario, count=2)
+
+
+def test_a_new_holder_is_told_at_once_what_is_known():
+    async def scenario(store, daemons):
+        await wait_until(lambda: any(d.edge.lease.holds() for d in daemons))
+        first = next(d for d in daemons if d.edge.lease.holds())
+        other = next(d for d in daemons if d is not first)
+        edge = other.edge
+        edge.starts.count("acme", edge.time.now(edge.clock.now_ms()))
+        window = edge.starts.records()[0].window
+        await first.drain()
+        taken = next(d for d in daemons if d.edge.lease.holds())
+        async with asyncio.timeout(0.8):
+            await wait_until(lambda: taken.edge.totals.sum(window) == {"acme": 1})
+
+    run(scenario, count=3)
