Remove what nothing uses: fields, constants, exports of the platform's modules

Limits of headers and idle time were decoded and not used (wider bounds of our own apply); the router kept a generator and a counter that it never read.

--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -10,9 +10,10 @@
 
 import msgspec
 
+from plantainwood.core.affinity import PrefixHints
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.loads import UpstreamLoad
-from plantainwood.core.prompts import PartCache, Prompt, make_cache
+from plantainwood.core.prompts import PartCache, make_cache
 from plantainwood.core.requests import Request
 from plantainwood.core.router import FewChoicesRouter, Router, is_allowed
 
@@ -28,8 +29,6 @@
 RUNNING_TOKENS = 60
 """What a running request beside it adds to a request's delay, in prompt tokens."""
 EJECTED_TOKENS = 40_000
-REPORTED_WAITING_TOKENS = 1_500
-"""What a request that an engine reports as waiting is taken to have unread."""
 
 
 class RemoteWork(msgspec.Struct, frozen=True):
@@ -42,13 +41,12 @@
 class EngineState:
     """What this node has sent to one engine and believes to be cached there."""
 
-    __slots__ = ("cache", "unread", "running")
+    __slots__ = ("cache", "unread")
 
     def __init__(self, engine_tokens: int) -> None:
         self.cache: PartCache = make_cache(engine_tokens)
         self.unread: dict[str, int] = {}
         """Prompt tokens not yet read, by request."""
-        self.running = 0
 
     def unread_tokens(self) -> int:
         """Return the unread tokens of all requests of this node."""
@@ -66,11 +64,9 @@
         "_tight_ms",
         "_aims_ms",
         "_chosen",
-        "_random",
     )
 
-    def __init__(self, generator: random.Random, plain: FewChoicesRouter) -> None:
-        self._random = generator
+    def __init__(self, plain: FewChoicesRouter) -> None:
         self.sent: dict[str, int] = {}
         """Unread tokens sent to each pool since the owner last took them."""
         self._plain = plain
@@ -250,9 +246,6 @@
     return rank_members(f"paced\0{pool}", names)[:count]
 
 
-def make_prompt_router(generator: random.Random, hints) -> PromptRouter:
+def make_prompt_router(generator: random.Random, hints: PrefixHints) -> PromptRouter:
     """Return the router for pools that mix engines and plain services."""
-    return PromptRouter(generator, FewChoicesRouter(generator, hints))
-
-
-__all__ = ["Prompt", "PromptRouter", "find_paced_engines", "make_prompt_router"]
+    return PromptRouter(FewChoicesRouter(generator, hints))
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -12,11 +12,11 @@
 from plantainwood.core.dispatcher import Dispatcher
 from plantainwood.core.leases import Lease, LeaseTimes
 from plantainwood.core.messages import CrashNews, NodeState, VmBeat
-from plantainwood.core.mirror import Item, Mirror
+from plantainwood.core.mirror import Mirror
 from plantainwood.core.promptrouter import PromptRouter, make_prompt_router
 from plantainwood.core.retries import SharedRetryBudget
 from plantainwood.core.routes import RouteTable
-from plantainwood.core.sizing import DemandPeak, Scaling
+from plantainwood.core.sizing import DemandPeak, EngineCensus, Scaling
 from plantainwood.core.vms import AgreedTime, Vms
 from plantainwood.core.windows import StartCounter, WindowTotals
 from plantainwood.edgesettings import EdgeSettings
@@ -46,27 +46,18 @@
         """None while no configuration is known."""
         self.scaling: dict[str, Scaling] = {}
         """By service."""
-        self.census: dict[str, dict] = {}
-        """EngineCensus by failure domain, by service."""
+        self.census: dict[str, dict[str, EngineCensus]] = {}
+        """By failure domain, by service."""
         self.limits = CallerLimits()
 
 
 class CallerLimits:
     """What a caller may send."""
 
-    __slots__ = ("header_bytes", "body_bytes", "header_timeout_ms", "idle_timeout_ms")
+    __slots__ = ("body_bytes",)
 
-    def __init__(
-        self,
-        header_bytes: int = 16_384,
-        body_bytes: int = 4_194_304,
-        header_timeout_ms: int = 3_000,
-        idle_timeout_ms: int = 15_000,
-    ) -> None:
-        self.header_bytes = header_bytes
+    def __init__(self, body_bytes: int = 4_194_304) -> None:
         self.body_bytes = body_bytes
-        self.header_timeout_ms = header_timeout_ms
-        self.idle_timeout_ms = idle_timeout_ms
 
 
 class Edge:
@@ -170,7 +161,6 @@
         """Put a newer configuration and set of upstreams in force."""
         self.view = view
         dispatcher = self.board.dispatcher
-        known = set(dispatcher.book.loads)
         dispatcher.apply_catalogue(view.catalogue)
         self.driver.catalogue = view.catalogue
         paces: dict[str, set[int]] = {}
@@ -184,9 +174,10 @@
         for pool, found in paces.items():
             self.router.set_paces(pool, found)
             self.router.set_aim(pool, aims[pool])
-        self._drop_connections(known)
+        self._drop_connections()
 
-    def _drop_connections(self, known: set[str]) -> None:
+    def _drop_connections(self) -> None:
+        """Close the idle connections to addresses without an upstream."""
         used = {
             load.entry.address for load in self.board.dispatcher.book.loads.values()
         }
@@ -210,6 +201,3 @@
 def make_edge(settings: EdgeSettings) -> Edge:
     """Return the state of a new edge node on the system's clock."""
     return Edge(settings, make_clock(), Metrics())
-
-
-__all__ = ["CallerLimits", "Edge", "Item", "View", "make_edge"]
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -60,7 +60,6 @@
 
     ratio: Share = 0.2
     slack: Share = 50.0
-    window_ms: Millis = 10_000
 
 
 class EdgeDrain(Section, frozen=True):
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -86,7 +86,6 @@
         "bounds.leaseMs",
         "bounds.retryBudgetRatio",
         "bounds.budgetSlack",
-        "bounds.budgetWindowS",
         "bounds.graceS",
     ):
         filled = filled.replace("{{%s}}" % name, "1")
