Take the callers' bounds from the configuration

Cause: of the configuration's limits only the body's size was followed; head size, time for a head and idle time were constants of ours (16 KB, none, 75 s).

A head over the size is 431 whether it is whole or not, one that is not whole in its time is 408 with a promise not to have run, and an idle connection is kept for the configured time, also where the configuration changed after it was opened.

Three new tests, seen to fail on the code before.

--- a/plantainwood/core/errors.py
+++ b/plantainwood/core/errors.py
@@ -39,6 +39,7 @@
     UPSTREAM_TIMEOUT = "upstream_timeout"
     BODY_TIMEOUT = "body_timeout"
     HEADERS_TOO_LARGE = "headers_too_large"
+    HEADERS_TIMEOUT = "headers_timeout"
     UPSTREAM_GARBAGE = "upstream_garbage"
     CALLER_LEFT = "caller_left"
     CONFLICT = "conflict"
@@ -74,6 +75,7 @@
     ErrorCode.UPSTREAM_TIMEOUT: 504,
     ErrorCode.BODY_TIMEOUT: 408,
     ErrorCode.HEADERS_TOO_LARGE: 431,
+    ErrorCode.HEADERS_TIMEOUT: 408,
     ErrorCode.UPSTREAM_GARBAGE: 502,
     ErrorCode.CALLER_LEFT: 499,
     ErrorCode.CONFLICT: 409,
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -3,6 +3,8 @@
 import asyncio
 import secrets
 
+import msgspec
+
 from plantainwood.board import Board
 from plantainwood.connectionpool import ConnectionPool
 from plantainwood.core import events as ev
@@ -35,6 +37,15 @@
 """The part of the fleet's retry budget that is used, since nodes count apart."""
 
 
+class CallerLimits(msgspec.Struct, frozen=True):
+    """What a caller may send, how long it may take and stay idle."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_timeout_ms: int = 10_000
+    idle_timeout_ms: int = 75_000
+
+
 class View:
     """What the store's items mean: the catalogue, the routes, what may be ordered."""
 
@@ -51,15 +62,6 @@
         self.limits = CallerLimits()
 
 
-class CallerLimits:
-    """What a caller may send."""
-
-    __slots__ = ("body_bytes",)
-
-    def __init__(self, body_bytes: int = 4_194_304) -> None:
-        self.body_bytes = body_bytes
-
-
 class Edge:
     """Everything that the services of an edge node share."""
 
--- /dev/null
+++ b/tests/edgesite.py
@@ -0,0 +1,169 @@
+"""A site for tests over real sockets: store, runners, one node in this process."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import msgspec
+
+from bridge.daemon import Daemon
+from fakes.runner import Runner, make_answer
+from fakes.store import MetaStore
+from plantainwood.edgesettings import (
+    EdgeAddresses,
+    EdgeSettings,
+    EdgeStore,
+)
+
+KEY = "Token secret-key"
+HOST = "front.example"
+WAIT_S = 15
+
+
+def make_config(version: int = 1, **changes) -> bytes:
+    """Return a configuration with a stream, an unsafe, a safe and an open route."""
+    base = {
+        "host": HOST,
+        "timeoutMs": 3_000,
+        "targetLatencyMs": 400,
+        "priority": 1,
+        "service": "pool",
+        "attempts": 2,
+        "public": False,
+    }
+    routes = [
+        {**base, "name": "r1", "prefix": "/s/", "kind": "stream", "resumable": True},
+        {**base, "name": "r2", "prefix": "/u/", "kind": "unsafe", "attempts": 1},
+        {**base, "name": "r3", "prefix": "/r/", "kind": "safe"},
+        {**base, "name": "r4", "prefix": "/o/", "kind": "safe", "public": True},
+        {**base, "name": "r5", "prefix": "/t/", "kind": "safe", "timeoutMs": 300},
+        {**base, "name": "r6", "prefix": "/s/deep/", "kind": "safe"},
+        {**base, "name": "r7", "prefix": "/n/", "kind": "stream", "timeoutMs": 9_000},
+    ]
+    config = {
+        "version": version,
+        "routes": routes,
+        "services": [{"name": "pool", "healthPath": "/health"}],
+        "limits": {"headerBytes": 16_384, "bodyBytes": 10_000},
+        "tenants": [{"name": "acme", "apiKeys": ["secret-key"]}],
+        **changes,
+    }
+    return msgspec.json.encode(config)
+
+
+def make_entry(runner: Runner, **changes) -> bytes:
+    """Return a runner's entry in the store."""
+    entry = {
+        "service": "pool",
+        "address": runner.address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 8,
+        "state": "ready",
+        "sequence": 1,
+        "born": 1_000,
+        **changes,
+    }
+    return msgspec.json.encode(entry)
+
+
+def find_free_ports(count: int) -> list[int]:
+    """Return ports that are free now."""
+    import socket
+
+    sockets = [socket.socket() for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    ports = [sock.getsockname()[1] for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return ports
+
+
+class Site:
+    """A store, two runners and a node."""
+
+    def __init__(self) -> None:
+        self.store = MetaStore()
+        self.runners: list[Runner] = []
+        self.daemon: Daemon
+        self.base = ""
+        self.session: aiohttp.ClientSession
+
+    async def call(self, method: str, path: str, body: bytes = b"", **headers):
+        """Send a caller's request; return (status, headers, body)."""
+        given = {
+            "Host": HOST,
+            "Request-Id": "id-1",
+            "Authorization": KEY,
+            "Deadline-Remaining": "9000",
+        }
+        given.update({name.replace("_", "-"): text for name, text in headers.items()})
+        async with self.session.request(
+            method, self.base + path, data=body or None, headers=given
+        ) as response:
+            return response.status, response.headers, await response.read()
+
+    async def wait_until(self, condition) -> None:
+        """Wait until a condition holds."""
+        while not condition():
+            await asyncio.sleep(0.01)
+
+    @property
+    def upstreams(self) -> int:
+        """Return how many upstreams may be sent work."""
+        return len(self.daemon.edge.view.catalogue.upstreams)
+
+
+@contextlib.asynccontextmanager
+async def run_site(script, runners: int = 1, configured: bool = True):
+    """Run a site whose runners answer as a script says."""
+    site = Site()
+    await site.store.start()
+    for number in range(runners):
+        runner = Runner(script)
+        await runner.start()
+        site.runners.append(runner)
+        site.store.put(f"servers/i-{number}", make_entry(runner))
+    if configured:
+        site.store.put("op/config", make_config())
+    ports = find_free_ports(5)
+    addresses = [f"127.0.0.1:{port}" for port in ports]
+    settings = EdgeSettings(
+        node="vm-1",
+        domain="a",
+        domains=["a"],
+        addresses=EdgeAddresses(*addresses[:4], metrics_port=ports[4]),
+        store=EdgeStore(site.store.address, "127.0.0.1:1"),
+        fleet="0123456789abcdef",
+    )
+    site.daemon = Daemon(settings)
+    site.base = f"http://{addresses[0]}"
+    site.session = aiohttp.ClientSession()
+    await site.daemon.start()
+    try:
+        async with asyncio.timeout(WAIT_S):
+            if configured:
+                await site.wait_until(lambda: site.upstreams == runners)
+            yield site
+    finally:
+        await site.session.close()
+        await site.daemon.stop()
+        for runner in site.runners:
+            await runner.stop()
+        await site.store.stop()
+
+
+async def echo(seen, writer) -> None:
+    """Answer with the request's line."""
+    writer.write(make_answer(seen, seen.line))
+
+
+def run(scenario, script=echo, **options) -> None:
+    """Run a scenario on a site."""
+
+    async def main() -> None:
+        async with run_site(script, **options) as site:
+            await scenario(site)
+
+    asyncio.run(main())
--- /dev/null
+++ b/tests/test_door.py
@@ -0,0 +1,215 @@
+"""The platform's door over real sockets: what goes on, what is refused."""
+
+import asyncio
+
+import pytest
+
+from tests.edgesite import HOST, KEY, make_config, run
+
+
+def test_a_request_goes_on_byte_for_byte_with_only_our_headers_added():
+    async def scenario(site):
+        status, headers, body = await site.call(
+            "POST",
+            "/u/a%2Fb/../c?x=%20&y",
+            b"some bytes \x00\xff",
+            Tenant="mallory",
+            Expect_Instance="i-9",
+            Request_Urgency="0",
+            Connection="X-Private",
+            X_Private="1",
+            X_Public="2",
+        )
+        assert status == 200
+        assert headers["Response-Seal"] == "seal-id-1"
+        seen = site.runners[0].seen[-1]
+        assert seen.body == b"some bytes \x00\xff"
+        assert seen.headers[b"tenant"] == b"acme"
+        assert seen.headers[b"expect-instance"] == b"i-0"
+        assert seen.headers[b"x-public"] == b"2"
+        assert seen.headers[b"host"] == HOST.encode()
+        assert int(seen.headers[b"deadline-remaining"]) <= 3_000
+        for name in (b"authorization", b"x-private", b"request-urgency"):
+            assert name not in seen.headers
+
+    run(scenario)
+
+
+def test_the_target_is_not_rewritten():
+    async def scenario(site):
+        host, port = site.base.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"GET /r/%41/./b//c?q=%2f HTTP/1.1\r\nHost: front.example\r\n"
+            b"Request-Id: z\r\nAuthorization: Token secret-key\r\n\r\n"
+        )
+        await reader.readuntil(b"\r\n\r\n")
+        assert site.runners[0].seen[-1].line == b"GET /r/%41/./b//c?q=%2f HTTP/1.1"
+        writer.close()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("path", "authorization", "status"),
+    [
+        ("/none/", KEY, 404),
+        ("/u/x", "Token wrong", 401),
+        ("/u/x", "", 401),
+        ("/o/x", "", 200),
+        ("/s/deep/x", KEY, 200),
+    ],
+)
+def test_routes_and_keys_decide_the_status(path, authorization, status):
+    async def scenario(site):
+        found, _, _ = await site.call("GET", path, Authorization=authorization)
+        assert found == status
+
+    run(scenario)
+
+
+def test_a_node_without_a_configuration_answers_503():
+    async def scenario(site):
+        status, headers, _ = await site.call("GET", "/r/x")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+
+    run(scenario, configured=False)
+
+
+def test_an_unknown_key_is_not_denied_while_the_configuration_is_unconfirmed():
+    async def scenario(site):
+        site.store.faults.down = True
+        await asyncio.sleep(1.2)
+        status, _, _ = await site.call("GET", "/r/x", Authorization="Token newer")
+        assert status == 503
+        status, _, _ = await site.call("GET", "/r/x")
+        assert status == 200
+
+    run(scenario)
+
+
+def test_the_answer_at_the_routes_timeout_is_504_and_in_time():
+    async def script(seen, writer):
+        await asyncio.sleep(5)
+
+    async def scenario(site):
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        status, _, _ = await site.call("GET", "/t/x")
+        assert status == 504
+        assert loop.time() - began < 0.6
+
+    run(scenario, script=script)
+
+
+def test_a_body_over_the_limit_is_413_and_the_next_request_is_served():
+    async def scenario(site):
+        assert (await site.call("POST", "/u/x", b"x" * 20_000))[0] == 413
+        assert (await site.call("POST", "/u/x", b"x"))[0] == 200
+        assert len(site.runners[0].seen) == 1
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"Content-Length: 3\r\nContent-Length: 4\r\n",
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked, identity\r\n",
+        b"Content-Length: -3\r\n",
+        b"X-Folded: a\r\n b\r\n",
+        b"Bad Name: a\r\n",
+    ],
+)
+def test_ambiguous_requests_are_400_and_the_connection_ends(head):
+    async def scenario(site):
+        host, port = site.base.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /u/x HTTP/1.1\r\nHost: front.example\r\nRequest-Id: z\r\n"
+            b"Authorization: Token secret-key\r\n" + head + b"\r\nabc"
+        )
+        answer = await reader.read()
+        assert answer.split()[1] == b"400", answer
+        assert answer.count(b"HTTP/1.") == 1
+        assert not site.runners[0].seen
+        writer.close()
+
+    run(scenario)
+
+
+async def send_raw(site, *pieces: bytes, pause_s: float = 0.0) -> bytes:
+    """Send bytes piece by piece; return all that comes until the connection ends."""
+    host, port = site.base.removeprefix("http://").split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    for piece in pieces:
+        writer.write(piece)
+        await asyncio.sleep(pause_s)
+    answer = await reader.read()
+    writer.close()
+    return answer
+
+
+def put_limits(site, **limits) -> None:
+    """Configure bounds on what callers send."""
+    given = {"headerBytes": 2_000, "bodyBytes": 10_000, **limits}
+    site.store.put("op/config", make_config(2, limits=given))
+
+
+async def wait_for_version(site, version: int) -> None:
+    """Wait until a configuration is in force."""
+    edge = site.daemon.edge
+    await site.wait_until(lambda: edge.view.routes.version == version)
+
+
+HEAD = b"GET /o/x HTTP/1.1\r\nHost: front.example\r\nRequest-Id: z\r\n"
+
+
+def test_a_head_over_the_configured_size_is_431():
+    async def scenario(site):
+        put_limits(site)
+        await wait_for_version(site, 2)
+        many = b"".join(b"X-%d: %s\r\n" % (n, b"v" * 100) for n in range(30))
+        answer = await send_raw(site, HEAD + many + b"\r\n")
+        assert answer.split()[1] == b"431"
+        answer = await send_raw(site, HEAD + many)
+        assert answer.split()[1] == b"431"
+        assert not site.runners[0].seen
+        assert (await site.call("GET", "/o/x"))[0] == 200
+
+    run(scenario)
+
+
+def test_a_head_that_does_not_come_in_the_configured_time_is_408():
+    async def scenario(site):
+        put_limits(site, headerTimeoutMs=200)
+        await wait_for_version(site, 2)
+        async with asyncio.timeout(2):
+            answer = await send_raw(site, HEAD)
+        assert answer.split()[1] == b"408"
+        assert b'"not_run"' in answer
+        answer = await send_raw(site, HEAD, b"Connection: close\r\n\r\n", pause_s=0.1)
+        assert answer.split()[1] == b"200"
+
+    run(scenario)
+
+
+def test_an_idle_connection_is_kept_for_the_configured_time():
+    async def scenario(site):
+        put_limits(site, idleTimeoutMs=600)
+        await wait_for_version(site, 2)
+        host, port = site.base.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for _ in range(2):
+            writer.write(HEAD + b"\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.split()[1] == b"200"
+            await reader.readexactly(len(b"GET /o/x HTTP/1.1"))
+            await asyncio.sleep(0.4)
+        async with asyncio.timeout(2):
+            assert await reader.read() == b""
+        writer.close()
+
+    run(scenario)
