--- a/plantainwood/core/sizing.py
+++ b/plantainwood/core/sizing.py
@@ -18,6 +18,8 @@
 """The share of the reading rate that is planned to be used."""
 PACED_ENGINES_SHARE = 0.2
 SPARE_ENGINES = 1
+MIN_ENGINES = 3
+"""One for paced work and two for the rest."""
 BASE_PREFIX = "sizes/"
 BOOT_MARGIN_MS = 1_500
 REFUSED_MS = 2_000
@@ -93,14 +95,16 @@
 def find_wanted(tokens_per_s: float, domains: int, base: int) -> Wanted:
     """Return how many engines read a demand, also after the loss of a domain.
 
-    `base` is the number that the operators started the service with.
+    `base` is the number that the operators started the service with. So many are
+    left of the spot engines after a loss; regular ones, which are dear, stand in only
+    for what the demand needs.
     """
     reading = tokens_per_s / (READ_TOKENS_PER_S * TARGET_LOAD)
     demanded = math.ceil(reading / (1 - PACED_ENGINES_SHARE))
+    needed = max(min(base, MIN_ENGINES), demanded)
     kept = 1.0 if domains < 2 else 1 - 1 / domains
-    needed = max(base, demanded)
-    spot = max(demanded, math.ceil(base / kept) + SPARE_ENGINES)
-    return Wanted(needed, spot, base)
+    spot = math.ceil(max(base, demanded) / kept) + SPARE_ENGINES
+    return Wanted(needed, spot, needed)
 
 
 def keep_base(service: str, running: int) -> Steps:
--- a/tests/test_sizing.py
+++ b/tests/test_sizing.py
@@ -147,3 +147,19 @@
     sizer.note_answer(CountOrder("s", "c", 3, True), False, 0)
     orders = sizer.plan(SCALING, DOMAINS, census, Wanted(5, 9, 5), 250)
     assert total(orders, spot=False) == 2
+
+
+def test_regular_engines_stand_in_only_for_what_the_demand_needs():
+    calm = find_wanted(50_000, 3, 9)
+    assert calm.needed < 9
+    census = {"a": EngineCensus(0, 3), "b": EngineCensus(0, 3)}
+    sizer = Sizer("s")
+    sizer.plan(SCALING, DOMAINS, census, calm, 0)
+    sizer.note_answer(CountOrder("s", "c", 3, True), False, 0)
+    orders = sizer.plan(SCALING, DOMAINS, census, calm, 250)
+    assert total(orders, spot=False) == 0
+
+
+def test_the_spot_engines_left_after_a_loss_meet_a_demand_above_the_base():
+    wanted = find_wanted(200_000, 3, 5)
+    assert wanted.spot * 2 / 3 >= wanted.needed
