Tell all VMs which parts of prompts each engine was sent

The home of a session was the first engine in the ranking of those below the backlog limit, so a busy home was forgotten and another engine was taken to hold what it had never seen; each VM knew its own sends only; and an engine that drains was no source, though it serves for seconds more.

Heartbeats now carry the parts sent to each engine, so all VMs expect them in the same places; a prompt that is not read yet is no source; the home is ranked over all engines of a side; and draining engines stay known, as sources only. What is believed of engines moves to enginestates.py. test_fleet and test_explanations imported from the test module that was split in, and failed there; mended.

--- a/plantainwood/core/book.py
+++ b/plantainwood/core/book.py
@@ -8,7 +8,13 @@
 
 from plantainwood.core import events as ev
 from plantainwood.core.affinity import PrefixHints
-from plantainwood.core.catalogue import Catalogue, Customer, Upstream, UpstreamKind
+from plantainwood.core.catalogue import (
+    Catalogue,
+    Customer,
+    DiscoveredUpstream,
+    Upstream,
+    UpstreamKind,
+)
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.fairness import FairQueue, TokenCounters, WaitingQueue
 from plantainwood.core.hashing import pick_subset
@@ -108,10 +114,9 @@
         for name, entry in catalogue.upstreams.items():
             load = self.loads.get(name)
             if load is None or load.entry.address != entry.address:
-                self.loads[name] = UpstreamLoad(name, entry)
-                self.loads[name].leaving = (name, entry.address) in self.leaving
-            else:
-                load.entry = entry
+                load = self.loads[name] = UpstreamLoad(name, entry)
+            load.entry = entry
+            load.leaving = self._is_leaving(name, entry)
         for name, load in list(self.loads.items()):
             if name in catalogue.upstreams:
                 continue
@@ -125,6 +130,12 @@
         for pool in self.pools.values():
             self._fill_group(pool)
 
+    def _is_leaving(self, name: str, entry: Upstream) -> bool:
+        """Tell whether an upstream said, here or to its registry, that it leaves."""
+        if isinstance(entry, DiscoveredUpstream) and entry.leaving:
+            return True
+        return (name, entry.address) in self.leaving
+
     def _forget_upstream(self, name: str) -> None:
         """Drop what is kept of an upstream that is gone and runs nothing of ours."""
         self.on_upstream.pop(name, None)
@@ -161,8 +172,12 @@
     def _fill_group(self, pool: Pool) -> None:
         """Choose this node's bounded subset of the upstreams that serve a pool."""
         domains: dict[str, str] = {}
+        members: list[UpstreamLoad] = []
         for upstream, entry in self.catalogue.upstreams.items():
-            if not _serves(entry, pool.name) or self.loads[upstream].leaving:
+            if not _serves(entry, pool.name):
+                continue
+            members.append(self.loads[upstream])
+            if self.loads[upstream].leaving:
                 continue
             if self._domains and entry.kind is UpstreamKind.ENGINE:
                 if self._own_domain not in serving_domains(upstream, self._domains):
@@ -170,6 +185,7 @@
             domains[upstream] = entry.domain
         subset = pick_subset(self.node, domains, self.options.subset_size)
         pool.group = [self.loads[upstream] for upstream in subset]
+        self.router.set_members(pool.name, members)
 
     def is_suspect(self, request: Request, now_ms: int) -> bool:
         """Tell whether a request must run without other suspects."""
--- a/plantainwood/core/messages.py
+++ b/plantainwood/core/messages.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from plantainwood.core.mirror import Item
+from plantainwood.core.prompts import Part
 from plantainwood.core.usage import UsageRecord
 from plantainwood.core.windows import NodeCounts
 
@@ -226,6 +227,8 @@
     """Prompt tokens sent to each engine and not read there yet."""
     demand: dict[str, int]
     """Unread prompt tokens sent to each service in the last period."""
+    read: dict[str, list[Part]] = {}
+    """Parts of prompts sent to each engine in the last period."""
 
 
 class StoreNews(msgspec.Struct, tag=31, array_like=True, frozen=True):
--- a/plantainwood/core/prompts.py
+++ b/plantainwood/core/prompts.py
@@ -48,6 +48,10 @@
         self._parts: OrderedDict[str, int] = OrderedDict()
         self._held = 0
 
+    def holds(self, part: str) -> bool:
+        """Tell whether a part is held, with or without the parts before it."""
+        return part in self._parts
+
     def cached_tokens(self, parts: Iterable[Part]) -> int:
         """Return the tokens of the leading parts that are held without a gap."""
         total = 0
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -24,6 +24,9 @@
     ) -> UpstreamLoad | None:
         """Return the upstream for a request, or None when it must wait."""
 
+    def set_members(self, pool: str, loads: list[UpstreamLoad]) -> None:
+        """Take all upstreams of a pool, also those that are leaving."""
+
     def find_source(self, request: Request) -> str:
         """Return the upstream that a chosen one is to fetch a prompt from, if any."""
         return ""
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -151,8 +151,9 @@
             wall_ms=self.clock.wall_ms(),
             steady_ms=self.time.now(now_ms),
             weight=self.settings.strength_percent,
-            unread=self.router.own_unread(),
+            unread=self.router.engines.own_unread(),
             demand=demand,
+            read=self.router.engines.take_read(),
         )
 
     def is_ready(self) -> bool:
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -152,7 +152,7 @@
             self.hurry()
         edge.time.note(beat.sender, beat.steady_ms, now_ms)
         edge.note_demand(beat.demand)
-        edge.router.note_remote(beat.sender, beat.unread, now_ms)
+        edge.router.engines.note_remote(beat.sender, beat.unread, beat.read, now_ms)
         if beat.revision > edge.mirror.revision and edge.mirror.revision == 0:
             self._ask(beat.sender)
 
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -5,7 +5,8 @@
 import aiohttp
 import pytest
 
-from tests.test_edge import break_off_first, run
+from tests.edgesite import run
+from tests.test_edge import break_off_first
 
 
 def find_lines(caplog, request_id: str) -> list[logging.LogRecord]:
@@ -22,7 +23,7 @@
 def test_a_refusal_though_engines_were_free(caplog):
     async def scenario(site):
         runner = site.runners[0]
-        from tests.test_edge import make_entry
+        from tests.edgesite import make_entry
 
         site.store.put("servers/i-0", make_entry(runner, state="draining"))
         await site.wait_until(lambda: site.upstreams == 0)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -15,7 +15,7 @@
     EdgeSettings,
     EdgeStore,
 )
-from tests.test_edge import find_free_ports, make_config
+from tests.edgesite import find_free_ports, make_config
 
 WAIT_S = 20
 
