Order spot engines before all engines have registered

Spot engines are ordered from what has registered so far; regular ones wait for the settled number, since giving back by a partial one would stop engines that are needed.

--- a/plantainwood/core/sizing.py
+++ b/plantainwood/core/sizing.py
@@ -90,9 +90,13 @@
     """With what may be lost at once; only spot engines are ordered for that."""
     least: int = 0
     """What is to be left after one more loss while no spot engines are to be had."""
+    settled: bool = True
+    """Whether the number at the start is known; regular engines wait for that."""
 
 
-def find_wanted(tokens_per_s: float, domains: int, base: int) -> Wanted:
+def find_wanted(
+    tokens_per_s: float, domains: int, base: int, settled: bool = True
+) -> Wanted:
     """Return how many engines read a demand, also after the loss of a domain.
 
     `base` is the number that the operators started the service with. So many are
@@ -104,7 +108,7 @@
     needed = max(min(base, MIN_ENGINES), demanded)
     kept = 1.0 if domains < 2 else 1 - 1 / domains
     spot = math.ceil(max(base, demanded) / kept) + SPARE_ENGINES
-    return Wanted(needed, spot, needed)
+    return Wanted(needed, spot, needed, settled)
 
 
 def keep_base(service: str, running: int) -> Steps:
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -235,10 +235,10 @@
         census = edge.view.census.get(service, {})
         sizer = self._sizers.setdefault(service, Sizer(service))
         wanted = await self._find_wanted(service, census, now_ms)
-        if wanted is None:
-            return
         domains = edge.settings.domains
         for order in sizer.plan(scaling, domains, census, wanted, now_ms):
+            if not order.spot and not wanted.settled:
+                continue
             key = (order.service, order.domain, order.spot)
             counted = census.get(order.domain, EngineCensus())
             same = self._taken.get(key) == order.desired
@@ -263,21 +263,22 @@
 
     async def _find_wanted(
         self, service: str, census: dict[str, EngineCensus], now_ms: int
-    ) -> Wanted | None:
+    ) -> Wanted:
         """Return the wanted numbers from the demand and the size at the start.
 
-        None while the size at the start is not known, since not all have registered.
+        Not settled while the size at the start is not known, since not all have
+        registered.
         """
         edge = self.edge
         kept = edge.mirror.items.get(base_key(service))
+        rate = edge.peak_of(service).per_second(now_ms)
+        domains = len(edge.settings.domains)
         if kept is None or kept.value is None or not kept.value.isdigit():
             running = sum(item.regular + item.spot for item in census.values())
             if now_ms - edge.lease.taken_at_ms >= BASE_AFTER_MS:
                 await edge.driver.run(keep_base(service, running))
-            return None
-        base = int(kept.value)
-        rate = edge.peak_of(service).per_second(now_ms)
-        return find_wanted(rate, len(edge.settings.domains), base)
+            return find_wanted(rate, domains, running, settled=False)
+        return find_wanted(rate, domains, int(kept.value))
 
 
 def issue_count(edge: Edge, order: CountOrder) -> Steps:
--- /dev/null
+++ b/tests/test_edge_duties.py
@@ -0,0 +1,81 @@
+"""Duties of an edge node, with the platform's calls recorded."""
+
+import asyncio
+
+from plantainwood.core.mirror import Item
+from plantainwood.core.sizing import EngineCensus, Scaling, base_key
+from plantainwood.core.steps import SendCount
+from plantainwood.edge import Edge, make_edge
+from plantainwood.edgeduties import Orderer
+from plantainwood.edgesettings import EdgeAddresses, EdgeSettings, EdgeStore
+
+SERVICE = "pool"
+SETTINGS = EdgeSettings(
+    node="vm-1",
+    domain="a",
+    domains=["a", "b"],
+    addresses=EdgeAddresses("h:1", "h:2", "h:3", "h:4", metrics_port=5),
+    store=EdgeStore("h:6", "h:7"),
+    fleet="0123456789abcdef",
+)
+
+
+class HeldLease:
+    """A lease that was taken just now."""
+
+    fence = 1
+    taken_at_ms = 0
+
+    def holds(self) -> bool:
+        """Tell that the lease is held."""
+        return True
+
+    def deadline_ms(self) -> int:
+        """Return a deadline that never comes."""
+        return 2**60
+
+
+class RecordingDriver:
+    """Take every call and keep the orders."""
+
+    def __init__(self) -> None:
+        self.orders: list[SendCount] = []
+
+    async def run(self, steps):
+        """Answer each step as done."""
+        try:
+            step = next(steps)
+            while True:
+                if isinstance(step, SendCount):
+                    self.orders.append(step)
+                step = steps.send(True)
+        except StopIteration as stop:
+            return stop.value
+
+
+def make_ordering_edge() -> tuple[Edge, RecordingDriver]:
+    """Return an edge that holds the lease, with three engines at the start."""
+    edge = make_edge(SETTINGS)
+    driver = RecordingDriver()
+    edge.driver = driver
+    edge.lease = HeldLease()
+    edge.lease.taken_at_ms = edge.clock.now_ms()
+    edge.view.scaling = {SERVICE: Scaling(1, 6, 4_000, 0.2, {})}
+    edge.view.census = {SERVICE: {"a": EngineCensus(2, 0), "b": EngineCensus(1, 0)}}
+    return edge, driver
+
+
+def test_spot_engines_are_ordered_before_all_have_registered():
+    edge, driver = make_ordering_edge()
+    asyncio.run(Orderer(edge)._order(SERVICE))
+    assert driver.orders
+    assert all(order.spot for order in driver.orders)
+
+
+def test_regular_engines_are_given_back_once_the_number_at_the_start_is_known():
+    edge, driver = make_ordering_edge()
+    edge.mirror.items[base_key(SERVICE)] = Item(base_key(SERVICE), 1, b"5")
+    edge.view.census[SERVICE] = {"a": EngineCensus(2, 3), "b": EngineCensus(1, 3)}
+    asyncio.run(Orderer(edge)._order(SERVICE))
+    regular = [order.desired for order in driver.orders if not order.spot]
+    assert regular == [0, 0]
