Share the connections that an upstream takes over the VMs

Cause: `connectionLimit` was not read; what goes beyond it is reset, and a reset after writing leaves an unsafe call with an unknown outcome.

Each VM runs at most its share, by strength, of nine tenths of the bound at once; an attempt has one connection and idle ones are used first, so connections follow. Further requests wait at the door and go on when an attempt ends. Tests: the bound, the wait, and 74 unlike VMs together below 760.

--- a/plantainwood/core/book.py
+++ b/plantainwood/core/book.py
@@ -28,6 +28,9 @@
 from plantainwood.core.router import FewChoicesRouter, Router
 
 TOP_TIER = 0
+CONNECTIONS_USED = 0.9
+"""The part of an upstream's connections that is shared out; the rest is for probes
+and for shares that overlap while VMs come and go."""
 
 
 class Options(msgspec.Struct):
@@ -72,6 +75,7 @@
         "crashed_ms",
         "leaving",
         "counters",
+        "_connection_share",
         "_own_domain",
         "_domains",
     )
@@ -96,9 +100,16 @@
         self.leaving: set[tuple[str, str]] = set()
         self.counters = TokenCounters()
         """One for all tiers: service in one tier counts in the others too."""
+        self._connection_share = 1.0
         self._own_domain = ""
         self._domains: list[str] = []
 
+    def set_connection_share(self, share: float) -> None:
+        """Use this share of the connections that each upstream takes."""
+        self._connection_share = share
+        for load in self.loads.values():
+            load.max_own = find_max_own(load.entry, share)
+
     def set_domains(self, own: str, domains: list[str]) -> None:
         """Choose the pools' subsets anew where the live domains have changed."""
         if (own, domains) == (self._own_domain, self._domains):
@@ -117,6 +128,7 @@
                 load = self.loads[name] = UpstreamLoad(name, entry)
             load.entry = entry
             load.leaving = self._is_leaving(name, entry)
+            load.max_own = find_max_own(entry, self._connection_share)
         for name, load in list(self.loads.items()):
             if name in catalogue.upstreams:
                 continue
@@ -271,6 +283,17 @@
     return entry.service == name
 
 
+def find_max_own(entry: Upstream, share: float) -> int:
+    """Return how many attempts a node with a share of the fleet may run at once.
+
+    Each attempt has a connection of its own. All nodes together stay below the
+    upstream's bound, but for one connection that each node may always have.
+    """
+    if not isinstance(entry, DiscoveredUpstream) or not entry.max_connections:
+        return 0
+    return max(1, int(CONNECTIONS_USED * share * entry.max_connections))
+
+
 def outcome_of(request: Request) -> Outcome:
     """Return what is known of a request that ends without its answer."""
     return Outcome.UNKNOWN if request.attempts_made else Outcome.NOT_RUN
--- a/plantainwood/core/catalogue.py
+++ b/plantainwood/core/catalogue.py
@@ -88,6 +88,8 @@
     """Tokens that an engine's memory holds; 0: not known."""
     instance: str = ""
     """The id that the process at the address must have."""
+    max_connections: int = 0
+    """Connections that it takes from all nodes together; 0: no bound is known."""
     leaving: bool = False
     """Whether it finishes what it has and takes nothing new."""
 
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -49,6 +49,10 @@
         """Use this node's failure domain and the live ones from now on."""
         self.book.set_domains(own, domains)
 
+    def set_connection_share(self, share: float) -> None:
+        """Use this share of the connections that each upstream takes."""
+        self.book.set_connection_share(share)
+
     def charge_remote(self, customer: str, tokens: int) -> None:
         """Charge tokens that other nodes served to a customer."""
         self.book.counters.charge(customer, tokens)
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -22,6 +22,7 @@
         "samples",
         "unstarted",
         "failed_until_ms",
+        "max_own",
         "_reported",
         "_reported_ms",
         "_own",
@@ -39,6 +40,8 @@
         self.unstarted = 0
         """This node's attempts without a first token: news that is never late."""
         self.failed_until_ms = 0
+        self.max_own = 0
+        """Attempts of this node that may run at once; 0: no bound."""
         self._reported: list[int] | None = None
         self._reported_ms = 0
         self._own = [0] * TIERS
@@ -78,6 +81,10 @@
                 total += change
         return max(own, total)
 
+    def is_at_bound(self) -> bool:
+        """Tell whether this node has its share of the upstream's connections."""
+        return self.max_own > 0 and self.own() >= self.max_own
+
     def free(self, tier: int, now_ms: int) -> int:
         """Return the slots that a request of a tier may use."""
         return self.entry.slots - self.estimate(tier, now_ms)
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -54,7 +54,7 @@
     A leaving upstream takes none, and a retry never goes to the upstream or the
     failure domain that just failed it.
     """
-    if load.leaving or now_ms < load.failed_until_ms:
+    if load.leaving or now_ms < load.failed_until_ms or load.is_at_bound():
         return False
     if load.name == request.avoid_upstream:
         return False
--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -17,6 +17,12 @@
     return max(BEAT_MS, BEAT_MS_PER_VM * count)
 
 
+def find_share(own_weight: int, others: list[VmBeat]) -> float:
+    """Return a VM's share of what the fleet uses together, by strength."""
+    total = own_weight + sum(beat.weight for beat in others)
+    return own_weight / total if total > 0 else 1.0
+
+
 class Vm:
     """What is known of one other VM."""
 
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -19,7 +19,7 @@
     VmBeat,
 )
 from plantainwood.core.mirror import Item
-from plantainwood.core.vms import find_beat_ms
+from plantainwood.core.vms import find_beat_ms, find_share
 from plantainwood.edge import Edge
 from plantainwood.logs import log_event
 from plantainwood.transport import Transport, make_transport
@@ -91,6 +91,9 @@
             live = edge.vms.live(now_ms)
             edge.time.settle({beat.sender for beat in live})
             edge.budget.set_nodes(len(live) + 1)
+            edge.board.dispatcher.set_connection_share(
+                find_share(edge.settings.strength_percent, live)
+            )
             self.broadcast(edge.make_beat())
             if self.transport is not None:
                 self.transport.close_idle(set(edge.vms.addresses().values()))
--- /dev/null
+++ b/tests/test_connection_share.py
@@ -0,0 +1,87 @@
+"""The connections that an upstream takes, shared out over the VMs."""
+
+import msgspec
+
+from plantainwood.core import events as ev
+from plantainwood.core.book import find_max_own
+from plantainwood.core.catalogue import (
+    Customer,
+    DiscoveredUpstream,
+    Service,
+    ServiceClass,
+    UpstreamKind,
+    assemble_catalogue,
+)
+from plantainwood.core.dispatcher import Dispatcher
+from plantainwood.core.messages import NodeState, VmBeat
+from plantainwood.core.vms import find_share
+
+UPSTREAM = DiscoveredUpstream(
+    owner="",
+    kind=UpstreamKind.PLAIN,
+    address="10.0.0.1:80",
+    domain="a",
+    service="pool",
+    slots=100,
+    max_connections=96,
+)
+
+
+def make_dispatcher() -> Dispatcher:
+    """Return a core with one upstream."""
+    dispatcher = Dispatcher("vm-1", 1)
+    customer = Customer(
+        owner="", classes=["k"], requests_per_s=1e9, tokens_per_s=1e9, concurrent=10**6
+    )
+    dispatcher.apply_catalogue(
+        assemble_catalogue(
+            1,
+            {"k": ServiceClass(owner="", tier=1, queue_timeout_ms=10_000)},
+            {"c": customer},
+            {"pool": Service(owner="")},
+            {"u": UPSTREAM},
+        )
+    )
+    return dispatcher
+
+
+def arrive(dispatcher: Dispatcher, count: int) -> list:
+    """Feed arrivals; return the dispatches."""
+    sent = []
+    for number in range(count):
+        event = ev.Arrival(f"r{number}", "c", "k", "service/pool", repeatable=True)
+        for decision in dispatcher.decide(event, 0):
+            if isinstance(decision, ev.Dispatch):
+                sent.append(decision)
+    return sent
+
+
+def test_no_more_attempts_run_than_the_share_and_the_rest_waits():
+    dispatcher = make_dispatcher()
+    dispatcher.set_connection_share(1 / 6)
+    sent = arrive(dispatcher, 40)
+    assert len(sent) == int(0.9 * 96 / 6)
+    done = ev.AttemptDone(sent[0].request_id, sent[0].attempt)
+    more = dispatcher.decide(done, 1)
+    assert [type(decision) for decision in more] == [ev.Dispatch]
+
+
+def test_without_other_vms_the_bound_is_the_upstreams_own():
+    dispatcher = make_dispatcher()
+    assert len(arrive(dispatcher, 95)) == int(0.9 * 96)
+
+
+def make_beat(name: str, weight: int) -> VmBeat:
+    """Return the heartbeat of a VM of some strength."""
+    return VmBeat(name, 1, 1, NodeState.LIVE, "a", "", "", 1, 0, 0, weight, {}, {})
+
+
+def test_all_shares_together_stay_below_the_bound():
+    weights = [107] * 40 + [52] * 20 + [215] * 14
+    entry = msgspec.structs.replace(UPSTREAM, max_connections=760)
+    used = 0
+    for position, weight in enumerate(weights):
+        others = weights[:position] + weights[position + 1 :]
+        beats = [make_beat(f"vm-{n}", other) for n, other in enumerate(others)]
+        used += find_max_own(entry, find_share(weight, beats))
+    assert 0.8 * 760 < used <= 760
