Apply changed settings while running

Cause: a changed file was only checked after SIGHUP, and not noticed without one.

The file is looked at each second and at once on SIGHUP. Budget, drain times, logs, strength, seeds and the store's address apply; addresses, names, secret and duties wait for the next start and are named in the log. A broken file changes nothing and is logged once.

--- a/plantainwood/core/retries.py
+++ b/plantainwood/core/retries.py
@@ -39,19 +39,24 @@
     `slack`: each node earns its own ratio and holds an equal part of the slack.
     """
 
-    __slots__ = ("_ratio", "_slack", "_burst")
+    __slots__ = ("_ratio", "_slack", "_burst", "_nodes")
 
     def __init__(self, ratio: float, slack: float) -> None:
         super().__init__()
+        self._nodes = 1
+        self.set_limits(ratio, slack)
+        self._total = self._burst
+
+    def set_limits(self, ratio: float, slack: float) -> None:
+        """Use this budget for the whole fleet."""
         self._ratio = ratio
         self._slack = slack
-        self._burst = slack
-        self.set_nodes(1)
-        self._total = self._burst
+        self.set_nodes(self._nodes)
 
     def set_nodes(self, count: int) -> None:
         """Share the slack among so many nodes."""
-        self._burst = max(1.0, self._slack / max(1, count))
+        self._nodes = max(1, count)
+        self._burst = max(1.0, self._slack / self._nodes)
         self._total = min(self._total, self._burst)
 
     def earn(self, tier: int) -> None:
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -76,9 +76,8 @@
         self.vms = Vms(settings.node)
         now_ms = clock.now_ms()
         self.time = AgreedTime(clock.wall_ms(), now_ms)
-        retries = settings.retries
         self.budget = SharedRetryBudget(
-            retries.ratio * BUDGET_PART, retries.slack * BUDGET_PART
+            settings.retries.ratio * BUDGET_PART, settings.retries.slack * BUDGET_PART
         )
         options = Options(
             make_router=make_prompt_router,
@@ -114,6 +113,13 @@
         self.open_calls = 0
         self._sequence = 0
 
+    def use_settings(self, settings: EdgeSettings) -> None:
+        """Use these settings from now on."""
+        self.settings = settings
+        self.budget.set_limits(
+            settings.retries.ratio * BUDGET_PART, settings.retries.slack * BUDGET_PART
+        )
+
     def peak_of(self, service: str) -> DemandPeak:
         """Return the recent demand for a service over the whole fleet."""
         return self.peaks.setdefault(service, DemandPeak())
--- a/plantainwood/logs.py
+++ b/plantainwood/logs.py
@@ -105,6 +105,14 @@
     logging.getLogger(LOGGER_NAME).setLevel(level)
 
 
+def change_logs(level: str, as_json: bool) -> None:
+    """Change the level and form of the events; the handler and its queue stay."""
+    for handler in logging.getLogger().handlers:
+        if isinstance(handler, BoundedHandler):
+            setup_logs(level, as_json, handler)
+            return
+
+
 def log_event(event: str, /, level: int = logging.INFO, **fields: Any) -> None:
     """Log one event with its fields."""
     logging.getLogger(LOGGER_NAME).log(level, event, extra=fields)
--- /dev/null
+++ b/plantainwood/settingswatch.py
@@ -0,0 +1,101 @@
+"""Settings that change while a node runs: checked whole, applied or put off."""
+
+import asyncio
+import logging
+from abc import ABC, abstractmethod
+
+import msgspec
+from mode import Service
+
+from plantainwood.documents import DocumentError
+from plantainwood.edgesettings import EdgeSettings, load_edge_settings
+from plantainwood.logs import log_event
+from plantainwood.settings import SettingsError
+
+CHECK_PAUSE_MS = 1_000
+RUNNING_FIELDS = frozenset(
+    ("store", "seeds", "cpu_share", "cores", "retries", "drain", "logs")
+)
+"""What applies to a running node; the rest waits for the next start."""
+
+
+class Reload(msgspec.Struct, frozen=True):
+    """The settings to use from now on."""
+
+    settings: EdgeSettings
+    applied: list[str]
+    """Changed fields that are in force."""
+    deferred: list[str]
+    """Changed fields that wait for the next start."""
+
+
+def merge_settings(current: EdgeSettings, changed: EdgeSettings) -> Reload:
+    """Return the current settings with what may change while running."""
+    applied: list[str] = []
+    deferred: list[str] = []
+    for name in current.__struct_fields__:
+        if getattr(current, name) == getattr(changed, name):
+            continue
+        (applied if name in RUNNING_FIELDS else deferred).append(name)
+    values = {name: getattr(changed, name) for name in applied}
+    return Reload(msgspec.structs.replace(current, **values), applied, deferred)
+
+
+class SettingsUser(ABC):
+    """Whoever runs by the settings."""
+
+    @property
+    @abstractmethod
+    def settings(self) -> EdgeSettings:
+        """Return the settings in force."""
+
+    @abstractmethod
+    def use_settings(self, settings: EdgeSettings) -> None:
+        """Use changed settings from now on."""
+
+
+class SettingsWatch(Service):
+    """Look for changes of the settings file, at once after a signal."""
+
+    def __init__(self, path: str, user: SettingsUser, **kwargs) -> None:
+        self._path = path
+        self._user = user
+        self._asked = asyncio.Event()
+        self._refused = ""
+        super().__init__(**kwargs)
+
+    def check_now(self) -> None:
+        """Look at the file now, as after SIGHUP."""
+        self._refused = ""
+        self._asked.set()
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            try:
+                await asyncio.wait_for(self._asked.wait(), CHECK_PAUSE_MS / 1_000)
+            except TimeoutError:
+                pass
+            asked = self._asked.is_set()
+            self._asked.clear()
+            self.check(asked)
+
+    def check(self, asked: bool) -> None:
+        """Read the file and use what changed; keep the settings if it is broken."""
+        try:
+            changed = load_edge_settings(self._path)
+        except (SettingsError, DocumentError, OSError, UnicodeDecodeError) as error:
+            if str(error) != self._refused:
+                self._refused = str(error)
+                log_event("reload_refused", logging.WARNING, reason=str(error))
+            return
+        self._refused = ""
+        reload = merge_settings(self._user.settings, changed)
+        if reload.applied:
+            self._user.use_settings(reload.settings)
+        if reload.applied or asked:
+            log_event(
+                "reloaded",
+                applied=",".join(reload.applied) or "-",
+                next_start=",".join(reload.deferred) or "-",
+            )
--- /dev/null
+++ b/tests/test_settings_watch.py
@@ -0,0 +1,72 @@
+"""Settings that change while a node runs."""
+
+import msgspec
+
+from plantainwood.edge import BUDGET_PART, make_edge
+from plantainwood.edgesettings import EdgeDrain, EdgeRetries, EdgeSettings
+from plantainwood.settingswatch import SettingsUser, SettingsWatch, merge_settings
+from tests.test_edge_duties import SETTINGS
+
+TEXT = """
+node: "vm-1"
+domain: "a"
+domains: ["a", "b"]
+addresses: {callers: "h:1", ready: "h:2", directory: "h:3", links: "h:4",
+            metrics_port: 5}
+store: {address: "h:6", orders_address: "h:7"}
+fleet: "0123456789abcdef"
+"""
+
+
+class User(SettingsUser):
+    """Keep the settings that were given."""
+
+    def __init__(self) -> None:
+        self._settings = SETTINGS
+
+    @property
+    def settings(self) -> EdgeSettings:
+        """Return the settings in force."""
+        return self._settings
+
+    def use_settings(self, settings: EdgeSettings) -> None:
+        """Use other settings."""
+        self._settings = settings
+
+
+def test_budgets_and_times_apply_and_addresses_wait_for_the_next_start():
+    changed = msgspec.structs.replace(
+        SETTINGS, drain=EdgeDrain(4_000), retries=EdgeRetries(0.1, 20), node="vm-9"
+    )
+    reload = merge_settings(SETTINGS, changed)
+    assert sorted(reload.applied) == ["drain", "retries"]
+    assert reload.deferred == ["node"]
+    assert reload.settings.node == "vm-1"
+    assert reload.settings.drain.grace_ms == 4_000
+
+
+def test_a_changed_file_is_used_without_a_signal(tmp_path):
+    path = tmp_path / "settings.yaml"
+    path.write_text(TEXT + "drain: {grace_ms: 5000}\n")
+    user = User()
+    SettingsWatch(str(path), user).check(asked=False)
+    assert user.settings.drain.grace_ms == 5_000
+
+
+def test_a_broken_or_missing_file_changes_nothing(tmp_path):
+    path = tmp_path / "settings.yaml"
+    user = User()
+    watch = SettingsWatch(str(path), user)
+    watch.check(asked=True)
+    path.write_text(TEXT + "drain: {grace_ms: -1}\n")
+    watch.check(asked=True)
+    assert user.settings is SETTINGS
+
+
+def test_a_changed_retry_budget_is_in_force_at_once():
+    edge = make_edge(SETTINGS)
+    edge.use_settings(msgspec.structs.replace(SETTINGS, retries=EdgeRetries(0.0, 10)))
+    spent = 0
+    while edge.budget.spend(0):
+        spent += 1
+    assert spent <= 10 * BUDGET_PART
