Judge engines by the time a fixed piece of work would take

Cause: stragglers were found by raw times to a first token, so that an engine that got long prompts looked slow beside one with short ones and was given up for a time.

A router now scales the time by the work that was before the token: the prompt's own cost and the engine's backlog. Two tests: long prompts on one engine eject nobody, a fifth of the speed ejects the right one; both fail with the raw time.

Not measured yet by itself.

--- a/plantainwood/core/dispatching.py
+++ b/plantainwood/core/dispatching.py
@@ -98,7 +98,7 @@
     pool.running[request.id] = request
     book.on_upstream.setdefault(load.name, {})[request.id] = request
     source = book.router.find_source(request)
-    book.router.note_dispatch(request, load)
+    book.router.note_dispatch(request, load, now_ms)
     book.hints.note(request.prefix, load.name, now_ms)
     book.counters.charge(request.customer, REQUEST_CHARGE_TOKENS)
     out.append(
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -89,7 +89,7 @@
         """Return the slots that a request of a tier may use."""
         return self.entry.slots - self.estimate(tier, now_ms)
 
-    def note_first_token(self, took_ms: int) -> None:
+    def note_first_token(self, took_ms: float) -> None:
         """Take the time from dispatch to the first token of an attempt."""
         self.samples += 1
         if self.samples == 1:
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -20,8 +20,9 @@
     request.first_token_ms = now_ms
     load = book.loads[request.upstream]
     load.unstarted -= 1
+    took_ms = now_ms - request.dispatched_ms
+    load.note_first_token(book.router.compare_first_token(request, took_ms))
     book.router.note_started(request, load)
-    load.note_first_token(now_ms - request.dispatched_ms)
 
 
 def take_tokens(book: Book, event: ev.TokensRelayed, now_ms: int, out: list) -> None:
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -30,6 +30,9 @@
 FETCH_SHARE = 0.15
 """What fetching a token from another engine's memory costs, in tokens read."""
 MIN_FETCHED_TOKENS = 500
+COMPARED_TOKENS = 1_000
+"""The work that times to a first token are scaled to; what an idle engine takes for
+any prompt, in tokens read."""
 HOME_TOKENS = 400
 """What the first engine in a session's ranking is preferred by, so that nodes that
 send a new session at the same moment send it to the same engine."""
@@ -62,6 +65,7 @@
         "_tight_ms",
         "_aims_ms",
         "_chosen",
+        "_work",
     )
 
     def __init__(self, plain: FewChoicesRouter) -> None:
@@ -75,6 +79,8 @@
         self._aims_ms: dict[str, int] = {}
         self._chosen: dict[str, Choice] = {}
         """Choices that were made just now, by request."""
+        self._work: dict[str, float] = {}
+        """Tokens to be read before the first token, by request that has none."""
 
     def set_paces(self, pool: str, paces_ms: set[int]) -> None:
         """Take the paces of all classes of a pool; find the tight one, if any."""
@@ -198,21 +204,32 @@
         found["backlog_tokens"] = self.engines.backlog(load.name, now_ms)
         return found
 
-    def note_dispatch(self, request: Request, load: UpstreamLoad) -> None:
+    def note_dispatch(self, request: Request, load: UpstreamLoad, now_ms: int) -> None:
         """Count a prompt as unread at an engine, and its parts as soon cached."""
         if not request.prompt.tokens:
             return
         choice = self._chosen.pop(request.id, Choice(request.prompt.tokens))
         unread = round(choice.cost)
+        self._work[request.id] = unread + self.engines.backlog(load.name, now_ms)
         self.sent[request.pool] = self.sent.get(request.pool, 0) + unread
         self.engines.note_sent(load.name, request.id, request.prompt, unread)
 
+    def compare_first_token(self, request: Request, took_ms: int) -> float:
+        """Return the time that COMPARED_TOKENS would have taken.
+
+        Else an engine with long prompts would look slow beside one with short ones.
+        """
+        work = self._work.get(request.id, 0.0)
+        return took_ms * COMPARED_TOKENS / (COMPARED_TOKENS + work)
+
     def note_started(self, request: Request, load: UpstreamLoad) -> None:
         """Count a prompt as read: its first token has come."""
         self.engines.note_read(load.name, request.id)
 
     def note_end(self, request: Request, load: UpstreamLoad) -> None:
         """Forget an attempt."""
+        self._work.pop(request.id, None)
+        self._chosen.pop(request.id, None)
         self.engines.note_read(load.name, request.id)
 
 
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -31,9 +31,13 @@
         """Return the upstream that a chosen one is to fetch a prompt from, if any."""
         return ""
 
-    def note_dispatch(self, request: Request, load: UpstreamLoad) -> None:
+    def note_dispatch(self, request: Request, load: UpstreamLoad, now_ms: int) -> None:
         """Take note of an attempt that starts on an upstream."""
 
+    def compare_first_token(self, request: Request, took_ms: int) -> float:
+        """Return an attempt's time to its first token, comparable among upstreams."""
+        return took_ms
+
     def note_started(self, request: Request, load: UpstreamLoad) -> None:
         """Take note of an attempt's first token."""
 
--- a/tests/test_prompt_router.py
+++ b/tests/test_prompt_router.py
@@ -13,6 +13,7 @@
 from plantainwood.core.promptrouter import find_paced_engines, make_prompt_router
 from plantainwood.core.prompts import Part, PartCache, Prompt
 from plantainwood.core.requests import Request
+from plantainwood.core.stragglers import mark_stragglers
 
 POOL = "service/pool"
 TIGHT_MS = 150
@@ -59,7 +60,7 @@
     for serial in range(20):
         request = make_request(serial, "s1", 200)
         load = router.choose(request, group, 0)
-        router.note_dispatch(request, load)
+        router.note_dispatch(request, load, 0)
         router.note_started(request, load)
         chosen.add(load.name)
     assert len(chosen) == 1
@@ -99,7 +100,7 @@
         gap_ms = TIGHT_MS if serial % 3 == 0 else LOOSE_MS
         request = make_request(serial, f"s{serial % 17}", 2_000, gap_ms)
         load = router.choose(request, group, 0)
-        router.note_dispatch(request, load)
+        router.note_dispatch(request, load, 0)
         (paced if gap_ms == TIGHT_MS else others).add(load.name)
     assert paced and others and not paced & others
     assert paced == set(find_paced_engines(POOL, [load.name for load in group]))
@@ -146,7 +147,7 @@
     """Choose an engine and dispatch to it; return the choice and its source."""
     load = router.choose(request, group, 0)
     source = router.find_source(request)
-    router.note_dispatch(request, load)
+    router.note_dispatch(request, load, 0)
     if started:
         router.note_started(request, load)
     return load, source
@@ -206,3 +207,33 @@
     told = router.engines.take_read()
     assert [part.id for part in told[home.name]] == ["shared", "s1", "own0"]
     assert router.engines.take_read() == {}
+
+
+def test_long_prompts_do_not_make_an_engine_look_slow_beside_short_ones():
+    router, group = make_router(6)
+    router.set_paces(POOL, {LOOSE_MS})
+    for serial in range(24):
+        tokens = 20_000 if serial % 4 == 1 else 100
+        request = make_request(serial, f"s{serial % 4}", tokens)
+        load = group[serial % 4]
+        router.note_dispatch(request, load, 0)
+        took_ms = 25 + (4_000 + tokens) // 40
+        load.note_first_token(router.compare_first_token(request, took_ms))
+        router.note_end(request, load)
+    mark_stragglers(group)
+    assert not any(load.ejected for load in group)
+
+
+def test_an_engine_at_a_fifth_of_its_speed_is_a_straggler_with_any_prompts():
+    router, group = make_router(6)
+    router.set_paces(POOL, {LOOSE_MS})
+    for serial in range(24):
+        tokens = 20_000 if serial % 4 == 1 else 100
+        request = make_request(serial, f"s{serial % 4}", tokens)
+        load = group[serial % 4]
+        router.note_dispatch(request, load, 0)
+        took_ms = (25 + (4_000 + tokens) // 40) * (5 if load is group[0] else 1)
+        load.note_first_token(router.compare_first_token(request, took_ms))
+        router.note_end(request, load)
+    mark_stragglers(group)
+    assert [load for load in group if load.ejected] == [group[0]]
