--- a/plantainwood/core/mirror.py
+++ b/plantainwood/core/mirror.py
@@ -37,6 +37,9 @@
             return None
         news: list[Item] = []
         for item in items:
+            # What is not newer is already here, or was deleted since.
+            if item.revision <= self.revision:
+                continue
             if self._take(item):
                 news.append(item)
         self.revision = max(self.revision, revision)
