--- a/tests/test_mutants.py
+++ b/tests/test_mutants.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from experiments.mutants import MUTANTS, ROOT
+from experiments.mutantcases import MUTANTS
+from experiments.mutants import ROOT
 
 
 @pytest.mark.parametrize("mutant", MUTANTS, ids=lambda mutant: mutant.name)
