Carry out decisions and exchange messages in one place for both doors

forwarding.py and pipeline/relay.py held the same loop over the core's decisions and the same treatment of an attempt's end; fleet.py and links.py the same reading, signing and counting of frames. A VM whose heartbeats stop or are back has a log line.

--- /dev/null
+++ b/plantainwood/attempts.py
@@ -0,0 +1,99 @@
+"""Attempts of one request: the core's decisions carried out, their ends told to it."""
+
+import asyncio
+import logging
+from abc import ABC, abstractmethod
+
+from plantainwood.board import Board, Ticket
+from plantainwood.core import events as ev
+from plantainwood.core.errors import ErrorCode, Outcome, RequestError
+from plantainwood.engines import AttemptError
+from plantainwood.logs import log_event
+
+
+class Finished:
+    """Tell that the whole answer was given."""
+
+    __slots__ = ()
+
+
+class Attempts(ABC):
+    """Follow the core's decisions on one request until its end.
+
+    At most one attempt runs at a time: an attempt is stopped, and writes no more,
+    before the next one starts.
+    """
+
+    def __init__(self, board: Board, ticket: Ticket) -> None:
+        self.board = board
+        self.ticket = ticket
+
+    @abstractmethod
+    async def exchange(self, dispatch: ev.Dispatch) -> None:
+        """Send an attempt and relay its answer; raise AttemptError if it fails."""
+
+    def note_failure(self, dispatch: ev.Dispatch, error: AttemptError) -> None:
+        """Take note of an attempt that failed."""
+
+    async def follow(self) -> None:
+        """Return when the whole answer was given; raise the core's refusal."""
+        attempt: asyncio.Task | None = None
+        try:
+            while True:
+                decision = await self.ticket.decisions.get()
+                if isinstance(decision, Finished):
+                    return
+                if attempt is not None:
+                    await _stop(attempt)
+                    attempt = None
+                if isinstance(decision, ev.Refuse):
+                    raise decision.error
+                if isinstance(decision, ev.Dispatch):
+                    attempt = asyncio.create_task(self._run(decision))
+        finally:
+            if attempt is not None:
+                await _stop(attempt)
+
+    async def _run(self, dispatch: ev.Dispatch) -> None:
+        """Run one attempt and tell the core how it ended."""
+        try:
+            await self.exchange(dispatch)
+        except AttemptError as error:
+            self.note_failure(dispatch, error)
+            self.board.feed(
+                ev.AttemptFailed(
+                    dispatch.request_id,
+                    dispatch.attempt,
+                    error.crashed,
+                    error.proved_not_run,
+                    error.pause_ms,
+                )
+            )
+            return
+        except ConnectionError:
+            message = "the caller closed the connection"
+            self._end(dispatch, ErrorCode.CALLER_LEFT, message)
+            return
+        except Exception as error:
+            log_event(
+                "attempt_error",
+                logging.ERROR,
+                request=dispatch.request_id,
+                error=repr(error),
+            )
+            self._end(dispatch, ErrorCode.INTERNAL, "the router failed")
+            return
+        self.board.feed(ev.AttemptDone(dispatch.request_id, dispatch.attempt))
+        self.ticket.decisions.put_nowait(Finished())
+
+    def _end(self, dispatch: ev.Dispatch, code: ErrorCode, message: str) -> None:
+        error = RequestError(code, message, Outcome.UNKNOWN)
+        self.ticket.decisions.put_nowait(ev.Refuse(dispatch.request_id, error))
+
+
+async def _stop(task: asyncio.Task) -> None:
+    """Cancel an attempt and wait until it writes no more."""
+    task.cancel()
+    await asyncio.wait([task])
+    if not task.cancelled() and task.exception() is not None:
+        raise task.exception()
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -1,14 +1,11 @@
 """Links of an edge node: heartbeats to all, store news from the readers to all."""
 
 import asyncio
-import logging
-from typing import Callable
+from typing import Callable, Iterable
 
-import pynng
 from mode import Service
 
 from plantainwood.core import events as ev
-from plantainwood.core.frames import FrameError, decode_frame, encode_frame
 from plantainwood.core.messages import (
     CountsTold,
     CrashTold,
@@ -22,7 +19,7 @@
 from plantainwood.core.vms import find_beat_ms, find_share
 from plantainwood.edge import Edge
 from plantainwood.logs import log_event
-from plantainwood.transport import Transport, make_transport
+from plantainwood.messenger import Messenger, make_messenger
 
 ASK_PAUSE_MS = 400
 
@@ -34,22 +31,25 @@
         self, edge: Edge, on_items: Callable[[list[Item]], None], **kwargs
     ) -> None:
         self.edge = edge
-        self.transport: Transport | None = None
+        self._messenger: Messenger | None = None
         self._on_items = on_items
-        self._secret = edge.settings.fleet.encode()
         self._urgent = asyncio.Event()
         self._asked_ms = -ASK_PAUSE_MS
+        self._live: set[str] = set()
         super().__init__(**kwargs)
 
     async def on_start(self) -> None:
         """Listen for the other VMs."""
-        host, _, port = self.edge.settings.addresses.links.rpartition(":")
-        self.transport = make_transport(host, int(port))
+        settings = self.edge.settings
+        host, _, port = settings.addresses.links.rpartition(":")
+        self._messenger = make_messenger(
+            host, int(port), settings.fleet, self.edge.metrics
+        )
 
     async def on_stop(self) -> None:
         """Close the sockets."""
-        if self.transport is not None:
-            self.transport.close()
+        if self._messenger is not None:
+            self._messenger.close()
 
     def hurry(self) -> None:
         """Send a heartbeat now."""
@@ -59,27 +59,21 @@
         """Send a message to a VM by name; drop it where its address is not known."""
         address = self.edge.vms.addresses().get(name)
         if address is not None:
-            self._send_frame(address, encode_frame(message, self._secret))
+            self._send([address], message)
 
     def broadcast(self, message: Message) -> None:
         """Send a message to every VM that may exist."""
-        frame = encode_frame(message, self._secret)
         addresses = set(self.edge.vms.addresses().values())
         if not addresses or self.edge.mirror.revision == 0:
             addresses.update(
                 f"tcp://{seed}" for seed in self.edge.settings.seed_links()
             )
         addresses.discard(f"tcp://{self.edge.settings.addresses.links}")
-        for address in addresses:
-            self._send_frame(address, frame)
+        self._send(addresses, message)
 
-    def _send_frame(self, address: str, frame: bytes) -> None:
-        if self.transport is None:
-            return
-        metrics = self.edge.metrics
-        metrics.link_bytes.add({"direction": "out"}, len(frame))
-        metrics.link_messages.inc({"direction": "out"})
-        self.transport.send(address, frame)
+    def _send(self, addresses: Iterable[str], message: Message) -> None:
+        if self._messenger is not None:
+            self._messenger.send(addresses, message)
 
     @Service.task
     async def _beat(self) -> None:
@@ -89,14 +83,15 @@
             for name in edge.vms.find_gone(now_ms):
                 log_event("vm_forgotten", vm=name)
             live = edge.vms.live(now_ms)
+            self._log_changes({beat.sender for beat in live})
             edge.time.settle({beat.sender for beat in live})
             edge.budget.set_nodes(len(live) + 1)
             edge.board.dispatcher.set_connection_share(
                 find_share(edge.settings.strength_percent, live)
             )
             self.broadcast(edge.make_beat())
-            if self.transport is not None:
-                self.transport.close_idle(set(edge.vms.addresses().values()))
+            if self._messenger is not None:
+                self._messenger.close_idle(set(edge.vms.addresses().values()))
             pause_s = find_beat_ms(len(live)) / 1_000
             try:
                 await asyncio.wait_for(self._urgent.wait(), pause_s)
@@ -104,6 +99,14 @@
                 pass
             self._urgent.clear()
 
+    def _log_changes(self, live: set[str]) -> None:
+        """Log the VMs whose heartbeats have stopped or are back."""
+        for name in sorted(self._live - live):
+            log_event("vm_lost", vm=name, live=len(live))
+        for name in sorted(live - self._live):
+            log_event("vm_live", vm=name, live=len(live))
+        self._live = live
+
     @Service.task
     async def _tell_crashes(self) -> None:
         while not self.should_stop:
@@ -112,20 +115,8 @@
 
     @Service.task
     async def _receive(self) -> None:
-        assert self.transport is not None
-        while not self.should_stop:
-            try:
-                frame = await self.transport.receive()
-            except pynng.exceptions.Closed:
-                return
-            metrics = self.edge.metrics
-            metrics.link_bytes.add({"direction": "in"}, len(frame))
-            metrics.link_messages.inc({"direction": "in"})
-            try:
-                message = decode_frame(frame, self._secret)
-            except FrameError as error:
-                log_event("frame_dropped", logging.WARNING, reason=str(error))
-                continue
+        assert self._messenger is not None
+        async for message in self._messenger.receive():
             self.take(message)
 
     def take(self, message: Message) -> None:
@@ -194,7 +185,7 @@
         copy = StoreCopy(
             edge.settings.node, edge.mirror.revision, age_ms, edge.mirror.all()
         )
-        self._send_frame(ask.link_address, encode_frame(copy, self._secret))
+        self._send([ask.link_address], copy)
 
     def _take_copy(self, copy: StoreCopy) -> None:
         edge = self.edge
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -1,8 +1,8 @@
 """Forwarding of opaque requests: the core's attempts, relayed byte for byte."""
 
 import asyncio
-import logging
 
+from plantainwood.attempts import Attempts
 from plantainwood.board import Board, Ticket
 from plantainwood.calls import Call, Codec, Sink, Starts, Verdict
 from plantainwood.connectionpool import ConnectionPool
@@ -15,6 +15,11 @@
 from plantainwood.core.keys import Identity
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.routes import Repetition
+from plantainwood.core.stalls import (
+    find_first_stall_ms,
+    find_gap_stall_ms,
+    may_repeat,
+)
 from plantainwood.engines import AttemptError
 from plantainwood.logs import log_event
 from plantainwood.spans import Spans
@@ -24,20 +29,11 @@
 WRONG_PAUSE_MS = 1_000
 BROKEN_PAUSE_MS = 300
 PROBE_TIMEOUT_MS = 80
-STALL_FACTOR = 3
-MIN_STALL_MS = 1_500
-MIN_PLAIN_STALL_MS = 400
 TIMEOUT_MARGIN_MS = 20
 """How long before a route's timeout the answer is given."""
 STARTED_STATUS = 200
 
 
-class Finished:
-    """Tell that the whole answer was given."""
-
-    __slots__ = ()
-
-
 class Trail:
     """What became of one call, for its log line."""
 
@@ -75,12 +71,15 @@
         return await run.serve()
 
 
-class Run:
+class Run(Attempts):
     """One call from its arrival to its answer."""
 
     def __init__(
         self, forwarder: Forwarder, call: Call, sink: Sink, clock: Clock
     ) -> None:
+        identity = Identity(call.customer, "")
+        ticket = Ticket(call.local_id, identity, not call.keyed)
+        super().__init__(forwarder.board, ticket)
         self.forwarder = forwarder
         self.call = call
         self.sink = sink
@@ -89,23 +88,20 @@
         self.splitter = EventSplitter()
         self._sent = False
         """Whether an attempt was sent that was not proved not to have run."""
-        self._ticket = Ticket(
-            call.local_id, Identity(call.customer, ""), not call.keyed
-        )
 
     async def serve(self) -> Trail:
         """Register with the core, act on its decisions, end in time."""
-        board = self.forwarder.board
-        board.open(self._ticket)
+        board = self.board
+        board.open(self.ticket)
         left_ms = self.call.give_up_ms - self.clock.now_ms() - TIMEOUT_MARGIN_MS
         try:
             async with asyncio.timeout(max(0, left_ms) / 1_000):
                 board.feed(self._make_arrival())
-                await self._act()
+                await self.follow()
         except TimeoutError as error:
             raise self._make_timeout() from error
         finally:
-            board.close(self._ticket)
+            board.close(self.ticket)
         return self.trail
 
     def _make_arrival(self) -> ev.Arrival:
@@ -132,64 +128,20 @@
             ErrorCode.QUEUE_TIMEOUT, message, Outcome.NOT_RUN, BUSY_PAUSE_MS
         )
 
-    async def _act(self) -> None:
-        """Carry out the core's decisions until the answer is given."""
-        inbox = self._ticket.decisions
-        attempt: asyncio.Task | None = None
-        try:
-            while True:
-                decision = await inbox.get()
-                if isinstance(decision, Finished):
-                    return
-                if attempt is not None:
-                    await _stop(attempt)
-                    attempt = None
-                if isinstance(decision, ev.Refuse):
-                    raise decision.error
-                if isinstance(decision, ev.Dispatch):
-                    attempt = asyncio.create_task(self._attempt(decision))
-        finally:
-            if attempt is not None:
-                await _stop(attempt)
-
-    async def _attempt(self, dispatch: ev.Dispatch) -> None:
-        """Run one attempt and tell the core how it ended."""
-        board = self.forwarder.board
+    async def exchange(self, dispatch: ev.Dispatch) -> None:
+        """Send an attempt and relay its answer."""
         self.trail.attempts += 1
         self.trail.upstream = dispatch.upstream
-        load = board.dispatcher.book.loads.get(dispatch.upstream)
-        try:
-            if load is None:
-                raise AttemptError("the upstream is gone", False, proved_not_run=True)
-            self._log_dispatch(dispatch, load)
-            with self.forwarder.spans.open("attempt", upstream=dispatch.upstream):
-                await self._exchange(dispatch, load.entry)
-        except AttemptError as error:
-            self._tell_failure(dispatch, error)
-            return
-        except ConnectionError:
-            message = "the caller closed the connection"
-            error = RequestError(ErrorCode.CALLER_LEFT, message, Outcome.UNKNOWN)
-            self._ticket.decisions.put_nowait(ev.Refuse(dispatch.request_id, error))
-            return
-        except Exception as error:
-            log_event(
-                "attempt_error",
-                logging.ERROR,
-                request=self.call.request_id,
-                error=repr(error),
-            )
-            failure = RequestError(
-                ErrorCode.INTERNAL, "the router failed", Outcome.UNKNOWN
-            )
-            self._ticket.decisions.put_nowait(ev.Refuse(dispatch.request_id, failure))
-            return
-        board.feed(ev.AttemptDone(dispatch.request_id, dispatch.attempt))
-        self._ticket.decisions.put_nowait(Finished())
+        load = self.board.dispatcher.book.loads.get(dispatch.upstream)
+        if load is None:
+            raise AttemptError("the upstream is gone", False, proved_not_run=True)
+        self._log_dispatch(dispatch, load)
+        with self.forwarder.spans.open("attempt", upstream=dispatch.upstream):
+            await self._exchange_on(dispatch, load.entry)
 
     def _log_dispatch(self, dispatch: ev.Dispatch, load: UpstreamLoad) -> None:
         now_ms = self.clock.now_ms()
-        router = self.forwarder.board.dispatcher.book.router
+        router = self.board.dispatcher.book.router
         log_event(
             "dispatched",
             request=self.call.request_id,
@@ -203,7 +155,8 @@
             **router.explain(load, now_ms),
         )
 
-    def _tell_failure(self, dispatch: ev.Dispatch, error: AttemptError) -> None:
+    def note_failure(self, dispatch: ev.Dispatch, error: AttemptError) -> None:
+        """Log a failed attempt, and whether it may have run."""
         self.trail.reasons.append(str(error))
         log_event(
             "attempt_failed",
@@ -216,17 +169,10 @@
         )
         if not error.proved_not_run:
             self._sent = True
-        self.forwarder.board.feed(
-            ev.AttemptFailed(
-                dispatch.request_id,
-                dispatch.attempt,
-                error.crashed,
-                error.proved_not_run,
-                error.pause_ms,
-            )
-        )
 
-    async def _exchange(self, dispatch: ev.Dispatch, entry: DiscoveredUpstream) -> None:
+    async def _exchange_on(
+        self, dispatch: ev.Dispatch, entry: DiscoveredUpstream
+    ) -> None:
         """Send an attempt and relay its answer; raise AttemptError if it fails."""
         connection = await self.forwarder.pool.acquire(entry.address)
         done = False
@@ -257,14 +203,15 @@
 
     def _find_address(self, upstream: str) -> str:
         """Return an upstream's address; empty where it is gone or none is given."""
-        load = self.forwarder.board.dispatcher.book.loads.get(upstream)
+        load = self.board.dispatcher.book.loads.get(upstream)
         return load.entry.address if load is not None else ""
 
     async def _read_head(
         self, connection: Connection, dispatch: ev.Dispatch, entry: DiscoveredUpstream
     ) -> Response:
         """Return the head of the answer to pass on."""
-        stall_ms = self._find_first_stall_ms()
+        route = self.call.route
+        stall_ms = find_first_stall_ms(route, self.trail.attempts)
         try:
             async with asyncio.timeout(stall_ms / 1_000 if stall_ms else None):
                 response = await connection.read_head()
@@ -278,7 +225,7 @@
         load = codec.find_load(response)
         if load is not None:
             running, waiting = load
-            self.forwarder.board.feed(
+            self.board.feed(
                 ev.LoadReported(dispatch.upstream, (0,) * 9 + (running + waiting,), 0)
             )
         verdict = codec.judge(response)
@@ -286,29 +233,10 @@
             raise _make_not_run("the upstream is full", BUSY_PAUSE_MS)
         if verdict is Verdict.WRONG_INSTANCE:
             raise _make_not_run("another process has the address", WRONG_PAUSE_MS)
-        if verdict is Verdict.FAILED and self._may_repeat():
+        if verdict is Verdict.FAILED and may_repeat(route, self.trail.attempts):
             raise AttemptError(f"status {response.status}", False, False)
         return response
 
-    def _may_repeat(self) -> bool:
-        """Tell whether a failed answer is worth another attempt."""
-        if not self.call.route.idempotent:
-            return False
-        return self.trail.attempts < self.call.route.attempts
-
-    def _find_first_stall_ms(self) -> int:
-        """Return the time after which an attempt without an answer is given up.
-
-        0 where it may not run again, so that giving up would serve nobody.
-        """
-        route = self.call.route
-        if not route.idempotent or self.trail.attempts >= route.attempts:
-            return 0
-        least = MIN_STALL_MS
-        if route.repetition is Repetition.SAFE:
-            least = MIN_PLAIN_STALL_MS
-        return max(least, STALL_FACTOR * route.first_byte_ms)
-
     async def _refuses(self, address: str) -> bool:
         """Tell whether nobody listens at an address any more, as after a crash."""
         try:
@@ -342,7 +270,7 @@
         """Pass whole events on; a broken attempt leaves no part of an event."""
         self.splitter.drop_rest()
         self.trail.status = response.status
-        stall_ms = self._find_gap_stall_ms()
+        stall_ms = find_gap_stall_ms(self.call.route, self.trail.attempts)
         first = True
         while True:
             piece = await self._read_event_piece(connection, stall_ms)
@@ -377,16 +305,10 @@
             error.crashed = await self._refuses(connection.address)
             raise
 
-    def _find_gap_stall_ms(self) -> int:
-        route = self.call.route
-        if not route.resumable or self.trail.attempts >= route.attempts:
-            return 0
-        return max(MIN_STALL_MS, STALL_FACTOR * route.gap_ms)
-
     def _note_started(
         self, dispatch: ev.Dispatch, events: int, first: bool = True
     ) -> None:
-        board = self.forwarder.board
+        board = self.board
         if first:
             if self.trail.first_ms < 0:
                 self.trail.first_ms = self.clock.now_ms() - self.call.arrived_ms
@@ -399,11 +321,3 @@
 
 def _make_not_run(reason: str, pause_ms: int) -> AttemptError:
     return AttemptError(reason, crashed=False, proved_not_run=True, pause_ms=pause_ms)
-
-
-async def _stop(task: asyncio.Task) -> None:
-    """Cancel an attempt and wait until it writes no more."""
-    task.cancel()
-    await asyncio.wait([task])
-    if not task.cancelled() and task.exception() is not None:
-        raise task.exception()
--- a/plantainwood/links.py
+++ b/plantainwood/links.py
@@ -1,14 +1,11 @@
 """Links between daemons: rounds of digests, catalogue news, usage copies, shares."""
 
 import asyncio
-import logging
 
 import msgspec
-import pynng
 from mode import Service
 
 from plantainwood.core.catalogue import decode_document, make_delta
-from plantainwood.core.frames import FrameError, decode_frame, encode_frame
 from plantainwood.core.membership import pick_partners
 from plantainwood.core.messages import (
     Batch,
@@ -21,10 +18,9 @@
     UsageCopy,
     UsageKept,
 )
-from plantainwood.logs import log_event
+from plantainwood.messenger import Messenger, make_messenger
 from plantainwood.node import Node
 from plantainwood.shares import answer_ask, take_grant
-from plantainwood.transport import Transport, make_transport
 
 BEAT_EVERY_MS = 3_000
 
@@ -34,8 +30,7 @@
 
     def __init__(self, node: Node, **kwargs) -> None:
         self.node = node
-        self.transport: Transport | None = None
-        self._secret = node.settings.links.secret.encode()
+        self._messenger: Messenger | None = None
         self._partners: list[str] = []
         self._addresses: dict[str, str] = {}
         self._greeted: set[str] = set()
@@ -46,26 +41,23 @@
     async def on_start(self) -> None:
         """Listen, and take in what this node says about itself."""
         links = self.node.settings.links
-        self.transport = make_transport(links.host, links.port)
+        self._messenger = make_messenger(
+            links.host, links.port, links.secret, self.node.metrics
+        )
         self.node.digests.merge(self.node.make_profile(), "")
         for peer in self.node.settings.peers:
             self._addresses[peer.node] = peer.link_address
 
     async def on_stop(self) -> None:
         """Close the sockets."""
-        if self.transport is not None:
-            self.transport.close()
+        if self._messenger is not None:
+            self._messenger.close()
 
     def send(self, name: str, message: Message) -> None:
         """Send a message to a node by name; drop it where the node is not known."""
         address = self._address_of(name)
-        if address is None or self.transport is None:
-            return
-        frame = encode_frame(message, self._secret)
-        metrics = self.node.metrics
-        metrics.link_bytes.add({"direction": "out"}, len(frame))
-        metrics.link_messages.inc({"direction": "out"})
-        self.transport.send(address, frame)
+        if address is not None and self._messenger is not None:
+            self._messenger.send([address], message)
 
     def _address_of(self, name: str) -> str | None:
         member = self.node.members.find(name)
@@ -104,9 +96,9 @@
         self._send_catalogue_news()
         for partner in self._partners:
             self._send_batch(partner, now_ms)
-        if self.transport is not None:
+        if self._messenger is not None:
             in_use = {self._address_of(name) or "" for name in self._partners}
-            self.transport.close_idle(in_use)
+            self._messenger.close_idle(in_use)
         node.metrics.confirm_age.set({}, node.confirmation.age_ms(now_ms) / 1_000)
 
     def _choose_partners(self, now_ms: int) -> None:
@@ -159,20 +151,8 @@
 
     @Service.task
     async def _receive(self) -> None:
-        assert self.transport is not None
-        while not self.should_stop:
-            try:
-                frame = await self.transport.receive()
-            except pynng.exceptions.Closed:
-                return
-            metrics = self.node.metrics
-            metrics.link_bytes.add({"direction": "in"}, len(frame))
-            metrics.link_messages.inc({"direction": "in"})
-            try:
-                message = decode_frame(frame, self._secret)
-            except FrameError as error:
-                log_event("frame_dropped", logging.WARNING, reason=str(error))
-                continue
+        assert self._messenger is not None
+        async for message in self._messenger.receive():
             self.take(message)
 
     def take(self, message: Message) -> None:
--- /dev/null
+++ b/plantainwood/messenger.py
@@ -0,0 +1,60 @@
+"""Messages between daemons: signed frames over the transport, counted both ways."""
+
+import logging
+from typing import AsyncIterator, Iterable
+
+import pynng
+
+from plantainwood.core.frames import FrameError, decode_frame, encode_frame
+from plantainwood.core.messages import Message
+from plantainwood.logs import log_event
+from plantainwood.metrics import Metrics
+from plantainwood.transport import Transport, make_transport
+
+
+class Messenger:
+    """Send and receive messages of one daemon; a message may be lost."""
+
+    def __init__(self, transport: Transport, secret: str, metrics: Metrics) -> None:
+        self._transport = transport
+        self._secret = secret.encode()
+        self._metrics = metrics
+
+    def send(self, addresses: Iterable[str], message: Message) -> None:
+        """Send a message to some addresses without waiting."""
+        frame = encode_frame(message, self._secret)
+        for address in addresses:
+            self._count("out", frame)
+            self._transport.send(address, frame)
+
+    async def receive(self) -> AsyncIterator[Message]:
+        """Yield what comes in until the sockets close; log what can't be read."""
+        while True:
+            try:
+                frame = await self._transport.receive()
+            except pynng.exceptions.Closed:
+                return
+            self._count("in", frame)
+            try:
+                message = decode_frame(frame, self._secret)
+            except FrameError as error:
+                log_event("frame_dropped", logging.WARNING, reason=str(error))
+                continue
+            yield message
+
+    def _count(self, direction: str, frame: bytes) -> None:
+        self._metrics.link_bytes.add({"direction": direction}, len(frame))
+        self._metrics.link_messages.inc({"direction": direction})
+
+    def close_idle(self, in_use: set[str]) -> None:
+        """Close the connections to addresses that are no longer used."""
+        self._transport.close_idle(in_use)
+
+    def close(self) -> None:
+        """Close the sockets."""
+        self._transport.close()
+
+
+def make_messenger(host: str, port: int, secret: str, metrics: Metrics) -> Messenger:
+    """Return a messenger that listens on an address."""
+    return Messenger(make_transport(host, port), secret, metrics)
--- a/plantainwood/pipeline/relay.py
+++ b/plantainwood/pipeline/relay.py
@@ -1,16 +1,13 @@
 """Relay: run the attempts that the core decides on, and forward the answer."""
 
-import asyncio
-import logging
 from contextlib import aclosing
 
 from opentelemetry.trace import get_current_span
 
+from plantainwood.attempts import Attempts
 from plantainwood.core import events as ev
-from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.relay import Step
 from plantainwood.engines import AttemptError, EngineCall, PlainCall
-from plantainwood.logs import log_event
 from plantainwood.pipeline.exchange import Exchange, Filter, Kind, Proceed
 from plantainwood.pipeline.meter import bill_tokens
 from plantainwood.traces import write_traceparent
@@ -34,12 +31,6 @@
 """The fields of a caller's body that an engine gets; all others are dropped."""
 
 
-class Finished:
-    """Tell the relay that the whole answer has come."""
-
-    __slots__ = ()
-
-
 class Relay(Filter):
     """Carry out the core's decisions on one request until its end."""
 
@@ -47,43 +38,25 @@
 
     async def apply(self, exchange: Exchange, proceed: Proceed) -> None:
         """Forward the whole answer, or raise the core's refusal."""
-        inbox: asyncio.Queue = exchange.ticket.decisions
-        attempt: asyncio.Task | None = None
-        try:
-            while True:
-                decision = await inbox.get()
-                if isinstance(decision, Finished):
-                    break
-                if attempt is not None:
-                    await _stop(attempt)
-                    attempt = None
-                if isinstance(decision, ev.Refuse):
-                    raise decision.error
-                if isinstance(decision, ev.Dispatch):
-                    attempt = asyncio.create_task(_attempt(exchange, decision))
-        finally:
-            if attempt is not None:
-                await _stop(attempt)
+        await ExchangeAttempts(exchange).follow()
         if exchange.kind is not Kind.PLAIN:
             await exchange.sink.finish(exchange.answer)
         await proceed()
 
 
-async def _stop(task: asyncio.Task) -> None:
-    """Cancel an attempt and wait until it writes no more."""
-    task.cancel()
-    await asyncio.wait([task])
-    if not task.cancelled() and task.exception() is not None:
-        raise task.exception()
+class ExchangeAttempts(Attempts):
+    """Attempts of one exchange on engines or plain services."""
 
+    def __init__(self, exchange: Exchange) -> None:
+        super().__init__(exchange.node.board, exchange.ticket)
+        self._exchange = exchange
 
-async def _attempt(exchange: Exchange, dispatch: ev.Dispatch) -> None:
-    """Run one attempt and tell the core how it ended."""
-    board = exchange.node.board
-    exchange.attempts += 1
-    exchange.upstream = dispatch.upstream
-    entry = exchange.node.catalogue.upstreams.get(dispatch.upstream)
-    try:
+    async def exchange(self, dispatch: ev.Dispatch) -> None:
+        """Call the upstream and forward its answer."""
+        exchange = self._exchange
+        exchange.attempts += 1
+        exchange.upstream = dispatch.upstream
+        entry = exchange.node.catalogue.upstreams.get(dispatch.upstream)
         if entry is None:
             raise AttemptError("the upstream left the catalogue", False, True)
         with exchange.node.tracer.start_as_current_span("attempt") as span:
@@ -92,29 +65,6 @@
                 await _call_plain(exchange, dispatch, entry.address)
             else:
                 await _stream(exchange, dispatch, entry.address)
-    except AttemptError as error:
-        board.feed(
-            ev.AttemptFailed(
-                dispatch.request_id,
-                dispatch.attempt,
-                error.crashed,
-                error.proved_not_run,
-            )
-        )
-        return
-    except ConnectionError:
-        error = RequestError(
-            ErrorCode.CALLER_LEFT, "the caller closed the connection", Outcome.UNKNOWN
-        )
-        exchange.ticket.decisions.put_nowait(ev.Refuse(dispatch.request_id, error))
-        return
-    except Exception as error:
-        log_event("attempt_error", logging.ERROR, error=repr(error))
-        failure = RequestError(ErrorCode.INTERNAL, "the router failed", Outcome.UNKNOWN)
-        exchange.ticket.decisions.put_nowait(ev.Refuse(dispatch.request_id, failure))
-        return
-    board.feed(ev.AttemptDone(dispatch.request_id, dispatch.attempt))
-    exchange.ticket.decisions.put_nowait(Finished())
 
 
 async def _stream(exchange: Exchange, dispatch: ev.Dispatch, address: str) -> None:
