Call an engine slow only if it is slow by raw and by scaled times

Paced engines get short prompts and many streams, so that their scaled times are long; one of two was then given up and the other got all paced work.

A test of that load: streams beside short prompts make no paced engine look slow; it fails with scaled times alone.

--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -7,6 +7,8 @@
 TIERS = 10
 SMOOTHING = 0.2
 STALE_MS = 5_000
+SCALE_TOKENS = 1_000
+"""What an idle engine takes for any prompt, in tokens read."""
 
 
 class UpstreamLoad:
@@ -18,6 +20,7 @@
         "leaving",
         "ejected",
         "first_token_ms",
+        "first_work",
         "between_tokens_ms",
         "samples",
         "unstarted",
@@ -35,6 +38,8 @@
         self.leaving = False
         self.ejected = False
         self.first_token_ms = 0.0
+        self.first_work = 0.0
+        """Mean tokens to be read before a first token; 0 where that is not known."""
         self.between_tokens_ms = 0.0
         self.samples = 0
         self.unstarted = 0
@@ -89,13 +94,20 @@
         """Return the slots that a request of a tier may use."""
         return self.entry.slots - self.estimate(tier, now_ms)
 
-    def note_first_token(self, took_ms: float) -> None:
-        """Take the time from dispatch to the first token of an attempt."""
+    @property
+    def scaled_first_ms(self) -> float:
+        """Return the time to a first token as if SCALE_TOKENS were to be read."""
+        return self.first_token_ms * SCALE_TOKENS / (SCALE_TOKENS + self.first_work)
+
+    def note_first_token(self, took_ms: int, work: float = 0.0) -> None:
+        """Take the time to an attempt's first token, and the work before it."""
         self.samples += 1
         if self.samples == 1:
             self.first_token_ms = float(took_ms)
+            self.first_work = work
         else:
             self.first_token_ms += SMOOTHING * (took_ms - self.first_token_ms)
+            self.first_work += SMOOTHING * (work - self.first_work)
 
     def note_between_tokens(self, took_ms: float) -> None:
         """Take a mean time between tokens of an attempt."""
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -21,7 +21,7 @@
     load = book.loads[request.upstream]
     load.unstarted -= 1
     took_ms = now_ms - request.dispatched_ms
-    load.note_first_token(book.router.compare_first_token(request, took_ms))
+    load.note_first_token(took_ms, book.router.find_work(request))
     book.router.note_started(request, load)
 
 
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -30,9 +30,6 @@
 FETCH_SHARE = 0.15
 """What fetching a token from another engine's memory costs, in tokens read."""
 MIN_FETCHED_TOKENS = 500
-COMPARED_TOKENS = 1_000
-"""The work that times to a first token are scaled to; what an idle engine takes for
-any prompt, in tokens read."""
 HOME_TOKENS = 400
 """What the first engine in a session's ranking is preferred by, so that nodes that
 send a new session at the same moment send it to the same engine."""
@@ -214,13 +211,9 @@
         self.sent[request.pool] = self.sent.get(request.pool, 0) + unread
         self.engines.note_sent(load.name, request.id, request.prompt, unread)
 
-    def compare_first_token(self, request: Request, took_ms: int) -> float:
-        """Return the time that COMPARED_TOKENS would have taken.
-
-        Else an engine with long prompts would look slow beside one with short ones.
-        """
-        work = self._work.get(request.id, 0.0)
-        return took_ms * COMPARED_TOKENS / (COMPARED_TOKENS + work)
+    def find_work(self, request: Request) -> float:
+        """Return what was to be read before an attempt's first token, in tokens."""
+        return self._work.get(request.id, 0.0)
 
     def note_started(self, request: Request, load: UpstreamLoad) -> None:
         """Count a prompt as read: its first token has come."""
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -34,9 +34,9 @@
     def note_dispatch(self, request: Request, load: UpstreamLoad, now_ms: int) -> None:
         """Take note of an attempt that starts on an upstream."""
 
-    def compare_first_token(self, request: Request, took_ms: int) -> float:
-        """Return an attempt's time to its first token, comparable among upstreams."""
-        return took_ms
+    def find_work(self, request: Request) -> float:
+        """Return what was to be read before an attempt's first token, in tokens."""
+        return 0.0
 
     def note_started(self, request: Request, load: UpstreamLoad) -> None:
         """Take note of an attempt's first token."""
--- a/plantainwood/core/stragglers.py
+++ b/plantainwood/core/stragglers.py
@@ -23,13 +23,15 @@
             load.ejected = False
         return
     typical_first = max(FLOOR_MS, median(load.first_token_ms for load in known))
+    typical_scaled = max(FLOOR_MS, median(load.scaled_first_ms for load in known))
     typical_between = max(FLOOR_MS, median(load.between_tokens_ms for load in known))
     ranked: list[tuple[float, UpstreamLoad]] = []
     for load in known:
-        ratio = max(
-            load.first_token_ms / typical_first,
-            load.between_tokens_ms / typical_between,
+        # Long prompts alone, or many streams beside short ones, make nobody slow.
+        ratio_first = min(
+            load.first_token_ms / typical_first, load.scaled_first_ms / typical_scaled
         )
+        ratio = max(ratio_first, load.between_tokens_ms / typical_between)
         ranked.append((ratio, load))
     ranked.sort(key=lambda pair: -pair[0])
     for position, (ratio, load) in enumerate(ranked):
--- a/tests/test_prompt_router.py
+++ b/tests/test_prompt_router.py
@@ -218,7 +218,7 @@
         load = group[serial % 4]
         router.note_dispatch(request, load, 0)
         took_ms = 25 + (4_000 + tokens) // 40
-        load.note_first_token(router.compare_first_token(request, took_ms))
+        load.note_first_token(took_ms, router.find_work(request))
         router.note_end(request, load)
     mark_stragglers(group)
     assert not any(load.ejected for load in group)
@@ -233,7 +233,17 @@
         load = group[serial % 4]
         router.note_dispatch(request, load, 0)
         took_ms = (25 + (4_000 + tokens) // 40) * (5 if load is group[0] else 1)
-        load.note_first_token(router.compare_first_token(request, took_ms))
+        load.note_first_token(took_ms, router.find_work(request))
         router.note_end(request, load)
     mark_stragglers(group)
     assert [load for load in group if load.ejected] == [group[0]]
+
+
+def test_streams_beside_short_prompts_do_not_make_a_paced_engine_look_slow():
+    group = [make_load(f"e{number}") for number in range(4)]
+    for _ in range(10):
+        group[0].note_first_token(90, 700.0)
+        for load in group[1:]:
+            load.note_first_token(200, 8_000.0)
+    mark_stragglers(group)
+    assert not any(load.ejected for load in group)
