--- a/plantainwood/core/stragglers.py
+++ b/plantainwood/core/stragglers.py
@@ -6,6 +6,8 @@
 
 SLOW_RATIO = 2.0
 RECOVERED_RATIO = 1.5
+RAW_FACTOR = 4 / 3
+"""By how much the raw time may fall short of a slow one where the scaled one is."""
 MIN_SAMPLES = 3
 MAX_EJECTED_SHARE = 1 / 3
 FLOOR_MS = 5.0
@@ -29,7 +31,8 @@
     for load in known:
         # Long prompts alone, or many streams beside short ones, make nobody slow.
         ratio_first = min(
-            load.first_token_ms / typical_first, load.scaled_first_ms / typical_scaled
+            RAW_FACTOR * load.first_token_ms / typical_first,
+            load.scaled_first_ms / typical_scaled,
         )
         ratio = max(ratio_first, load.between_tokens_ms / typical_between)
         ranked.append((ratio, load))
