Pass heartbeats over relays in a large fleet

Every one of 74 VMs sent each heartbeat to all others (some 4,900 messages a second), and at the start answered each VM that it heard for the first time with a heartbeat to all.

Above 16 VMs each failure domain has two relays, ranked alike by all. A VM sends to those; they pass digests on to their domain and to the other relays, with the age of each heartbeat, so that agreed time and liveness are not shifted. Leaving is still told to all at once. Counts go to the holder less often as the fleet grows. Small fleets are as before.

Tests in memory, 40 VMs in four domains: all hear all, messages a round below five a VM, the loss of a relay, of both relays of a domain, of half the fleet; a demand passed on twice counts once.

--- a/plantainwood/core/messages.py
+++ b/plantainwood/core/messages.py
@@ -272,6 +272,21 @@
     records: list[NodeCounts]
 
 
+class AgedBeat(msgspec.Struct, array_like=True, frozen=True):
+    """A heartbeat that is passed on."""
+
+    beat: VmBeat
+    age_ms: int
+    """How long ago it was made, as far as those that passed it on know."""
+
+
+class VmDigest(msgspec.Struct, tag=36, array_like=True, frozen=True):
+    """Heartbeats that a relay has heard since its last digest."""
+
+    sender: str
+    beats: list[AgedBeat]
+
+
 Message = (
     Batch
     | CatalogueNews
@@ -287,4 +302,5 @@
     | StoreCopy
     | CrashTold
     | CountsTold
+    | VmDigest
 )
--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -1,8 +1,15 @@
-"""The VMs of a fleet in which everyone hears everyone's heartbeats."""
+"""The VMs of a fleet, as their heartbeats tell, directly or over relays."""
 
+from enum import Enum
 from statistics import median
 
 from plantainwood.core.messages import NodeState, VmBeat
+from plantainwood.core.relays import (
+    RELAYED_BEAT_MS,
+    RELAYED_FRESH_MS,
+    RELAYED_LIVE_MS,
+    is_mesh,
+)
 
 LIVE_BEATS = 4
 MIN_LIVE_MS = 1_000
@@ -16,9 +23,39 @@
 
 def find_beat_ms(count: int) -> int:
     """Return the pause between heartbeats in a fleet of some size."""
+    if not is_mesh(count):
+        return RELAYED_BEAT_MS
     return max(BEAT_MS, BEAT_MS_PER_VM * count)
 
 
+def find_live_ms(count: int) -> int:
+    """Return how long a VM without a heartbeat is taken to live."""
+    if not is_mesh(count):
+        return RELAYED_LIVE_MS
+    return max(MIN_LIVE_MS, LIVE_BEATS * find_beat_ms(count))
+
+
+def find_fresh_ms(count: int) -> int:
+    """Return how long callers are sent to a VM without a heartbeat.
+
+    Closer than the bound for living: to name a VM that is down costs its callers a
+    second, to leave one out for a moment costs next to nothing.
+    """
+    if not is_mesh(count):
+        return RELAYED_FRESH_MS
+    return max(MIN_FRESH_MS, FRESH_BEATS * find_beat_ms(count))
+
+
+class Noted(Enum):
+    """What a heartbeat was to its receiver."""
+
+    STALE = "stale"
+    """Not newer than what was heard before."""
+    KNOWN = "known"
+    NEW = "new"
+    """The first of its VM, or of a new run of it."""
+
+
 def find_share(own_weight: int, others: list[VmBeat]) -> float:
     """Return a VM's share of what the fleet uses together, by strength."""
     total = own_weight + sum(beat.weight for beat in others)
@@ -54,18 +91,20 @@
         """Forget a VM that is no longer registered."""
         self._addresses.pop(name, None)
 
-    def note(self, beat: VmBeat, now_ms: int) -> bool:
-        """Take a heartbeat; return whether the VM or its run is new."""
+    def note(self, beat: VmBeat, heard_ms: int) -> Noted:
+        """Take a heartbeat, made at a time of this node's clock."""
         if beat.sender == self.node:
-            return False
+            return Noted.STALE
         current = self._vms.get(beat.sender)
         if current is not None:
             known = (current.beat.incarnation, current.beat.sequence)
             if (beat.incarnation, beat.sequence) <= known:
-                return False
+                return Noted.STALE
         self._addresses[beat.sender] = beat.link_address
-        self._vms[beat.sender] = Vm(beat, now_ms)
-        return current is None or current.beat.incarnation < beat.incarnation
+        self._vms[beat.sender] = Vm(beat, heard_ms)
+        if current is None or current.beat.incarnation < beat.incarnation:
+            return Noted.NEW
+        return Noted.KNOWN
 
     def addresses(self) -> dict[str, str]:
         """Return the link addresses of all VMs that may exist, by name."""
@@ -73,26 +112,23 @@
 
     def live(self, now_ms: int) -> list[VmBeat]:
         """Return the newest heartbeats of the other VMs that are heard."""
-        bound_ms = max(MIN_LIVE_MS, LIVE_BEATS * find_beat_ms(len(self._vms)))
-        found: list[VmBeat] = []
-        for vm in self._vms.values():
-            if now_ms - vm.heard_ms <= bound_ms:
-                found.append(vm.beat)
-        return found
+        return self._heard_within(find_live_ms(len(self._vms)), now_ms)
 
     def fresh(self, now_ms: int) -> list[VmBeat]:
-        """Return the newest heartbeats of the VMs that callers may be sent to.
+        """Return the newest heartbeats of the VMs that callers may be sent to."""
+        return self._heard_within(find_fresh_ms(len(self._vms)), now_ms)
 
-        The bound is closer than for being live: to name a VM that is down costs its
-        callers a second, to leave one out for a moment costs next to nothing.
-        """
-        bound_ms = max(MIN_FRESH_MS, FRESH_BEATS * find_beat_ms(len(self._vms)))
+    def _heard_within(self, bound_ms: int, now_ms: int) -> list[VmBeat]:
         found: list[VmBeat] = []
         for vm in self._vms.values():
             if now_ms - vm.heard_ms <= bound_ms:
                 found.append(vm.beat)
         return found
 
+    def age_ms(self, name: str, now_ms: int) -> int:
+        """Return how long ago a VM's newest heartbeat was made."""
+        return max(0, now_ms - self._vms[name].heard_ms)
+
     def live_names(self, now_ms: int) -> list[str]:
         """Return the names of the other VMs that are heard and not leaving."""
         found: list[str] = []
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -31,6 +31,8 @@
 KEEP_PAUSE_MS = 1_000
 CONTEND_PAUSE_MS = 400
 TELL_PAUSE_MS = 800
+TELL_PAUSE_MS_PER_VM = 20
+"""Keeps the messages to the holder below some tens a second in a large fleet."""
 HOLDER_PAUSE_MS = 100
 """How often a change of holders is looked for."""
 DUTY_PAUSE_MS = 400
@@ -116,10 +118,17 @@
         while not self.should_stop:
             await asyncio.sleep(HOLDER_PAUSE_MS / 1_000)
             waited_ms += HOLDER_PAUSE_MS
-            if waited_ms >= TELL_PAUSE_MS or find_holder(self.edge) != self._holder:
+            if (
+                waited_ms >= self._find_pause_ms()
+                or find_holder(self.edge) != self._holder
+            ):
                 waited_ms = 0
                 self.tell()
 
+    def _find_pause_ms(self) -> int:
+        count = len(self.edge.vms.live(self.edge.clock.now_ms()))
+        return max(TELL_PAUSE_MS, TELL_PAUSE_MS_PER_VM * count)
+
     def tell(self) -> None:
         """Send what changed; to a new holder, all that is known of any VM."""
         edge = self.edge
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -1,4 +1,4 @@
-"""Links of an edge node: heartbeats to all, store news from the readers to all."""
+"""Links of an edge node: heartbeats, directly or over relays; the readers' news."""
 
 import asyncio
 from typing import Callable, Iterable
@@ -7,6 +7,7 @@
 
 from plantainwood.core import events as ev
 from plantainwood.core.messages import (
+    AgedBeat,
     CountsTold,
     CrashTold,
     Message,
@@ -14,9 +15,11 @@
     StoreCopy,
     StoreNews,
     VmBeat,
+    VmDigest,
 )
 from plantainwood.core.mirror import Item
-from plantainwood.core.vms import find_beat_ms, find_share
+from plantainwood.core.relays import Targets, find_targets, is_mesh
+from plantainwood.core.vms import Noted, find_beat_ms, find_share
 from plantainwood.edge import Edge
 from plantainwood.logs import log_event
 from plantainwood.messenger import Messenger, make_messenger
@@ -28,14 +31,20 @@
     """Exchange soft state with all other VMs."""
 
     def __init__(
-        self, edge: Edge, on_items: Callable[[list[Item]], None], **kwargs
+        self,
+        edge: Edge,
+        on_items: Callable[[list[Item]], None],
+        messenger: Messenger | None = None,
+        **kwargs,
     ) -> None:
         self.edge = edge
-        self._messenger: Messenger | None = None
+        self._messenger = messenger
         self._on_items = on_items
         self._urgent = asyncio.Event()
         self._asked_ms = -ASK_PAUSE_MS
         self._live: set[str] = set()
+        self._passed_on: dict[str, tuple[int, int]] = {}
+        """Incarnation and sequence of the heartbeats in earlier digests."""
         super().__init__(**kwargs)
 
     async def on_start(self) -> None:
@@ -77,28 +86,68 @@
 
     @Service.task
     async def _beat(self) -> None:
-        edge = self.edge
+        urgent = False
         while not self.should_stop:
-            now_ms = edge.clock.now_ms()
-            for name in edge.vms.find_gone(now_ms):
-                log_event("vm_forgotten", vm=name)
-            live = edge.vms.live(now_ms)
-            self._log_changes({beat.sender for beat in live})
-            edge.time.settle({beat.sender for beat in live})
-            edge.budget.set_nodes(len(live) + 1)
-            edge.board.dispatcher.set_connection_share(
-                find_share(edge.settings.strength_percent, live)
-            )
-            self.broadcast(edge.make_beat())
-            if self._messenger is not None:
-                self._messenger.close_idle(set(edge.vms.addresses().values()))
-            pause_s = find_beat_ms(len(live)) / 1_000
+            self.beat_once(urgent)
+            count = len(self.edge.vms.live(self.edge.clock.now_ms()))
             try:
-                await asyncio.wait_for(self._urgent.wait(), pause_s)
+                await asyncio.wait_for(self._urgent.wait(), find_beat_ms(count) / 1_000)
             except TimeoutError:
                 pass
+            urgent = self._urgent.is_set()
             self._urgent.clear()
 
+    def beat_once(self, urgent: bool) -> None:
+        """Take stock of the VMs and send a heartbeat, to all of them if urgent."""
+        edge = self.edge
+        now_ms = edge.clock.now_ms()
+        for name in edge.vms.find_gone(now_ms):
+            log_event("vm_forgotten", vm=name)
+        live = edge.vms.live(now_ms)
+        self._log_changes({beat.sender for beat in live})
+        edge.time.settle({beat.sender for beat in live})
+        edge.budget.set_nodes(len(live) + 1)
+        edge.board.dispatcher.set_connection_share(
+            find_share(edge.settings.strength_percent, live)
+        )
+        self._send_beat(live, urgent, now_ms)
+        if self._messenger is not None:
+            self._messenger.close_idle(set(edge.vms.addresses().values()))
+
+    def _send_beat(self, live: list[VmBeat], urgent: bool, now_ms: int) -> None:
+        """Send this VM's heartbeat, and as a relay the others'."""
+        edge = self.edge
+        beat = edge.make_beat()
+        domains = {item.sender: item.domain for item in live}
+        domains[edge.settings.node] = edge.settings.domain
+        if urgent or is_mesh(len(domains)):
+            self.broadcast(beat)
+            return
+        targets = find_targets(edge.settings.node, domains)
+        for name in targets.beats:
+            self.send(name, beat)
+        if targets.members:
+            self._send_digests(targets, beat, live, now_ms)
+
+    def _send_digests(
+        self, targets: Targets, own: VmBeat, live: list[VmBeat], now_ms: int
+    ) -> None:
+        """Pass on the heartbeats that came since the last digest."""
+        edge = self.edge
+        beats = [AgedBeat(own, 0)]
+        for beat in live:
+            version = (beat.incarnation, beat.sequence)
+            if self._passed_on.get(beat.sender) == version:
+                continue
+            self._passed_on[beat.sender] = version
+            beats.append(AgedBeat(beat, edge.vms.age_ms(beat.sender, now_ms)))
+        node = edge.settings.node
+        domain = edge.settings.domain
+        of_domain = [item for item in beats if item.beat.domain == domain]
+        for names, told in ((targets.members, beats), (targets.relays, of_domain)):
+            addresses = [edge.vms.addresses()[name] for name in names]
+            self._send(addresses, VmDigest(node, told))
+
     def _log_changes(self, live: set[str]) -> None:
         """Log the VMs whose heartbeats have stopped or are back."""
         for name in sorted(self._live - live):
@@ -123,7 +172,10 @@
         """Act on one message from another VM."""
         match message:
             case VmBeat():
-                self._take_beat(message)
+                self._take_beat(message, 0)
+            case VmDigest():
+                for item in message.beats:
+                    self._take_beat(item.beat, item.age_ms)
             case StoreNews():
                 self._take_news(message)
             case StoreAsk():
@@ -138,13 +190,17 @@
                 for record in message.records:
                     self.edge.totals.put(record)
 
-    def _take_beat(self, beat: VmBeat) -> None:
+    def _take_beat(self, beat: VmBeat, age_ms: int) -> None:
         edge = self.edge
         now_ms = edge.clock.now_ms()
-        if edge.vms.note(beat, now_ms):
+        noted = edge.vms.note(beat, now_ms - age_ms)
+        if noted is Noted.STALE:
+            return
+        if noted is Noted.NEW:
             log_event("vm_heard", vm=beat.sender, domain=beat.domain)
-            self.hurry()
-        edge.time.note(beat.sender, beat.steady_ms, now_ms)
+            if is_mesh(len(edge.vms.live(now_ms))):
+                self.hurry()
+        edge.time.note(beat.sender, beat.steady_ms + age_ms, now_ms)
         edge.note_demand(beat.demand)
         edge.router.engines.note_remote(beat.sender, beat.unread, beat.read, now_ms)
         if beat.revision > edge.mirror.revision and edge.mirror.revision == 0:
--- /dev/null
+++ b/tests/test_large_fleet.py
@@ -0,0 +1,174 @@
+"""A large fleet over relays, in memory: who hears of whom, and at what cost."""
+
+import msgspec
+
+from plantainwood.core.clock import VirtualClock
+from plantainwood.core.messages import NodeState, VmBeat
+from plantainwood.core.relays import RELAYED_BEAT_MS, find_relays
+from plantainwood.edge import Edge
+from plantainwood.edgesettings import EdgeAddresses
+from plantainwood.fleet import Fleet
+from plantainwood.metrics import Metrics
+from tests.test_edge_duties import SETTINGS
+
+DOMAINS = 4
+
+
+class Network:
+    """Deliver messages at the end of a round, and count them."""
+
+    def __init__(self) -> None:
+        self.fleets: dict[str, Fleet] = {}
+        self.queue: list[tuple[str, object]] = []
+        self.sent = 0
+
+    def deliver(self) -> None:
+        """Hand out what was sent."""
+        queue, self.queue = self.queue, []
+        for address, message in queue:
+            fleet = self.fleets.get(address)
+            if fleet is not None:
+                fleet.take(message)
+
+
+class MemoryMessenger:
+    """Send into a network without sockets."""
+
+    def __init__(self, network: Network) -> None:
+        self._network = network
+
+    def send(self, addresses, message) -> None:
+        """Queue a message for each address."""
+        for address in addresses:
+            self._network.sent += 1
+            self._network.queue.append((address, message))
+
+    def close_idle(self, in_use) -> None:
+        """Do nothing: there are no connections."""
+
+
+class LargeFleet:
+    """VMs on one clock."""
+
+    def __init__(self, count: int) -> None:
+        self.clock = VirtualClock(now_ms=100_000)
+        self.network = Network()
+        self.edges: dict[str, Edge] = {}
+        names = [f"vm-{number}" for number in range(count)]
+        for number, name in enumerate(names):
+            addresses = EdgeAddresses(
+                f"h{number}:1", "h:2", "h:3", f"h{number}:4", metrics_port=5
+            )
+            settings = msgspec.structs.replace(
+                SETTINGS,
+                node=name,
+                domain=f"d{number % DOMAINS}",
+                addresses=addresses,
+            )
+            edge = Edge(settings, self.clock, Metrics())
+            fleet = Fleet(edge, lambda items: None, MemoryMessenger(self.network))
+            self.edges[name] = edge
+            self.network.fleets[f"tcp://{addresses.links}"] = fleet
+        for edge in self.edges.values():
+            for number, name in enumerate(names):
+                edge.vms.learn_address(name, f"tcp://h{number}:4")
+
+    def run(self, rounds: int) -> None:
+        """Let every VM send a heartbeat in each round."""
+        for _ in range(rounds):
+            for fleet in list(self.network.fleets.values()):
+                fleet.beat_once(urgent=False)
+            self.network.deliver()
+            self.clock.advance(RELAYED_BEAT_MS)
+
+    def kill(self, name: str) -> None:
+        """End a VM without a word."""
+        edge = self.edges.pop(name)
+        del self.network.fleets[f"tcp://{edge.settings.addresses.links}"]
+
+    def heard(self, name: str) -> set[str]:
+        """Return the VMs that a VM takes for live."""
+        beats: list[VmBeat] = self.edges[name].vms.live(self.clock.now_ms())
+        return {beat.sender for beat in beats}
+
+    def domains(self) -> dict[str, str]:
+        """Return the failure domain of each VM."""
+        return {name: edge.settings.domain for name, edge in self.edges.items()}
+
+    def all_hear_all(self) -> bool:
+        """Tell whether every VM hears exactly those that are there."""
+        names = set(self.edges)
+        return all(self.heard(name) == names - {name} for name in names)
+
+
+def test_a_large_fleet_finds_itself_and_keeps_few_messages():
+    fleet = LargeFleet(40)
+    fleet.run(6)
+    assert fleet.all_hear_all()
+    before = fleet.network.sent
+    fleet.run(10)
+    assert fleet.all_hear_all()
+    assert (fleet.network.sent - before) / 10 < 5 * 40 + 64
+
+
+def test_the_loss_of_a_relay_hides_nobody_else():
+    fleet = LargeFleet(40)
+    fleet.run(6)
+    lost = find_relays("d1", fleet.domains())[0]
+    fleet.kill(lost)
+    for _ in range(12):
+        fleet.run(1)
+        for name in fleet.edges:
+            assert fleet.heard(name) >= set(fleet.edges) - {name}
+    assert fleet.all_hear_all()
+
+
+def test_the_loss_of_all_relays_of_a_domain_is_made_up_for():
+    fleet = LargeFleet(40)
+    fleet.run(6)
+    for name in find_relays("d1", fleet.domains()):
+        fleet.kill(name)
+    fleet.run(20)
+    assert fleet.all_hear_all()
+
+
+def test_the_loss_of_half_the_fleet_is_made_up_for():
+    fleet = LargeFleet(40)
+    fleet.run(6)
+    for number in range(0, 40, 2):
+        fleet.kill(f"vm-{number}")
+    fleet.run(20)
+    assert fleet.all_hear_all()
+
+
+def test_a_vm_that_leaves_tells_all_at_once():
+    fleet = LargeFleet(40)
+    fleet.run(6)
+    edge = fleet.edges["vm-7"]
+    edge.state = NodeState.LEAVING
+    fleet.network.fleets["tcp://h7:4"].beat_once(urgent=True)
+    fleet.network.deliver()
+    for name in set(fleet.edges) - {"vm-7"}:
+        assert "vm-7" not in fleet.edges[name].vms.live_names(fleet.clock.now_ms())
+
+
+def test_a_demand_that_two_relays_pass_on_counts_once():
+    fleet = LargeFleet(40)
+    fleet.run(6)
+    origin = next(
+        name
+        for name, domain in fleet.domains().items()
+        if name not in find_relays(domain, fleet.domains())
+    )
+    fleet.edges[origin].router.sent["service/pool"] = 10_000
+    fleet.run(4)
+    for edge in fleet.edges.values():
+        assert edge.peak_of("pool").per_second(fleet.clock.now_ms()) == 5_000
+
+
+def test_agreed_time_is_not_shifted_by_the_way_over_relays():
+    fleet = LargeFleet(40)
+    before = {name: edge.time.now(0) for name, edge in fleet.edges.items()}
+    fleet.run(20)
+    for name, edge in fleet.edges.items():
+        assert abs(edge.time.now(0) - before[name]) <= 1
