Never take a body for a slow head

Between taking a request off the queue and starting its handler the library shows neither, for one turn of the loop; bytes of the body that came then were taken for a head that is not whole, and the timer ran on.

--- /dev/null
+++ b/tests/test_listener.py
@@ -0,0 +1,101 @@
+"""Heads and bodies of callers in pieces, at every turn of the loop."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from bridge.listener import StrictServer
+from plantainwood.edge import CallerLimits
+
+LIMITS = CallerLimits(header_timeout_ms=50)
+HEAD = b"POST /o/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\n"
+
+
+class MemoryTransport(asyncio.Transport):
+    """Keep what is written."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.written = b""
+        self.closed = False
+
+    def write(self, data) -> None:
+        """Keep the bytes."""
+        self.written += bytes(data)
+
+    def writelines(self, pieces) -> None:
+        """Keep the bytes of all pieces."""
+        self.write(b"".join(pieces))
+
+    def close(self) -> None:
+        """Note the end."""
+        self.closed = True
+
+    def is_closing(self) -> bool:
+        """Tell whether it was closed."""
+        return self.closed
+
+    def pause_reading(self) -> None:
+        """Do nothing."""
+
+    def resume_reading(self) -> None:
+        """Do nothing."""
+
+
+async def answer_late(request: web.BaseRequest) -> web.Response:
+    """Answer after the bound on heads has passed."""
+    body = await request.read()
+    await asyncio.sleep(0.15)
+    return web.Response(body=body)
+
+
+def run_pieces(pieces: list[bytes], turns: int, handle=answer_late) -> MemoryTransport:
+    """Feed pieces to a connection, some turns of the loop apart."""
+
+    async def scenario() -> MemoryTransport:
+        server = StrictServer(handle, lambda: LIMITS)
+        handler = server()
+        transport = MemoryTransport()
+        handler.connection_made(transport)
+        for piece in pieces:
+            handler.data_received(piece)
+            for _ in range(turns):
+                await asyncio.sleep(0)
+        await asyncio.sleep(0.4)
+        await server.shutdown(0.1)
+        return transport
+
+    return asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("turns", range(6))
+def test_a_body_behind_its_head_is_not_taken_for_a_slow_head(turns):
+    transport = run_pieces([HEAD, b"bo", b"dy"], turns)
+    assert transport.written.count(b"HTTP/1.1 ") == 1
+    assert transport.written.startswith(b"HTTP/1.1 200")
+    assert transport.written.endswith(b"body")
+
+
+@pytest.mark.parametrize("turns", range(6))
+def test_a_head_in_pieces_is_served_when_it_comes_in_time(turns):
+    transport = run_pieces([HEAD[:20], HEAD[20:], b"body"], turns)
+    assert transport.written.startswith(b"HTTP/1.1 200")
+
+
+def test_an_idle_connection_after_a_request_is_not_a_slow_head():
+    async def answer(request):
+        return web.Response(body=await request.read())
+
+    transport = run_pieces([HEAD, b"body"], 3, answer)
+    assert transport.written.count(b"HTTP/1.1 ") == 1
+    assert b" 408 " not in transport.written
+
+
+def test_a_second_head_that_is_never_whole_is_408():
+    async def answer(request):
+        return web.Response(body=await request.read())
+
+    transport = run_pieces([HEAD + b"body", HEAD[:20]], 6, answer)
+    assert transport.written.count(b"HTTP/1.1 ") == 2
+    assert b" 408 " in transport.written
