--- a/tests/test_edge_duties.py
+++ b/tests/test_edge_duties.py
@@ -6,8 +6,8 @@
 from plantainwood.core.sizing import EngineCensus, Scaling, base_key
 from plantainwood.core.steps import SendCount
 from plantainwood.edge import Edge, make_edge
-from plantainwood.edgeduties import Orderer
 from plantainwood.edgesettings import EdgeAddresses, EdgeSettings, EdgeStore
+from plantainwood.ordering import Orderer
 
 SERVICE = "pool"
 SETTINGS = EdgeSettings(
