Pass on a whole reading as a copy, so that what is gone is gone everywhere

The VM that read everything anew told the others the items as news after revision 0: what was missing among them was no deletion there. Four of seven VMs kept sending calls to an address where nobody listened, 800 ms lost each time, until all VMs restarted at 42 s. Traced by `dispatched` and `attempt_failed` lines with the upstream's name: it has no `state=gone` line on those VMs.

Ruled out: the directory (no VM was down), the upstream's load.

A whole reading now goes out as a copy, which replaces. The test in memory fails with the old way.

--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -23,11 +23,12 @@
 from plantainwood.edge import Edge
 from plantainwood.logs import log_event
 from plantainwood.messenger import Messenger, make_messenger
+from plantainwood.reader import NewsTeller
 
 ASK_PAUSE_MS = 400
 
 
-class Fleet(Service):
+class Fleet(Service, NewsTeller):
     """Exchange soft state with all other VMs."""
 
     def __init__(
@@ -243,6 +244,16 @@
         )
         self._send([ask.link_address], copy)
 
+    def tell_all_items(self) -> None:
+        """Pass on the whole mirror."""
+        edge = self.edge
+        age_ms = edge.mirror.age_ms(edge.clock.now_ms()) or 0
+        self.broadcast(
+            StoreCopy(
+                edge.settings.node, edge.mirror.revision, age_ms, edge.mirror.all()
+            )
+        )
+
     def _take_copy(self, copy: StoreCopy) -> None:
         edge = self.edge
         found = edge.mirror.replace(copy.revision, copy.items)
--- a/plantainwood/reader.py
+++ b/plantainwood/reader.py
@@ -39,6 +39,18 @@
         """Return what changed after a revision, waiting for a first change."""
 
 
+class NewsTeller(ABC):
+    """The way of what was read to the other nodes."""
+
+    @abstractmethod
+    def tell_news(self, base: int, items: list[Item], age_ms: int) -> None:
+        """Pass on the changes after a revision."""
+
+    @abstractmethod
+    def tell_all_items(self) -> None:
+        """Pass on the whole mirror, so that what is missing in it is known as gone."""
+
+
 class Reader(Service):
     """Read while this node is one of the readers; follow the news otherwise."""
 
@@ -47,13 +59,13 @@
         edge: Edge,
         source: ItemSource,
         on_items: Callable[[list[Item]], None],
-        tell: Callable[[int, list[Item], int], None],
+        teller: NewsTeller,
         **kwargs,
     ) -> None:
         self.edge = edge
         self._source = source
         self._on_items = on_items
-        self._tell = tell
+        self._teller = teller
         self._reading = False
         self._failing = False
         super().__init__(**kwargs)
@@ -114,11 +126,11 @@
         if changes.items is None:
             log_event("store_history_lost", base=base)
             await self._read_all(asked_ms)
-            self._tell(0, edge.mirror.all(), 0)
+            self._teller.tell_all_items()
             return
         news = edge.mirror.apply(base, changes.revision, changes.items)
         edge.mirror.confirm(changes.revision, asked_ms)
         if news:
             self._on_items(news)
         age_ms = edge.mirror.age_ms(edge.clock.now_ms()) or 0
-        self._tell(base, news or [], age_ms)
+        self._teller.tell_news(base, news or [], age_ms)
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -4,6 +4,7 @@
 
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.messages import NodeState, VmBeat
+from plantainwood.core.mirror import Item
 from plantainwood.core.relays import RELAYED_BEAT_MS, find_relays
 from plantainwood.edge import Edge
 from plantainwood.edgesettings import EdgeAddresses
@@ -172,3 +173,20 @@
     fleet.run(20)
     for name, edge in fleet.edges.items():
         assert abs(edge.time.now(0) - before[name]) <= 1
+
+
+def test_what_is_gone_after_a_whole_reading_is_gone_on_all_vms():
+    fleet = LargeFleet(4)
+    fleet.run(3)
+    old = [Item("servers/i-1", 5, b"ready"), Item("servers/i-2", 6, b"ready")]
+    for edge in fleet.edges.values():
+        edge.mirror.replace(6, old)
+    reader = fleet.edges["vm-0"]
+    reader.mirror.replace(9, [old[1]])
+    reader.mirror.confirm(9, fleet.clock.now_ms())
+    links = f"tcp://{reader.settings.addresses.links}"
+    fleet.network.fleets[links].tell_all_items()
+    fleet.network.deliver()
+    for edge in fleet.edges.values():
+        assert set(edge.mirror.items) == {"servers/i-2"}
+        assert edge.mirror.revision == 9
