Let an open connection follow a longer idle time

Cause: said that idle times follow the configuration also on connections that were opened before; the library takes the bound once, so they did not. A caller that reused a connection within the new bound found it closed.

Test seen to fail before. Found by reading the change, not by a run.

--- a/tests/test_door.py
+++ b/tests/test_door.py
@@ -213,3 +213,23 @@
         writer.close()
 
     run(scenario)
+
+
+def test_an_open_connection_follows_a_longer_idle_time():
+    async def scenario(site):
+        put_limits(site, idleTimeoutMs=500)
+        await wait_for_version(site, 2)
+        host, port = site.base.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for pause_s in (0.1, 1.0, 0.0):
+            writer.write(HEAD + b"\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.split()[1] == b"200"
+            await reader.readexactly(len(b"GET /o/x HTTP/1.1"))
+            limits = {"headerBytes": 2_000, "idleTimeoutMs": 3_000}
+            site.store.put("op/config", make_config(3, limits=limits))
+            await wait_for_version(site, 3)
+            await asyncio.sleep(pause_s)
+        writer.close()
+
+    run(scenario)
