Keep the addresses of VMs that are heard when registrations lapse

Cause, found by reading: where the store drops leases while it is down, every VM's registration goes, and each VM forgot the others' addresses though it heard them. A relay then failed with KeyError and sent no heartbeats any more; a small fleet fell back to the seeds. The test fails on the code before.

--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -88,8 +88,12 @@
             self._addresses[name] = link_address
 
     def forget_address(self, name: str) -> None:
-        """Forget a VM that is no longer registered."""
-        self._addresses.pop(name, None)
+        """Forget a VM that is no longer registered, unless it was heard lately.
+
+        Registrations also lapse while the store is down.
+        """
+        if name not in self._vms:
+            self._addresses.pop(name, None)
 
     def note(self, beat: VmBeat, heard_ms: int) -> Noted:
         """Take a heartbeat, made at a time of this node's clock."""
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -81,6 +81,11 @@
         addresses.discard(f"tcp://{self.edge.settings.addresses.links}")
         self._send(addresses, message)
 
+    def _find_addresses(self, names: list[str]) -> list[str]:
+        """Return the link addresses of VMs, without those that are not known."""
+        known = self.edge.vms.addresses()
+        return [known[name] for name in names if name in known]
+
     def _send(self, addresses: Iterable[str], message: Message) -> None:
         if self._messenger is not None:
             self._messenger.send(addresses, message)
@@ -146,8 +151,7 @@
         domain = edge.settings.domain
         of_domain = [item for item in beats if item.beat.domain == domain]
         for names, told in ((targets.members, beats), (targets.relays, of_domain)):
-            addresses = [edge.vms.addresses()[name] for name in names]
-            self._send(addresses, VmDigest(node, told))
+            self._send(self._find_addresses(names), VmDigest(node, told))
 
     def _log_changes(self, live: set[str]) -> None:
         """Log the VMs whose heartbeats have stopped or are back."""
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -190,3 +190,13 @@
     for edge in fleet.edges.values():
         assert set(edge.mirror.items) == {"servers/i-2"}
         assert edge.mirror.revision == 9
+
+
+def test_a_registration_that_lapsed_stops_no_heartbeats():
+    fleet = LargeFleet(40)
+    fleet.run(6)
+    for edge in fleet.edges.values():
+        for name in fleet.edges:
+            edge.vms.forget_address(name)
+    fleet.run(12)
+    assert fleet.all_hear_all()
