News of the store never skip a change that the reader heard from another

The other reader's watch answered with the same change, which it had heard already; it told the rest as news after the revision at which it had asked, without that change. norte-1 took that as complete, and sent requests to the draining engine 2.2 and 3.2 s later. By the logs norte-1 alone has no state=draining line.

News are now told as following what the reader had when the answer came; a VM that missed the other's news sees the gap and asks for a copy. The fault is as old as the two readers.

--- a/plantainwood/reader.py
+++ b/plantainwood/reader.py
@@ -128,9 +128,12 @@
             await self._read_all(asked_ms)
             self._teller.tell_all_items()
             return
+        # Another reader's news may have come meanwhile: what follows is news after
+        # those, and a VM that missed them must see the gap.
+        known = edge.mirror.revision
         news = edge.mirror.apply(base, changes.revision, changes.items)
         edge.mirror.confirm(changes.revision, asked_ms)
         if news:
             self._on_items(news)
         age_ms = edge.mirror.age_ms(edge.clock.now_ms()) or 0
-        self._teller.tell_news(base, news or [], age_ms)
+        self._teller.tell_news(known, news or [], age_ms)
