--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -101,3 +101,10 @@
     assert mirror.apply(5, 6, [Item("servers/i-1", 6, b"old")]) == []
     assert mirror.items == {}
     assert mirror.revision == 11
+
+
+def test_an_older_item_replaces_none_that_a_reading_saw_before_its_turn():
+    mirror = Mirror()
+    mirror.replace(4, [put("a", 6, b"new")])
+    assert mirror.apply(4, 5, [put("a", 5, b"old")]) == []
+    assert mirror.items["a"].value == b"new"
