--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -7,6 +7,7 @@
 
 from plantainwood.connections import Headers, Response
 from plantainwood.core.catalogue import DiscoveredUpstream
+from plantainwood.core.events import Arrival
 from plantainwood.core.prompts import Prompt
 from plantainwood.core.routes import Route
 
@@ -37,6 +38,48 @@
     """The last event that the caller has from an earlier request."""
 
 
+def make_arrival(call: Call) -> Arrival:
+    """Return what the core is told of a call that comes in."""
+    return Arrival(
+        request_id=call.local_id,
+        customer=call.customer,
+        class_name=call.route.name,
+        pool=f"service/{call.service}",
+        fingerprint=call.fingerprint,
+        repeatable=call.route.idempotent,
+        prompt=call.prompt,
+        tier=call.tier,
+        give_up_ms=call.give_up_ms,
+        max_attempts=call.route.attempts,
+    )
+
+
+class Trail:
+    """What became of one call, for its log line."""
+
+    __slots__ = ("attempts", "upstream", "first_ms", "events", "status", "reasons")
+
+    def __init__(self) -> None:
+        self.attempts = 0
+        self.upstream = ""
+        self.first_ms = -1
+        self.events = 0
+        self.status = 0
+        self.reasons: list[str] = []
+
+
+class Outgoing(msgspec.Struct, frozen=True):
+    """What one attempt adds to its call."""
+
+    entry: DiscoveredUpstream
+    left_ms: int
+    """How long the caller still waits."""
+    last_event_id: str = ""
+    """The last event that the caller has, if the attempt goes on after it."""
+    source: str = ""
+    """The address of an upstream to fetch the prompt's memory from, if any."""
+
+
 class Verdict(Enum):
     """What a response says about the attempt."""
 
@@ -56,19 +99,8 @@
     """The lower-case name of the header that matches a response to its request."""
 
     @abstractmethod
-    def encode(
-        self,
-        call: Call,
-        entry: DiscoveredUpstream,
-        priority: int,
-        left_ms: int,
-        last_id: str,
-        source: str,
-    ) -> bytes:
-        """Return the bytes of an attempt.
-
-        `source` is the address of an upstream to fetch the prompt's memory from.
-        """
+    def encode(self, call: Call, attempt: Outgoing) -> bytes:
+        """Return the bytes of an attempt."""
 
     @abstractmethod
     def judge(self, response: Response) -> Verdict:
--- a/plantainwood/connectionpool.py
+++ b/plantainwood/connectionpool.py
@@ -7,6 +7,7 @@
 from plantainwood.engines import AttemptError
 
 CONNECT_TIMEOUT_MS = 350
+PROBE_TIMEOUT_MS = 80
 
 
 class ConnectionPool:
@@ -40,6 +41,16 @@
             raise AttemptError(repr(error), False, proved_not_run=True) from error
         return connection
 
+    async def refuses(self, address: str) -> bool:
+        """Tell whether nobody listens at an address any more, as after a crash."""
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_MS / 1_000):
+                connection = await self.acquire(address, fresh=True)
+        except (AttemptError, TimeoutError):
+            return True
+        connection.close()
+        return False
+
     def release(self, connection: Connection) -> None:
         """Take a connection back after a request."""
         connection.finish()
--- a/plantainwood/core/frames.py
+++ b/plantainwood/core/frames.py
@@ -5,7 +5,8 @@
 
 import msgspec
 
-from plantainwood.core.messages import WIRE_VERSION, Message
+from plantainwood.core.fleetmessages import Message
+from plantainwood.core.messages import WIRE_VERSION
 
 MAC_BYTES = 16
 HEADER_BYTES = 1 + MAC_BYTES
--- a/plantainwood/core/messages.py
+++ b/plantainwood/core/messages.py
@@ -4,10 +4,7 @@
 
 import msgspec
 
-from plantainwood.core.mirror import Item
-from plantainwood.core.prompts import Part
 from plantainwood.core.usage import UsageRecord
-from plantainwood.core.windows import NodeCounts
 
 WIRE_VERSION = 1
 
@@ -205,89 +202,7 @@
     """The upstreams that the node polls, and whether they answered."""
 
 
-class VmBeat(msgspec.Struct, tag=30, array_like=True, frozen=True):
-    """A VM's heartbeat where every VM hears every other directly."""
-
-    sender: str
-    incarnation: int
-    sequence: int
-    state: NodeState
-    domain: str
-    caller_address: str
-    link_address: str
-    revision: int
-    """The revision of the sender's mirror of the store."""
-    wall_ms: int
-    """The sender's wall clock, for the agreed time."""
-    steady_ms: int
-    """The sender's idea of the agreed time; 0 while it has none."""
-    weight: int
-    """The sender's strength in hundredths of a core."""
-    unread: dict[str, int]
-    """Prompt tokens sent to each engine and not read there yet."""
-    demand: dict[str, int]
-    """Unread prompt tokens sent to each service in the last period."""
-    read: dict[str, list[Part]] = {}
-    """Parts of prompts sent to each engine in the last period."""
-
-
-class StoreNews(msgspec.Struct, tag=31, array_like=True, frozen=True):
-    """Changes of the store after `base`, up to `revision`, as just read there."""
-
-    sender: str
-    base: int
-    revision: int
-    age_ms: int
-    items: list[Item]
-
-
-class StoreAsk(msgspec.Struct, tag=32, array_like=True, frozen=True):
-    """Ask for the whole mirror, since news after `revision` were missed."""
-
-    sender: str
-    link_address: str
-    revision: int
-
-
-class StoreCopy(msgspec.Struct, tag=33, array_like=True, frozen=True):
-    """A whole mirror."""
-
-    sender: str
-    revision: int
-    age_ms: int
-    items: list[Item]
-
-
-class CrashTold(msgspec.Struct, tag=34, array_like=True, frozen=True):
-    """A crash mark, or its lifting, for every VM."""
-
-    sender: str
-    mark: CrashNews
-
-
-class CountsTold(msgspec.Struct, tag=35, array_like=True, frozen=True):
-    """A VM's counts of started requests, for the holder of the duty."""
-
-    sender: str
-    records: list[NodeCounts]
-
-
-class AgedBeat(msgspec.Struct, array_like=True, frozen=True):
-    """A heartbeat that is passed on."""
-
-    beat: VmBeat
-    age_ms: int
-    """How long ago it was made, as far as those that passed it on know."""
-
-
-class VmDigest(msgspec.Struct, tag=36, array_like=True, frozen=True):
-    """Heartbeats that a relay has heard since its last digest."""
-
-    sender: str
-    beats: list[AgedBeat]
-
-
-Message = (
+NodeMessage = (
     Batch
     | CatalogueNews
     | CatalogueAsk
@@ -296,11 +211,4 @@
     | ShareAsk
     | ShareGrant
     | NodeDemand
-    | VmBeat
-    | StoreNews
-    | StoreAsk
-    | StoreCopy
-    | CrashTold
-    | CountsTold
-    | VmDigest
 )
--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -3,7 +3,8 @@
 from enum import Enum
 from statistics import median
 
-from plantainwood.core.messages import NodeState, VmBeat
+from plantainwood.core.fleetmessages import VmBeat
+from plantainwood.core.messages import NodeState
 from plantainwood.core.relays import (
     RELAYED_BEAT_MS,
     RELAYED_FRESH_MS,
--- a/plantainwood/duties.py
+++ b/plantainwood/duties.py
@@ -7,10 +7,11 @@
 
 from plantainwood.core.billing import close_window
 from plantainwood.core.catalogue import UpstreamKind
+from plantainwood.core.fleetmessages import Message
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.leases import Lease
 from plantainwood.core.loads import TIERS
-from plantainwood.core.messages import Message, NodeDemand
+from plantainwood.core.messages import NodeDemand
 from plantainwood.core.orders import Action, Order, issue_order
 from plantainwood.core.planner import (
     CostPlanner,
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -12,8 +12,9 @@
 from plantainwood.core.catalogue import Catalogue
 from plantainwood.core.clock import Clock, make_clock, make_incarnation
 from plantainwood.core.dispatcher import Dispatcher
+from plantainwood.core.fleetmessages import VmBeat
 from plantainwood.core.leases import Lease, LeaseTimes
-from plantainwood.core.messages import CrashNews, NodeState, VmBeat
+from plantainwood.core.messages import CrashNews, NodeState
 from plantainwood.core.mirror import Mirror
 from plantainwood.core.promptrouter import PromptRouter, make_prompt_router
 from plantainwood.core.retries import SharedRetryBudget
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -6,9 +6,10 @@
 import msgspec
 from mode import Service
 
+from plantainwood.core.fleetmessages import CountsTold
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.leases import LEASE_PREFIX, LeaseRecord
-from plantainwood.core.messages import CountsTold, NodeState
+from plantainwood.core.messages import NodeState
 from plantainwood.core.reports import report_window
 from plantainwood.core.windows import NodeCounts
 from plantainwood.edge import DUTY, Edge
--- a/plantainwood/engines.py
+++ b/plantainwood/engines.py
@@ -69,6 +69,11 @@
         """How long the upstream gets no new attempt, where it did not run this."""
 
 
+def make_not_run(reason: str, pause_ms: int) -> AttemptError:
+    """Return the failure of an attempt that certainly did not run."""
+    return AttemptError(reason, crashed=False, proved_not_run=True, pause_ms=pause_ms)
+
+
 class EngineClient(ABC):
     """Call one kind of engine."""
 
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -6,7 +6,7 @@
 from mode import Service
 
 from plantainwood.core import events as ev
-from plantainwood.core.messages import (
+from plantainwood.core.fleetmessages import (
     AgedBeat,
     CountsTold,
     CrashTold,
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -1,10 +1,20 @@
 """Forwarding of opaque requests: the core's attempts, relayed byte for byte."""
 
 import asyncio
+from typing import Awaitable, TypeVar
 
 from plantainwood.attempts import Attempts
 from plantainwood.board import Board, Ticket
-from plantainwood.calls import Call, Codec, Sink, Starts, Verdict
+from plantainwood.calls import (
+    Call,
+    Codec,
+    Outgoing,
+    Sink,
+    Starts,
+    Trail,
+    Verdict,
+    make_arrival,
+)
 from plantainwood.connectionpool import ConnectionPool
 from plantainwood.connections import Connection, Response
 from plantainwood.core import events as ev
@@ -16,36 +26,25 @@
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.routes import Repetition
 from plantainwood.core.stalls import (
+    NEVER_MS,
     find_first_stall_ms,
     find_gap_stall_ms,
     may_repeat,
 )
-from plantainwood.engines import AttemptError
+from plantainwood.engines import AttemptError, make_not_run
 from plantainwood.logs import log_event
 from plantainwood.spans import Spans
 
 BUSY_PAUSE_MS = 150
 """How long an upstream that was full gets no new attempt from here."""
 WRONG_PAUSE_MS = 1_000
-BROKEN_PAUSE_MS = 300
-PROBE_TIMEOUT_MS = 80
+TIMEOUT_RETRY_MS = 150
+"""When to come back after a request that found no upstream in its time."""
 TIMEOUT_MARGIN_MS = 20
 """How long before a route's timeout the answer is given."""
 STARTED_STATUS = 200
 
-
-class Trail:
-    """What became of one call, for its log line."""
-
-    __slots__ = ("attempts", "upstream", "first_ms", "events", "status", "reasons")
-
-    def __init__(self) -> None:
-        self.attempts = 0
-        self.upstream = ""
-        self.first_ms = -1
-        self.events = 0
-        self.status = 0
-        self.reasons: list[str] = []
+Read = TypeVar("Read")
 
 
 class Forwarder:
@@ -67,8 +66,7 @@
 
     async def forward(self, call: Call, sink: Sink, clock: Clock) -> Trail:
         """Give the whole answer, or raise RequestError with an honest outcome."""
-        run = Run(self, call, sink, clock)
-        return await run.serve()
+        return await Run(self, call, sink, clock).serve()
 
 
 class Run(Attempts):
@@ -96,7 +94,7 @@
         left_ms = self.call.give_up_ms - self.clock.now_ms() - TIMEOUT_MARGIN_MS
         try:
             async with asyncio.timeout(max(0, left_ms) / 1_000):
-                board.feed(self._make_arrival())
+                board.feed(make_arrival(self.call))
                 await self.follow()
         except TimeoutError as error:
             raise self._make_timeout() from error
@@ -104,28 +102,13 @@
             board.close(self.ticket)
         return self.trail
 
-    def _make_arrival(self) -> ev.Arrival:
-        call = self.call
-        return ev.Arrival(
-            request_id=call.local_id,
-            customer=call.customer,
-            class_name=call.route.name,
-            pool=f"service/{call.service}",
-            fingerprint=call.fingerprint,
-            repeatable=call.route.idempotent,
-            prompt=call.prompt,
-            tier=call.tier,
-            give_up_ms=call.give_up_ms,
-            max_attempts=call.route.attempts,
-        )
-
     def _make_timeout(self) -> RequestError:
         if self._sent:
             message = "no whole answer came in the time of the route"
             return RequestError(ErrorCode.UPSTREAM_TIMEOUT, message, Outcome.UNKNOWN)
         message = "no upstream was free in the time of the route"
         return RequestError(
-            ErrorCode.QUEUE_TIMEOUT, message, Outcome.NOT_RUN, BUSY_PAUSE_MS
+            ErrorCode.QUEUE_TIMEOUT, message, Outcome.NOT_RUN, TIMEOUT_RETRY_MS
         )
 
     async def exchange(self, dispatch: ev.Dispatch) -> None:
@@ -178,17 +161,18 @@
         done = False
         sent_before = self._sent
         try:
-            left_ms = self.call.give_up_ms - self.clock.now_ms()
-            last_id = self.splitter.last_id or self.call.last_event_id
-            source = self._find_address(dispatch.source)
-            data = self.forwarder.codec.encode(
-                self.call, entry, dispatch.priority, left_ms, last_id, source
+            outgoing = Outgoing(
+                entry,
+                self.call.give_up_ms - self.clock.now_ms(),
+                self.splitter.last_id or self.call.last_event_id,
+                self._find_address(dispatch.source),
             )
+            data = self.forwarder.codec.encode(self.call, outgoing)
             self._sent = True
             connection.send(
                 data, self.call.request_id.encode(), self.forwarder.codec.id_header
             )
-            response = await self._read_head(connection, dispatch, entry)
+            response = await self._read_head(connection, dispatch)
             await self._relay(connection, response, dispatch)
             done = True
         except AttemptError as error:
@@ -207,20 +191,14 @@
         return load.entry.address if load is not None else ""
 
     async def _read_head(
-        self, connection: Connection, dispatch: ev.Dispatch, entry: DiscoveredUpstream
+        self, connection: Connection, dispatch: ev.Dispatch
     ) -> Response:
         """Return the head of the answer to pass on."""
         route = self.call.route
         stall_ms = find_first_stall_ms(route, self.trail.attempts)
-        try:
-            async with asyncio.timeout(stall_ms / 1_000 if stall_ms else None):
-                response = await connection.read_head()
-        except TimeoutError as error:
-            reason = f"no answer began within {stall_ms} ms"
-            raise AttemptError(reason, False, proved_not_run=False) from error
-        except AttemptError as error:
-            error.crashed = await self._refuses(entry.address)
-            raise
+        response = await self._read_within(
+            connection.read_head(), connection, stall_ms, "no answer began"
+        )
         codec = self.forwarder.codec
         load = codec.find_load(response)
         if load is not None:
@@ -230,22 +208,34 @@
             )
         verdict = codec.judge(response)
         if verdict is Verdict.BUSY:
-            raise _make_not_run("the upstream is full", BUSY_PAUSE_MS)
+            raise make_not_run("the upstream is full", BUSY_PAUSE_MS)
         if verdict is Verdict.WRONG_INSTANCE:
-            raise _make_not_run("another process has the address", WRONG_PAUSE_MS)
+            raise make_not_run("another process has the address", WRONG_PAUSE_MS)
         if verdict is Verdict.FAILED and may_repeat(route, self.trail.attempts):
             raise AttemptError(f"status {response.status}", False, False)
         return response
 
-    async def _refuses(self, address: str) -> bool:
-        """Tell whether nobody listens at an address any more, as after a crash."""
+    async def _read_within(
+        self,
+        reading: Awaitable[Read],
+        connection: Connection,
+        stall_ms: int,
+        missing: str,
+    ) -> Read:
+        """Return what is read; raise AttemptError if it breaks or does not come.
+
+        Waits as long as the call has, where `stall_ms` is NEVER_MS.
+        """
+        bound_s = stall_ms / 1_000 if stall_ms != NEVER_MS else None
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_MS / 1_000):
-                connection = await self.forwarder.pool.acquire(address, fresh=True)
-        except (AttemptError, TimeoutError):
-            return True
-        connection.close()
-        return False
+            async with asyncio.timeout(bound_s):
+                return await reading
+        except TimeoutError as error:
+            reason = f"{missing} within {stall_ms} ms"
+            raise AttemptError(reason, False, proved_not_run=False) from error
+        except AttemptError as error:
+            error.crashed = await self.forwarder.pool.refuses(connection.address)
+            raise
 
     async def _relay(
         self, connection: Connection, response: Response, dispatch: ev.Dispatch
@@ -273,7 +263,9 @@
         stall_ms = find_gap_stall_ms(self.call.route, self.trail.attempts)
         first = True
         while True:
-            piece = await self._read_event_piece(connection, stall_ms)
+            piece = await self._read_within(
+                connection.read_piece(), connection, stall_ms, "no event"
+            )
             if not piece:
                 break
             try:
@@ -294,17 +286,6 @@
             await self.sink.start_stream(response)
         await self.sink.finish()
 
-    async def _read_event_piece(self, connection: Connection, stall_ms: int) -> bytes:
-        try:
-            async with asyncio.timeout(stall_ms / 1_000 if stall_ms else None):
-                return await connection.read_piece()
-        except TimeoutError as error:
-            reason = f"no event within {stall_ms} ms"
-            raise AttemptError(reason, False, proved_not_run=False) from error
-        except AttemptError as error:
-            error.crashed = await self._refuses(connection.address)
-            raise
-
     def _note_started(
         self, dispatch: ev.Dispatch, events: int, first: bool = True
     ) -> None:
@@ -317,7 +298,3 @@
         if events:
             self.trail.events += events
             board.feed(ev.TokensRelayed(dispatch.request_id, dispatch.attempt, events))
-
-
-def _make_not_run(reason: str, pause_ms: int) -> AttemptError:
-    return AttemptError(reason, crashed=False, proved_not_run=True, pause_ms=pause_ms)
--- a/plantainwood/links.py
+++ b/plantainwood/links.py
@@ -6,12 +6,12 @@
 from mode import Service
 
 from plantainwood.core.catalogue import decode_document, make_delta
+from plantainwood.core.fleetmessages import Message
 from plantainwood.core.membership import pick_partners
 from plantainwood.core.messages import (
     Batch,
     CatalogueAsk,
     CatalogueNews,
-    Message,
     NodeDemand,
     ShareAsk,
     ShareGrant,
--- a/plantainwood/messenger.py
+++ b/plantainwood/messenger.py
@@ -5,8 +5,8 @@
 
 import pynng
 
+from plantainwood.core.fleetmessages import Message
 from plantainwood.core.frames import FrameError, decode_frame, encode_frame
-from plantainwood.core.messages import Message
 from plantainwood.logs import log_event
 from plantainwood.metrics import Metrics
 from plantainwood.transport import Transport, make_transport
--- a/plantainwood/shares.py
+++ b/plantainwood/shares.py
@@ -5,9 +5,10 @@
 
 from mode import Service
 
+from plantainwood.core.fleetmessages import Message
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.limits import ShareHome
-from plantainwood.core.messages import Message, ShareAsk, ShareGrant
+from plantainwood.core.messages import ShareAsk, ShareGrant
 from plantainwood.node import Node
 
 ASK_EVERY_MS = 2_500
--- a/plantainwood/usageflow.py
+++ b/plantainwood/usageflow.py
@@ -6,8 +6,9 @@
 
 from mode import Service
 
+from plantainwood.core.fleetmessages import Message
 from plantainwood.core.hashing import rank_members
-from plantainwood.core.messages import Message, UsageCopy, UsageKept
+from plantainwood.core.messages import UsageCopy, UsageKept
 from plantainwood.core.usage import UsageRecord, flush_record
 from plantainwood.logs import log_event
 from plantainwood.node import Node
--- a/tests/edgesite.py
+++ b/tests/edgesite.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from bridge.daemon import Daemon
-from fakes.runner import Runner, make_answer
+from fakes.runner import Runner, make_answer, reset
 from fakes.store import MetaStore
 from plantainwood.edgesettings import (
     EdgeAddresses,
@@ -168,3 +168,38 @@
             await scenario(site)
 
     asyncio.run(main())
+
+
+STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7))
+
+
+async def stream_all(seen, writer) -> None:
+    """Answer a stream from the event after the one that the request names."""
+    last = int(seen.headers.get(b"last-event-id", b"0"))
+    events = [e + b"\n\n" for e in STREAM.split(b"\n\n") if e][last:]
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: " + seen.request_id + b"\r\n"
+        b"Response-Seal: " + seen.headers[b"expect-instance"] + b"\r\n"
+        b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    for event in events:
+        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await writer.drain()
+        await asyncio.sleep(0.005)
+    writer.write(b"0\r\n\r\n")
+
+
+async def break_off_first(seen, writer) -> None:
+    """Break off within the fourth event, unless the stream is resumed."""
+    if b"last-event-id" in seen.headers:
+        await stream_all(seen, writer)
+        return
+    part = STREAM[: STREAM.index(b"id: 4") + 9]
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: " + seen.request_id + b"\r\n"
+        b"Response-Seal: first\r\nTransfer-Encoding: chunked\r\n\r\n"
+        b"%x\r\n%s\r\n" % (len(part), part)
+    )
+    await writer.drain()
+    await asyncio.sleep(0.02)
+    reset(writer)
--- /dev/null
+++ b/tests/samples.py
@@ -0,0 +1,34 @@
+"""Settings, routes and heartbeats that several tests use."""
+
+from plantainwood.core.fleetmessages import VmBeat
+from plantainwood.core.messages import NodeState
+from plantainwood.core.routes import Branch, Repetition, Route
+from plantainwood.edgesettings import EdgeAddresses, EdgeSettings, EdgeStore
+
+SETTINGS = EdgeSettings(
+    node="vm-1",
+    domain="a",
+    domains=["a", "b"],
+    addresses=EdgeAddresses("h:1", "h:2", "h:3", "h:4", metrics_port=5),
+    store=EdgeStore("h:6", "h:7"),
+    fleet="0123456789abcdef",
+)
+ROUTE = Route(
+    name="r1",
+    host="front.example",
+    prefix="/s/",
+    repetition=Repetition.STREAM,
+    timeout_ms=3_000,
+    first_byte_ms=400,
+    gap_ms=150,
+    tier=1,
+    attempts=2,
+    open_to_all=False,
+    resumable=True,
+    branches=(Branch("pool", 1),),
+)
+
+
+def make_beat(name: str, weight: int) -> VmBeat:
+    """Return the heartbeat of a VM of some strength."""
+    return VmBeat(name, 1, 1, NodeState.LIVE, "a", "", "", 1, 0, 0, weight, {}, {})
--- a/tests/test_addresses.py
+++ b/tests/test_addresses.py
@@ -6,8 +6,7 @@
 
 from plantainwood.core.addresses import Candidate, choose_addresses
 from plantainwood.core.vms import Vms
-from tests.test_connection_share import make_beat
-from tests.test_edge_duties import SETTINGS
+from tests.samples import SETTINGS, make_beat
 
 ALIKE = [Candidate(f"10.0.0.{number}:80", 107) for number in range(7)]
 UNLIKE = [
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -2,8 +2,10 @@
 
 from bridge.codec import RunnerCodec
 from bridge.requests import make_call
+from plantainwood.calls import Outgoing
 from plantainwood.core.catalogue import DiscoveredUpstream, UpstreamKind
-from plantainwood.core.routes import Branch, Repetition, Route, Tenancy
+from plantainwood.core.routes import Tenancy
+from tests.samples import ROUTE
 
 ENTRY = DiscoveredUpstream(
     owner="",
@@ -14,20 +16,6 @@
     slots=8,
     instance="i-1",
 )
-ROUTE = Route(
-    name="r1",
-    host="front.example",
-    prefix="/s/",
-    repetition=Repetition.STREAM,
-    timeout_ms=3_000,
-    first_byte_ms=400,
-    gap_ms=150,
-    tier=1,
-    attempts=2,
-    open_to_all=False,
-    resumable=True,
-    branches=(Branch("pool", 1),),
-)
 
 
 def encode(*headers: tuple[bytes, bytes], source: str = "") -> list[bytes]:
@@ -36,7 +24,7 @@
     call = make_call(
         ROUTE, Tenancy("acme"), "POST", "/s/1", given, b"body", 0, "id-1.1"
     )
-    data = RunnerCodec().encode(call, ENTRY, 0, 1_000, "", source)
+    data = RunnerCodec().encode(call, Outgoing(ENTRY, 1_000, source=source))
     return data.split(b"\r\n\r\n")[0].split(b"\r\n")
 
 
--- a/tests/test_connection_share.py
+++ b/tests/test_connection_share.py
@@ -13,8 +13,8 @@
     assemble_catalogue,
 )
 from plantainwood.core.dispatcher import Dispatcher
-from plantainwood.core.messages import NodeState, VmBeat
 from plantainwood.core.vms import find_share
+from tests.samples import make_beat
 
 UPSTREAM = DiscoveredUpstream(
     owner="",
@@ -71,11 +71,6 @@
     assert len(arrive(dispatcher, 95)) == int(0.9 * 96)
 
 
-def make_beat(name: str, weight: int) -> VmBeat:
-    """Return the heartbeat of a VM of some strength."""
-    return VmBeat(name, 1, 1, NodeState.LIVE, "a", "", "", 1, 0, 0, weight, {}, {})
-
-
 def test_all_shares_together_stay_below_the_bound():
     weights = [107] * 40 + [52] * 20 + [215] * 14
     entry = msgspec.structs.replace(UPSTREAM, max_connections=760)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -6,7 +6,14 @@
 import pytest
 
 from fakes.runner import make_answer, reset
-from tests.edgesite import make_config, make_entry, run
+from tests.edgesite import (
+    STREAM,
+    break_off_first,
+    make_config,
+    make_entry,
+    run,
+    stream_all,
+)
 
 
 def test_a_withdrawn_key_and_a_dropped_route_stop_within_the_bound():
@@ -139,25 +146,6 @@
     run(scenario, script=script, runners=2)
 
 
-STREAM = b"".join(b"id: %d\ndata: piece %d\n\n" % (n, n) for n in range(1, 7))
-
-
-async def stream_all(seen, writer) -> None:
-    """Answer a stream from the event after the one that the request names."""
-    last = int(seen.headers.get(b"last-event-id", b"0"))
-    events = [e + b"\n\n" for e in STREAM.split(b"\n\n") if e][last:]
-    writer.write(
-        b"HTTP/1.1 200 OK\r\nRequest-Id: " + seen.request_id + b"\r\n"
-        b"Response-Seal: " + seen.headers[b"expect-instance"] + b"\r\n"
-        b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
-    )
-    for event in events:
-        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
-        await writer.drain()
-        await asyncio.sleep(0.005)
-    writer.write(b"0\r\n\r\n")
-
-
 def test_a_stream_is_passed_on_whole():
     async def scenario(site):
         status, headers, body = await site.call("POST", "/s/x", b"b")
@@ -175,22 +163,6 @@
     run(scenario, script=stream_all)
 
 
-async def break_off_first(seen, writer) -> None:
-    """Break off within the fourth event, unless the stream is resumed."""
-    if b"last-event-id" in seen.headers:
-        await stream_all(seen, writer)
-        return
-    part = STREAM[: STREAM.index(b"id: 4") + 9]
-    writer.write(
-        b"HTTP/1.1 200 OK\r\nRequest-Id: " + seen.request_id + b"\r\n"
-        b"Response-Seal: first\r\nTransfer-Encoding: chunked\r\n\r\n"
-        b"%x\r\n%s\r\n" % (len(part), part)
-    )
-    await writer.drain()
-    await asyncio.sleep(0.02)
-    reset(writer)
-
-
 def test_a_broken_stream_goes_on_elsewhere_in_the_same_answer():
     async def scenario(site):
         status, headers, body = await site.call("POST", "/s/x", b"b")
--- a/tests/test_edge_duties.py
+++ b/tests/test_edge_duties.py
@@ -6,18 +6,10 @@
 from plantainwood.core.sizing import EngineCensus, Scaling, base_key
 from plantainwood.core.steps import SendCount
 from plantainwood.edge import Edge, make_edge
-from plantainwood.edgesettings import EdgeAddresses, EdgeSettings, EdgeStore
 from plantainwood.ordering import Orderer
+from tests.samples import SETTINGS
 
 SERVICE = "pool"
-SETTINGS = EdgeSettings(
-    node="vm-1",
-    domain="a",
-    domains=["a", "b"],
-    addresses=EdgeAddresses("h:1", "h:2", "h:3", "h:4", metrics_port=5),
-    store=EdgeStore("h:6", "h:7"),
-    fleet="0123456789abcdef",
-)
 
 
 class HeldLease:
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -5,8 +5,7 @@
 import aiohttp
 import pytest
 
-from tests.edgesite import run
-from tests.test_edge import break_off_first
+from tests.edgesite import break_off_first, run
 
 
 def find_lines(caplog, request_id: str) -> list[logging.LogRecord]:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -3,14 +3,15 @@
 import msgspec
 
 from plantainwood.core.clock import VirtualClock
-from plantainwood.core.messages import NodeState, VmBeat
+from plantainwood.core.fleetmessages import VmBeat
+from plantainwood.core.messages import NodeState
 from plantainwood.core.mirror import Item
 from plantainwood.core.relays import RELAYED_BEAT_MS, find_relays
 from plantainwood.edge import Edge
 from plantainwood.edgesettings import EdgeAddresses
 from plantainwood.fleet import Fleet
 from plantainwood.metrics import Metrics
-from tests.test_edge_duties import SETTINGS
+from tests.samples import SETTINGS
 
 DOMAINS = 4
 
--- a/tests/test_reader.py
+++ b/tests/test_reader.py
@@ -5,7 +5,7 @@
 from plantainwood.core.mirror import Item
 from plantainwood.edge import Edge, make_edge
 from plantainwood.reader import Changes, ItemSource, NewsTeller, Reader
-from tests.test_edge_duties import SETTINGS
+from tests.samples import SETTINGS
 
 READY = Item("servers/i-1", 5, b"ready")
 DRAINING = Item("servers/i-1", 6, b"draining")
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -5,7 +5,7 @@
 from plantainwood.edge import BUDGET_PART, make_edge
 from plantainwood.edgesettings import EdgeDrain, EdgeRetries, EdgeSettings
 from plantainwood.settingswatch import SettingsUser, SettingsWatch, merge_settings
-from tests.test_edge_duties import SETTINGS
+from tests.samples import SETTINGS
 
 TEXT = """
 node: "vm-1"
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -11,7 +11,7 @@
     find_first_stall_ms,
     find_gap_stall_ms,
 )
-from tests.test_codec import ROUTE
+from tests.samples import ROUTE
 
 
 def make_route(**changes):
