Log the prompt parts of a failed attempt and whether its answer had begun

The lines could not tell whether the requests under which engines ended have anything in common. attempt_failed now names up to eight part ids, and whether the engine had begun to answer. Nothing else changes.

--- a/plantainwood/core/prompts.py
+++ b/plantainwood/core/prompts.py
@@ -39,6 +39,10 @@
         """Return the tokens of all parts but the last."""
         return sum(part.tokens for part in self.parts[:-1])
 
+    def format_parts(self, limit: int) -> str:
+        """Return the ids of the first `limit` parts for a log line; "-" for none."""
+        return ",".join(part.id for part in self.parts[:limit]) or "-"
+
 
 class PartCache:
     """An estimate of the parts in one engine's KV cache, evicted in LRU order."""
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -43,6 +43,8 @@
 TIMEOUT_MARGIN_MS = 20
 """How long before a call's deadline the timeout error is returned."""
 STREAM_STATUS = 200
+MAX_LOGGED_PARTS = 8
+"""How many parts of a prompt a log line names at most."""
 
 Result = TypeVar("Result")
 
@@ -155,10 +157,18 @@
             reason=str(error),
             proved_not_run=error.proved_not_run,
             crashed=error.crashed,
+            began=self._has_begun(dispatch),
+            parts=self.call.prompt.format_parts(MAX_LOGGED_PARTS),
         )
         if not error.proved_not_run:
             self._may_have_run = True
 
+    def _has_begun(self, dispatch: ev.Dispatch) -> bool:
+        """Tell whether the upstream began to answer the running attempt."""
+        state = self.broker.dispatcher.state
+        request = state.find_running(dispatch.request_id, dispatch.attempt)
+        return request is not None and request.first_token_ms > 0
+
     async def _perform_on_connection(
         self, dispatch: ev.Dispatch, entry: DiscoveredUpstream
     ) -> None:
