--- /dev/null
+++ b/tests/crashingpart.py
@@ -0,0 +1,193 @@
+"""A fleet of dispatchers over engines that a part of some prompts crashes.
+
+Everything runs in virtual time. An engine crashes when it begins to answer a request
+with the deadly part; it is back under another name some seconds later.
+"""
+
+import random
+
+import msgspec
+
+from plantainwood.core import events as ev
+from plantainwood.core.catalogue import Catalogue, apply_changes
+from plantainwood.core.dispatcher import Dispatcher, Options
+from plantainwood.core.errors import ErrorCode
+from plantainwood.core.promptrouter import make_prompt_router
+from plantainwood.core.prompts import Part, Prompt
+from tests.catalogues import make_changes
+
+STEP_MS = 20
+PREFILL_MS = 100
+ANSWER_MS = 300
+RESTART_MS = 3_000
+DEADLY_PART = "deadly"
+SESSIONS = 12
+VM_COUNT = 3
+MAX_CRASHES = 3
+
+
+class RunningAttempt(msgspec.Struct):
+    """An attempt at an engine."""
+
+    vm: int
+    request_id: str
+    attempt: int
+    engine: str
+    deadly: bool
+    dispatched_ms: int
+    started: bool = False
+
+
+class CrashingPartFleet:
+    """VMs and engines under traffic of which a share has the deadly part."""
+
+    def __init__(self, seed: int, options: Options | None = None) -> None:
+        self.random = random.Random(seed)
+        self.now_ms = 1_000
+        self.engines = {f"e{number}": number for number in range(1, 6)}
+        """Numbers of the running engines, by name; a restarted one has a new name."""
+        self.restarts: list[tuple[int, int]] = []
+        """When engines are back, and their numbers."""
+        self.dispatchers: list[Dispatcher] = []
+        for number in range(VM_COUNT):
+            self.dispatchers.append(self._make_dispatcher(number, seed))
+        self._apply_catalogue()
+        self.attempts: dict[tuple[int, str], RunningAttempt] = {}
+        self.crash_times_ms: list[int] = []
+        self.deadly_dispatch_times_ms: list[int] = []
+        self.refused_sound: list[ErrorCode] = []
+        self.started_sound = 0
+        self.deadly_requests: set[str] = set()
+        self._request_count = 0
+
+    def _make_dispatcher(self, number: int, seed: int) -> Dispatcher:
+        options = Options(
+            make_router=make_prompt_router,
+            isolate_suspects=False,
+            preempt=False,
+            move_unstarted=False,
+            max_crashes=MAX_CRASHES,
+        )
+        return Dispatcher(f"vm-{number}", seed + number, options)
+
+    def _apply_catalogue(self) -> None:
+        changes = [item for item in make_changes(16) if item.section != "upstreams"]
+        entry = next(item for item in make_changes(16) if item.section == "upstreams")
+        for name, number in self.engines.items():
+            body = dict(entry.body, address=f"http://{name}", domain=f"d{number % 4}")
+            changes.append(msgspec.structs.replace(entry, name=name, body=body))
+        catalogue = apply_changes(Catalogue(), changes, "engines")
+        for dispatcher in self.dispatchers:
+            dispatcher.apply_catalogue(catalogue)
+
+    def replace_vm(self, vm: int) -> None:
+        """Replace a VM by an empty one; its attempts end with it."""
+        self.dispatchers[vm] = self._make_dispatcher(vm, self.now_ms)
+        self._apply_catalogue()
+        for key in [key for key in self.attempts if key[0] == vm]:
+            del self.attempts[key]
+
+    def arrive(self, deadly: bool, session: int | None = None) -> None:
+        """Send a new request, unlike all others, to some VM."""
+        self._request_count += 1
+        request_id = f"r-{self._request_count}"
+        if session is None:
+            session = self.random.randrange(SESSIONS)
+        parts = [Part("first", 300), Part(f"session-{session}", 2_000)]
+        if deadly:
+            parts.append(Part(DEADLY_PART, 100))
+            self.deadly_requests.add(request_id)
+        parts.append(Part(f"own-{request_id}", 200))
+        tokens = sum(part.tokens for part in parts)
+        arrival = ev.Arrival(
+            request_id,
+            "norte",
+            "hint",
+            "model/rounds",
+            f"print-{request_id}",
+            prompt=Prompt(tuple(parts), tokens, 50),
+            max_attempts=3,
+        )
+        self.handle_event(self.random.randrange(VM_COUNT), arrival)
+
+    def handle_event(self, vm: int, event: ev.Event) -> None:
+        """Pass an event to one VM, and the marks that it broadcasts to the others."""
+        for decision in self.dispatchers[vm].decide(event, self.now_ms):
+            match decision:
+                case ev.Dispatch():
+                    self._record_dispatch(vm, decision)
+                case ev.Cancel():
+                    self.attempts.pop((vm, decision.request_id), None)
+                case ev.Refuse():
+                    self.attempts.pop((vm, decision.request_id), None)
+                    if decision.request_id not in self.deadly_requests:
+                        self.refused_sound.append(decision.error.code)
+                case ev.BroadcastCrashMark():
+                    mark = ev.CrashMarkReceived(*msgspec.structs.astuple(decision))
+                    for other in range(VM_COUNT):
+                        if other != vm:
+                            self.handle_event(other, mark)
+
+    def _record_dispatch(self, vm: int, dispatch: ev.Dispatch) -> None:
+        deadly = dispatch.request_id in self.deadly_requests
+        if deadly:
+            self.deadly_dispatch_times_ms.append(self.now_ms)
+        self.attempts[(vm, dispatch.request_id)] = RunningAttempt(
+            vm,
+            dispatch.request_id,
+            dispatch.attempt,
+            dispatch.upstream,
+            deadly,
+            self.now_ms,
+        )
+
+    def run(self, duration_ms: int, deadly_share: float) -> None:
+        """Send a request in each step, some of them deadly, and run the engines."""
+        until_ms = self.now_ms + duration_ms
+        while self.now_ms < until_ms:
+            self.arrive(self.random.random() < deadly_share)
+            self.advance()
+
+    def advance(self) -> None:
+        """Advance the time by one step."""
+        self.now_ms += STEP_MS
+        for back_ms, number in list(self.restarts):
+            if back_ms <= self.now_ms:
+                self.restarts.remove((back_ms, number))
+                self.engines[f"e{number}-{self.now_ms}"] = number
+                self._apply_catalogue()
+        for attempt in list(self.attempts.values()):
+            if self.attempts.get((attempt.vm, attempt.request_id)) is attempt:
+                self._progress(attempt)
+        for vm in range(VM_COUNT):
+            self.handle_event(vm, ev.Tick())
+
+    def _progress(self, attempt: RunningAttempt) -> None:
+        took_ms = self.now_ms - attempt.dispatched_ms
+        if not attempt.started and took_ms >= PREFILL_MS:
+            if attempt.deadly:
+                self._crash(attempt.engine)
+                return
+            attempt.started = True
+            self.started_sound += 1
+            event = ev.AttemptStarted(attempt.request_id, attempt.attempt)
+            self.handle_event(attempt.vm, event)
+        if took_ms >= PREFILL_MS + ANSWER_MS:
+            del self.attempts[(attempt.vm, attempt.request_id)]
+            self.handle_event(
+                attempt.vm, ev.AttemptDone(attempt.request_id, attempt.attempt)
+            )
+
+    def _crash(self, engine: str) -> None:
+        """Crash an engine: all attempts there fail, and it is back some time later."""
+        self.crash_times_ms.append(self.now_ms)
+        self.restarts.append((self.now_ms + RESTART_MS, self.engines.pop(engine)))
+        lost = [item for item in self.attempts.values() if item.engine == engine]
+        self.random.shuffle(lost)
+        for item in lost:
+            if self.attempts.get((item.vm, item.request_id)) is not item:
+                continue
+            del self.attempts[(item.vm, item.request_id)]
+            event = ev.AttemptFailed(item.request_id, item.attempt, True, False)
+            self.handle_event(item.vm, event)
+        self._apply_catalogue()
