--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -89,7 +89,8 @@
     if event.lifted:
         state.quarantine.lift_mark(event.fingerprint, event.upstream)
     else:
-        state.quarantine.add_mark(event.fingerprint, event.upstream, now_ms)
+        crashed_ms = now_ms - event.age_ms
+        state.quarantine.add_mark(event.fingerprint, event.upstream, crashed_ms)
         enforce_mark(state, event.fingerprint, now_ms, decisions)
 
 
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -98,6 +98,8 @@
     fingerprint: str
     upstream: str
     lifted: bool = False
+    age_ms: int = 0
+    """How long ago the crash was."""
 
 
 class PartCrashReceived(msgspec.Struct, frozen=True):
--- a/plantainwood/core/fleetmessages.py
+++ b/plantainwood/core/fleetmessages.py
@@ -69,10 +69,12 @@
 
 
 class CrashNotice(msgspec.Struct, tag=34, array_like=True, frozen=True):
-    """A crash mark that was set or lifted, broadcast to every VM."""
+    """A crash mark that was set or lifted, broadcast or handed to a new VM."""
 
     sender: str
     mark: CrashMark
+    age_ms: int = 0
+    """How long ago the crash was."""
 
 
 class PartCrashNotice(msgspec.Struct, tag=37, array_like=True, frozen=True):
--- a/plantainwood/core/partquarantine.py
+++ b/plantainwood/core/partquarantine.py
@@ -21,6 +21,7 @@
 """How long a part is trusted after an engine began to answer a request with it."""
 MAX_CRASHES_OF_TRUSTED = 8
 """Crashes that block a trusted part; more than an outage causes one by one."""
+MIN_MARKS_TOLD = 2
 MAX_TRUSTED_PARTS = 8_192
 MAX_MARKED_PARTS = 2_048
 
@@ -128,12 +129,18 @@
         return found
 
     def list_crashes(self, now_ms: int) -> list[PartCrash]:
-        """Return all unexpired marks as crashes, for a node that was not told yet."""
+        """Return the unexpired marks as crashes, for a node that was not told yet.
+
+        Parts with a single mark are left out: most are cleared within a second.
+        """
         parts: dict[tuple[str, str], list[str]] = {}
         times_ms: dict[str, int] = {}
         for part in list(self._marks):
             self._expire(part, now_ms)
-            for upstream, mark in self._marks.get(part, {}).items():
+            marks = self._marks.get(part, {})
+            if len(marks) < MIN_MARKS_TOLD:
+                continue
+            for upstream, mark in marks.items():
                 times_ms[upstream] = mark.time_ms
                 for request in mark.requests:
                     parts.setdefault((upstream, request), []).append(part)
--- a/plantainwood/core/quarantine.py
+++ b/plantainwood/core/quarantine.py
@@ -40,6 +40,14 @@
     lifted: bool
 
 
+class AgedMark(msgspec.Struct, frozen=True):
+    """A mark in force, and how long ago the crash was."""
+
+    fingerprint: str
+    upstream: str
+    age_ms: int
+
+
 class Quarantine:
     """Count, per fingerprint, the crashes of upstreams while it ran.
 
@@ -81,7 +89,7 @@
         )
 
     def add_mark(self, fingerprint: str, upstream: str, now_ms: int) -> None:
-        """Set a mark from this or another node, for MARK_LIFETIME_MS."""
+        """Set a mark of a crash at `now_ms`, which lasts for MARK_LIFETIME_MS."""
         marks = self._marks.setdefault(fingerprint, {})
         marks[upstream] = now_ms + MARK_LIFETIME_MS
 
@@ -96,6 +104,16 @@
             marks.append(Mark(fingerprint, upstream, lifted=True))
         return marks
 
+    def list_marks(self, now_ms: int) -> list[AgedMark]:
+        """Return all unexpired marks, for a node that was not told yet."""
+        found: list[AgedMark] = []
+        for fingerprint in list(self._marks):
+            self.count_marks(fingerprint, now_ms)
+            for upstream, until_ms in self._marks.get(fingerprint, {}).items():
+                age_ms = MARK_LIFETIME_MS - (until_ms - now_ms)
+                found.append(AgedMark(fingerprint, upstream, age_ms))
+        return found
+
     def lift_explained(self, upstreams: set[str]) -> None:
         """Lift all marks of crashes that something else than the request explains."""
         for marks in self._marks.values():
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -19,6 +19,7 @@
     StoreUpdate,
     VmHeartbeat,
 )
+from plantainwood.core.messages import CrashMark
 from plantainwood.core.mirror import Item
 from plantainwood.core.relays import HeartbeatTargets, find_targets, is_mesh
 from plantainwood.core.vms import (
@@ -32,6 +33,8 @@
 from plantainwood.reader import MirrorPublisher
 
 MIRROR_REQUEST_PAUSE_MS = 400
+MARK_SENDERS = 4
+"""How many VMs send their crash marks to a VM that is new to them."""
 
 
 class FleetLinks(Service, MirrorPublisher):
@@ -187,8 +190,30 @@
             log_event("vm_lost", vm=name, live=len(live_names))
         for name in sorted(live_names - self._live_names):
             log_event("vm_live", vm=name, live=len(live_names))
+            self._hand_over_marks(name)
         self._live_names = live_names
 
+    def _hand_over_marks(self, name: str) -> None:
+        """Send the crash marks to a VM that started or was cut off.
+
+        The VMs that run longest do so, since they know most.
+        """
+        edge = self.edge
+        now_ms = edge.clock.now_ms()
+        ages = [(edge.incarnation, edge.settings.node)]
+        for heartbeat in edge.vms.list_live(now_ms):
+            if heartbeat.sender != name:
+                ages.append((heartbeat.incarnation, heartbeat.sender))
+        if (edge.incarnation, edge.settings.node) not in sorted(ages)[:MARK_SENDERS]:
+            return
+        state = edge.broker.dispatcher.state
+        for mark in state.quarantine.list_marks(now_ms):
+            notice = CrashMark(mark.fingerprint, mark.upstream)
+            self.send(name, CrashNotice(edge.settings.node, notice, mark.age_ms))
+        crashes = state.part_quarantine.list_crashes(now_ms)
+        if crashes:
+            self.send(name, PartCrashNotice(edge.settings.node, crashes))
+
     @Service.task
     async def _broadcast_notices(self) -> None:
         while not self.should_stop:
@@ -217,7 +242,7 @@
             case CrashNotice():
                 mark = message.mark
                 event = ev.CrashMarkReceived(
-                    mark.fingerprint, mark.upstream, mark.lifted
+                    mark.fingerprint, mark.upstream, mark.lifted, message.age_ms
                 )
                 self.edge.broker.feed(event)
             case PartCrashNotice():
@@ -237,6 +262,7 @@
             return
         if status is HeartbeatStatus.NEW:
             log_event("vm_heard", vm=heartbeat.sender, domain=heartbeat.domain)
+            self._hand_over_marks(heartbeat.sender)
             if is_mesh(len(edge.vms.list_live(now_ms))):
                 self.trigger_heartbeat()
         edge.agreed_time.record(heartbeat.sender, heartbeat.agreed_ms + age_ms, now_ms)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -5,6 +5,7 @@
 
 from bridge.daemon import EdgeDaemon
 from fakes.store import FakeKvStore
+from plantainwood.core import events as ev
 from plantainwood.core.fleetmessages import PartCrashNotice, PartsClearedNotice
 from plantainwood.core.partquarantine import LostAttempt, PartCrash
 from plantainwood.core.reports import make_report_key
@@ -252,22 +253,53 @@
     run(scenario, count=3)
 
 
-def test_a_part_that_crashes_engines_is_blocked_on_every_node():
-    async def scenario(store, daemons):
-        name = "service/pool#cause"
-        for number in range(3):
-            lost = [LostAttempt(f"request {number}", (name,))]
-            crash = PartCrash(f"e{number}", lost, age_ms=1_000 * (3 - number))
-            daemons[0].edge.notices.put_nowait(PartCrashNotice("vm-0", [crash]))
+CRASHING_PART = "service/pool#cause"
+CRASHING_REQUEST = "fingerprint of the cause"
+
+
+def is_blocked(daemon: EdgeDaemon, fingerprint: str = "") -> bool:
+    """Tell whether a node refuses a fingerprint, or else CRASHING_PART."""
+    edge = daemon.edge
+    parts = () if fingerprint else (CRASHING_PART,)
+    state = edge.broker.dispatcher.state
+    return state.is_blocked(fingerprint, parts, edge.clock.now_ms())
+
 
-        def is_blocked(daemon: EdgeDaemon) -> bool:
-            edge = daemon.edge
-            quarantine = edge.broker.dispatcher.state.part_quarantine
-            return quarantine.is_blocked((name,), edge.clock.now_ms())
+def make_part_crashes() -> list[PartCrash]:
+    """Return three crashes under CRASHING_PART, in three requests."""
+    crashes: list[PartCrash] = []
+    for number in range(3):
+        lost = [LostAttempt(f"request {number}", (CRASHING_PART,))]
+        crashes.append(PartCrash(f"e{number}", lost, age_ms=1_000 * (3 - number)))
+    return crashes
 
+
+def test_a_part_that_crashes_engines_is_blocked_on_every_node():
+    async def scenario(store, daemons):
+        notices = daemons[0].edge.notices
+        notices.put_nowait(PartCrashNotice("vm-0", make_part_crashes()))
         await wait_until(lambda: all(is_blocked(daemon) for daemon in daemons[1:]))
-        notice = PartsClearedNotice("vm-0", [name])
-        daemons[0].edge.notices.put_nowait(notice)
+        notices.put_nowait(PartsClearedNotice("vm-0", [CRASHING_PART]))
         await wait_until(lambda: not any(is_blocked(daemon) for daemon in daemons[1:]))
 
     run(scenario, count=3)
+
+
+# Guards against BUDGET: a node that had just started knew no crash marks, so each
+# restart let crashing requests through again.
+def test_a_node_that_starts_anew_is_told_the_crash_marks():
+    async def scenario(store, daemons):
+        for daemon in daemons:
+            for crash in make_part_crashes():
+                daemon.edge.broker.feed(ev.PartCrashReceived(crash))
+            for number in range(3):
+                event = ev.CrashMarkReceived(CRASHING_REQUEST, f"other-{number}")
+                daemon.edge.broker.feed(event)
+        settings = daemons[1].edge.settings
+        await daemons[1].stop()
+        daemons[1] = EdgeDaemon(settings)
+        await daemons[1].start()
+        await wait_until(lambda: is_blocked(daemons[1]))
+        await wait_until(lambda: is_blocked(daemons[1], CRASHING_REQUEST))
+
+    run(scenario, count=3)
