Cut off a runner that sends bytes without end in a head or a body

What callers see: the request hangs until its deadline while the node's memory fills; a VM of 128 MB is killed by one such answer. Cause: nothing bounded the bytes before the end of a head (a long header, interim responses, the body of a response to another request), nor those of an answer that is collected before it is relayed. Change: 128 KiB before a head, 1 MiB for a collected answer; then the connection is closed, and the attempt counts as one that may have run.

--- a/plantainwood/connections.py
+++ b/plantainwood/connections.py
@@ -20,6 +20,9 @@
 USER_TIMEOUT_MS = 1_500
 HIGH_WATER_BYTES = 262_144
 MAX_FOREIGN_RESPONSES = 4
+MAX_BYTES_BEFORE_HEAD = 131_072
+"""Bytes received for a request until the end of its response's head, those of interim
+responses and of responses to other requests included."""
 BODILESS_STATUSES = (204, 304)
 
 Headers = list[tuple[bytes, bytes]]
@@ -69,6 +72,7 @@
         self._request_id = b""
         self._id_header = b""
         self._foreign_responses = 0
+        self._bytes_before_head = 0
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Store the transport; limit how long sent bytes may stay unacknowledged."""
@@ -91,6 +95,10 @@
             self._fail(f"malformed HTTP response: {error}")
         except Exception as error:
             self._fail(f"failed to parse the response: {error!r}")
+        if not self._heads:
+            self._bytes_before_head += len(data)
+            if self._bytes_before_head > MAX_BYTES_BEFORE_HEAD:
+                self._fail(f"no head within {MAX_BYTES_BEFORE_HEAD} bytes")
         self._wake()
 
     def eof_received(self) -> bool:
@@ -177,6 +185,7 @@
         self._body_until_close = False
         self._skipping = False
         self._foreign_responses = 0
+        self._bytes_before_head = 0
         self._heads.clear()
         self._body_chunks.clear()
         self._buffered_bytes = 0
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -43,6 +43,8 @@
 TIMEOUT_MARGIN_MS = 20
 """How long before a call's deadline the timeout error is returned."""
 STREAM_STATUS = 200
+MAX_ANSWER_BYTES = 1_048_576
+"""The size of an answer that is collected in memory before it is relayed."""
 MAX_LOGGED_PARTS = 8
 """How many parts of a prompt a log line names at most."""
 
@@ -270,6 +272,9 @@
             if not chunk:
                 break
             body += chunk
+            if len(body) > MAX_ANSWER_BYTES:
+                message = f"the answer exceeds {MAX_ANSWER_BYTES} bytes"
+                raise AttemptError(message, False, proved_not_run=False)
         self._report_progress(dispatch, 0)
         self.summary.status = response.status
         await self.sink.send_answer(response, bytes(body))
