A stream that ends with its connection before its first event was broken off

What callers saw: an empty stream that looks complete, where a runner ended before it began to answer and its response has neither a length nor chunks. Cause: the end of the connection ends such a body, and only a partial event was taken for a break. Test: the case without any event failed before; the cases that end inside an event and the complete one passed before and stay as guards.

--- a/plantainwood/connections.py
+++ b/plantainwood/connections.py
@@ -225,6 +225,11 @@
             self._transport.resume_reading()
         return data
 
+    @property
+    def ends_with_connection(self) -> bool:
+        """Return whether the body has neither a length nor chunks."""
+        return self._body_until_close
+
     @property
     def lost_reason(self) -> str | None:
         """Return why the connection was lost; None while it is open."""
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -290,7 +290,10 @@
         while True:
             events_before = self.splitter.event_count
             complete_events = await self._read_within(
-                self._read_events(connection), connection, stall_ms, "no event received"
+                self._read_events(connection, is_first),
+                connection,
+                stall_ms,
+                "no event received",
             )
             if not complete_events:
                 break
@@ -301,22 +304,26 @@
             )
             is_first = False
             await self.sink.write(complete_events)
-        if self.splitter.partial:
-            raise AttemptError(
-                "the stream ended in the middle of an event", False, False
-            )
         if not self.sink.started:
             await self.sink.start_stream(response)
         await self.sink.finish()
 
-    async def _read_events(self, connection: Connection) -> bytes:
-        """Return the next complete events, empty at the end of the stream.
+    async def _read_events(self, connection: Connection, is_first: bool) -> bytes:
+        """Return the next complete events, empty at the end of a complete stream.
 
-        Bytes that complete no event don't count as progress.
+        Bytes that complete no event don't count as progress. A stream that ends inside
+        an event was broken off, and so was one that ends with its connection before
+        its first event.
         """
         while True:
             chunk = await connection.read_chunk()
             if not chunk:
+                if self.splitter.partial:
+                    message = "the stream ended in the middle of an event"
+                    raise AttemptError(message, False, False)
+                if is_first and connection.ends_with_connection:
+                    message = "the connection ended before the first event"
+                    raise AttemptError(message, False, False)
                 return b""
             try:
                 complete_events = self.splitter.feed(chunk)
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -265,3 +265,45 @@
         assert status == 503
 
     run(scenario, script=script)
+
+
+def make_unframed_script(events: bytes):
+    """Return a script whose first answer has no length, and ends after `events`."""
+    used: list[bytes] = []
+
+    async def script(request, writer):
+        if used:
+            await answer_stream(request, writer)
+            return
+        used.append(request.line)
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: " + request.request_id + b"\r\n"
+            b"Response-Seal: first\r\nContent-Type: text/event-stream\r\n\r\n" + events
+        )
+        await writer.drain()
+        writer.close()
+
+    return script
+
+
+# Guards against an empty or cut stream that looks complete, where a runner's answer
+# has neither a length nor chunks.
+@pytest.mark.parametrize("end", [b"", b"id: 1", b"id: 1\ndata: one\n\nid: 2\nda"])
+def test_a_stream_without_a_length_that_ends_inside_an_event_goes_on(end):
+    events = end.replace(b"one", b"piece 1")
+
+    async def scenario(site):
+        status, _, body = await site.call("POST", "/s/x", b"b")
+        assert (status, body) == (200, STREAM)
+
+    run(scenario, script=make_unframed_script(events), runners=2)
+
+
+def test_a_stream_without_a_length_that_ends_after_its_last_event_is_complete():
+    async def scenario(site):
+        status, headers, body = await site.call("POST", "/s/x", b"b")
+        assert (status, body) == (200, STREAM)
+        assert headers["Response-Seal"] == "first"
+        assert sum(len(runner.received) for runner in site.runners) == 1
+
+    run(scenario, script=make_unframed_script(STREAM), runners=2)
