--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -110,6 +110,13 @@
     def read_load(self, response: ResponseHead) -> tuple[int, int] | None:
         """Return (running, waiting) at the upstream; None if the response omits it."""
 
+    @abstractmethod
+    def read_rate_limit(self, response: ResponseHead) -> float | None:
+        """Return the requests per second that the upstream takes from all nodes.
+
+        None if the response names no limit.
+        """
+
 
 class Sink(ABC):
     """The destination of an answer: the caller's connection."""
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -72,6 +72,14 @@
         load.record_report(event.by_tier, event.lag_ms, now_ms)
 
 
+def handle_limit(
+    state: DispatcherState, event: ev.LimitNamed, now_ms: int, decisions: list
+) -> None:
+    """Record the request rate that an upstream names in its answers."""
+    if event.upstream in state.loads:
+        state.upstream_limits.record_answer(event.upstream, event.per_s, now_ms)
+
+
 def handle_upstream_leaving(
     state: DispatcherState, event: ev.UpstreamLeaving, now_ms: int, decisions: list
 ) -> None:
@@ -132,6 +140,7 @@
     ev.CallerLeft: handle_caller_left,
     ev.AuthorizationLost: handle_authorization_lost,
     ev.LoadReported: handle_load_report,
+    ev.LimitNamed: handle_limit,
     ev.UpstreamLeaving: handle_upstream_leaving,
     ev.CrashMarkReceived: handle_crash_mark,
     ev.PartCrashReceived: handle_part_crash,
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -27,6 +27,7 @@
 from plantainwood.core.requests import Request
 from plantainwood.core.retries import RetryBudget
 from plantainwood.core.router import FewChoicesRouter, Router
+from plantainwood.core.upstreamlimits import UpstreamLimits
 
 TOP_TIER = 0
 MIN_CRASHES_OF_PART = 3
@@ -69,6 +70,7 @@
         "requests",
         "quarantine",
         "part_quarantine",
+        "upstream_limits",
         "hints",
         "limits",
         "limit_floor",
@@ -96,6 +98,7 @@
         self.part_quarantine = PartQuarantine(
             max(options.max_crashes, MIN_CRASHES_OF_PART)
         )
+        self.upstream_limits = UpstreamLimits()
         self.hints = PrefixHints()
         self.limits: dict[str, CustomerLimit] = {}
         self.limit_floor = options.limit_floor
@@ -163,6 +166,7 @@
         self.running_by_upstream.pop(name, None)
         self.last_crash_ms.pop(name, None)
         self.router.forget(name)
+        self.upstream_limits.forget(name)
         del self.loads[name]
 
     def get_or_create_limit(
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -86,6 +86,13 @@
     lag_ms: int
 
 
+class LimitNamed(msgspec.Struct, frozen=True):
+    """An answer of an upstream named its request rate, or no longer does (None)."""
+
+    upstream: str
+    per_s: float | None
+
+
 class UpstreamLeaving(msgspec.Struct, frozen=True):
     """An upstream is leaving; this never reverts for the same address."""
 
@@ -135,6 +142,7 @@
     | CallerLeft
     | AuthorizationLost
     | LoadReported
+    | LimitNamed
     | UpstreamLeaving
     | CrashMarkReceived
     | PartCrashReceived
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -224,6 +224,7 @@
             self.broker.feed(
                 ev.LoadReported(dispatch.upstream, (0,) * 9 + (running + waiting,), 0)
             )
+        self._record_limit(dispatch, codec.read_rate_limit(response))
         result = codec.classify_response(response)
         if result is AttemptResult.BUSY:
             raise make_not_run_error("the upstream is at capacity", BUSY_PAUSE_MS)
@@ -235,6 +236,20 @@
             raise AttemptError(f"status {response.status}", False, False)
         return response
 
+    def _record_limit(self, dispatch: ev.Dispatch, per_s: float | None) -> None:
+        """Record what an answer says of its upstream's limit; log a change."""
+        limits = self.broker.dispatcher.state.upstream_limits
+        before = limits.find_limit(dispatch.upstream)
+        self.broker.feed(ev.LimitNamed(dispatch.upstream, per_s))
+        if limits.find_limit(dispatch.upstream) != before:
+            log_event(
+                "upstream_limit",
+                upstream=dispatch.upstream,
+                request=self.call.request_id,
+                per_s=per_s,
+                before=before,
+            )
+
     async def _read_within(
         self,
         reading: Awaitable[Result],
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -3,6 +3,7 @@
 from bridge.codec import RunnerCodec
 from bridge.requests import make_call
 from plantainwood.calls import OutgoingAttempt
+from plantainwood.connections import ResponseHead
 from plantainwood.core.catalogue import DiscoveredUpstream, UpstreamKind
 from plantainwood.core.routes import ConfiguredCustomer
 from tests.samples import ROUTE
@@ -53,3 +54,17 @@
     assert b"Tenant: acme" in lines
     assert b"Tenant: other" not in lines
     assert not any(b"secret" in line for line in lines)
+
+
+def make_limit_head(value: bytes) -> ResponseHead:
+    """Return the head of a response whose runner names a limit."""
+    return ResponseHead(200, [(b"Server-Limit", value)])
+
+
+def test_a_limit_is_a_decimal_number_of_requests_per_second():
+    codec = RunnerCodec()
+    assert codec.read_rate_limit(make_limit_head(b"1.5")) == 1.5
+    assert codec.read_rate_limit(make_limit_head(b"0")) == 0.0
+    assert codec.read_rate_limit(ResponseHead(200, [])) is None
+    for value in (b"", b"many", b"-1", b"nan", b"inf"):
+        assert codec.read_rate_limit(make_limit_head(value)) is None
