--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -54,6 +54,10 @@
         """Set this node's failure domain and the live ones."""
         self.state.set_domains(own, domains)
 
+    def set_nodes(self, nodes: set[str], now_ms: int) -> None:
+        """Set the live nodes, among which upstreams' request rates are divided."""
+        self.state.upstream_limits.set_nodes(nodes, now_ms)
+
     def set_connection_share(self, share: float) -> None:
         """Set the share of each upstream's connections that this node may use."""
         self.state.set_connection_share(share)
@@ -78,6 +82,17 @@
     """Record the request rate that an upstream names in its answers."""
     if event.upstream in state.loads:
         state.upstream_limits.record_answer(event.upstream, event.per_s, now_ms)
+        state.update_rate(event.upstream)
+
+
+def handle_limit_report(
+    state: DispatcherState, event: ev.LimitReported, now_ms: int, decisions: list
+) -> None:
+    """Record the request rate that an upstream named in an answer to another node."""
+    upstream = event.report.upstream
+    if upstream in state.loads:
+        state.upstream_limits.record_report(event.report, now_ms)
+        state.update_rate(upstream)
 
 
 def handle_upstream_leaving(
@@ -122,6 +137,8 @@
 ) -> None:
     """Expire waiting requests, eject stragglers, move attempts and dispatch."""
     expire_waiting(state, now_ms, decisions)
+    for upstream in state.upstream_limits.expire(now_ms):
+        state.update_rate(upstream)
     for pool in state.pools.values():
         if state.options.eject_stragglers:
             update_ejections(pool.group)
@@ -141,6 +158,7 @@
     ev.AuthorizationLost: handle_authorization_lost,
     ev.LoadReported: handle_load_report,
     ev.LimitNamed: handle_limit,
+    ev.LimitReported: handle_limit_report,
     ev.UpstreamLeaving: handle_upstream_leaving,
     ev.CrashMarkReceived: handle_crash_mark,
     ev.PartCrashReceived: handle_part_crash,
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -98,7 +98,7 @@
         self.part_quarantine = PartQuarantine(
             max(options.max_crashes, MIN_CRASHES_OF_PART)
         )
-        self.upstream_limits = UpstreamLimits()
+        self.upstream_limits = UpstreamLimits(node)
         self.hints = PrefixHints()
         self.limits: dict[str, CustomerLimit] = {}
         self.limit_floor = options.limit_floor
@@ -223,6 +223,12 @@
             return False
         return self.quarantine.is_suspect(request.fingerprint, now_ms)
 
+    def update_rate(self, upstream: str) -> None:
+        """Apply what is known of an upstream's limit to what this node may send."""
+        load = self.loads.get(upstream)
+        if load is not None:
+            load.rate = self.upstream_limits.find_rate(upstream)
+
     def is_blocked(self, fingerprint: str, parts: tuple[str, ...], now_ms: int) -> bool:
         """Tell whether a request is refused for the crashes under it or its parts."""
         if self.quarantine.is_blocked(fingerprint, now_ms):
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -6,6 +6,7 @@
 from plantainwood.core.partquarantine import PartCrash
 from plantainwood.core.prompts import Prompt
 from plantainwood.core.retries import MAX_ATTEMPTS
+from plantainwood.core.upstreamlimits import LimitReport
 
 FAILED_PAUSE_MS = 2_000
 
@@ -93,6 +94,12 @@
     per_s: float | None
 
 
+class LimitReported(msgspec.Struct, frozen=True):
+    """Another node got an answer that names an upstream's request rate, or none."""
+
+    report: LimitReport
+
+
 class UpstreamLeaving(msgspec.Struct, frozen=True):
     """An upstream is leaving; this never reverts for the same address."""
 
@@ -143,6 +150,7 @@
     | AuthorizationLost
     | LoadReported
     | LimitNamed
+    | LimitReported
     | UpstreamLeaving
     | CrashMarkReceived
     | PartCrashReceived
--- a/plantainwood/core/fleetmessages.py
+++ b/plantainwood/core/fleetmessages.py
@@ -9,6 +9,7 @@
 from plantainwood.core.mirror import Item
 from plantainwood.core.partquarantine import PartCrash
 from plantainwood.core.prompts import Part
+from plantainwood.core.upstreamlimits import LimitReport
 from plantainwood.core.windows import NodeCounts
 
 
@@ -36,6 +37,8 @@
     """Tokens to prefill, sent to each service since the last heartbeat."""
     sent_parts: dict[str, list[Part]] = {}
     """Prompt parts sent to each engine since the last heartbeat."""
+    limits: list[LimitReport] = []
+    """Request rates of upstreams of which the sender got the newest answer."""
 
 
 class StoreUpdate(msgspec.Struct, tag=31, array_like=True, frozen=True):
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from plantainwood.core.catalogue import Upstream
+from plantainwood.core.upstreamlimits import NodeRate
 
 TIERS = 10
 SMOOTHING = 0.2
@@ -26,6 +27,7 @@
         "unstarted_attempts",
         "paused_until_ms",
         "max_own_in_flight",
+        "rate",
         "_reported",
         "_reported_ms",
         "_own_by_tier",
@@ -47,6 +49,8 @@
         self.paused_until_ms = 0
         self.max_own_in_flight = 0
         """How many attempts of this node may run at once; 0: no bound."""
+        self.rate: NodeRate | None = None
+        """This node's part of the request rate that the upstream named, if any."""
         self._reported: list[int] | None = None
         self._reported_ms = 0
         self._own_by_tier = [0] * TIERS
@@ -55,6 +59,8 @@
     def record_dispatch(self, tier: int, now_ms: int) -> None:
         """Count an attempt of this node as started."""
         self._own_by_tier[tier] += 1
+        if self.rate is not None:
+            self.rate.record_sent(now_ms)
         self._recent_changes.append((now_ms, tier, 1))
 
     def record_end(self, tier: int, now_ms: int) -> None:
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -177,6 +177,7 @@
             pending_tokens=self.router.engine_states.count_own_backlogs(),
             demand=demand,
             sent_parts=self.router.engine_states.take_sent_parts(),
+            limits=self.broker.dispatcher.state.upstream_limits.list_reports(now_ms),
         )
 
     def is_ready(self) -> bool:
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -22,6 +22,7 @@
 from plantainwood.core.messages import CrashMark
 from plantainwood.core.mirror import Item
 from plantainwood.core.relays import HeartbeatTargets, find_targets, is_mesh
+from plantainwood.core.upstreamlimits import LimitReport
 from plantainwood.core.vms import (
     HeartbeatStatus,
     compute_heartbeat_interval_ms,
@@ -131,6 +132,9 @@
         self._update_live_names({heartbeat.sender for heartbeat in live})
         edge.agreed_time.correct_offset({heartbeat.sender for heartbeat in live})
         edge.retry_budget.set_nodes(len(live) + 1)
+        edge.broker.dispatcher.set_nodes(
+            {heartbeat.sender for heartbeat in live}, now_ms
+        )
         edge.broker.dispatcher.set_connection_share(
             compute_share(edge.settings.capacity_percent, live)
         )
@@ -270,9 +274,28 @@
         edge.router.engine_states.record_remote(
             heartbeat.sender, heartbeat.pending_tokens, heartbeat.sent_parts, now_ms
         )
+        self._handle_limit_reports(heartbeat, age_ms)
         if heartbeat.revision > edge.mirror.revision and edge.mirror.revision == 0:
             self._request_mirror(heartbeat.sender)
 
+    def _handle_limit_reports(self, heartbeat: VmHeartbeat, age_ms: int) -> None:
+        """Record the request rates that upstreams named to another VM; log changes."""
+        broker = self.edge.broker
+        limits = broker.dispatcher.state.upstream_limits
+        for report in heartbeat.limits:
+            before = limits.find_limit(report.upstream)
+            aged = LimitReport(report.upstream, report.per_s, report.age_ms + age_ms)
+            broker.feed(ev.LimitReported(aged))
+            if limits.find_limit(report.upstream) != before:
+                log_event(
+                    "upstream_limit",
+                    upstream=report.upstream,
+                    vm=heartbeat.sender,
+                    age_ms=aged.age_ms,
+                    per_s=report.per_s,
+                    before=before,
+                )
+
     def _request_mirror(self, name: str) -> None:
         """Request a VM's whole mirror, at most once in MIRROR_REQUEST_PAUSE_MS."""
         edge = self.edge
--- a/tests/limitedfleet.py
+++ b/tests/limitedfleet.py
@@ -11,6 +11,7 @@
 from tests.catalogues import make_catalogue
 
 STEP_MS = 20
+HEARTBEAT_MS = 100
 ANSWER_MS = 60
 
 
@@ -33,23 +34,28 @@
         self.limits: dict[str, float] = {}
         self.names = [f"vm-{number}" for number in range(vm_count)]
         self.dispatchers: list[Dispatcher] = []
-        for number, name in enumerate(self.names):
-            dispatcher = Dispatcher(
-                name,
-                seed + number,
-                Options(
-                    make_router=make_prompt_router,
-                    isolate_suspects=False,
-                    preempt=False,
-                ),
-            )
-            dispatcher.apply_catalogue(make_catalogue(64))
-            self.dispatchers.append(dispatcher)
+        for name in self.names:
+            self.dispatchers.append(self._make_dispatcher(name))
         self.attempts: dict[tuple[int, str], SentAttempt] = {}
         self.sent_times_ms: dict[str, list[int]] = {}
         self.refused: list[RequestError] = []
         self._request_count = 0
 
+    def _make_dispatcher(self, name: str) -> Dispatcher:
+        options = Options(
+            make_router=make_prompt_router, isolate_suspects=False, preempt=False
+        )
+        dispatcher = Dispatcher(name, self.random.randrange(1_000), options)
+        dispatcher.apply_catalogue(make_catalogue(64))
+        dispatcher.set_nodes(set(self.names), self.now_ms)
+        return dispatcher
+
+    def replace_vm(self, vm: int) -> None:
+        """Replace a VM by an empty one; its attempts end with it."""
+        self.dispatchers[vm] = self._make_dispatcher(self.names[vm])
+        for key in [key for key in self.attempts if key[0] == vm]:
+            del self.attempts[key]
+
     def run(self, duration_ms: int, per_step: int = 1) -> None:
         """Send requests to random VMs in each step, and answer what engines got."""
         until_ms = self.now_ms + duration_ms
@@ -94,9 +100,19 @@
                 ev.AttemptDone(attempt.request_id, attempt.attempt),
             ):
                 self._handle_event(attempt.vm, event)
+        if self.now_ms % HEARTBEAT_MS == 0:
+            self._exchange_limits()
         for vm in range(len(self.dispatchers)):
             self._handle_event(vm, ev.Tick())
 
+    def _exchange_limits(self) -> None:
+        """Report to each VM what the others know of limits."""
+        for sender, dispatcher in enumerate(self.dispatchers):
+            for report in dispatcher.state.upstream_limits.list_reports(self.now_ms):
+                for vm in range(len(self.dispatchers)):
+                    if vm != sender:
+                        self._handle_event(vm, ev.LimitReported(report))
+
     def count_sent(self, engine: str, from_ms: int, to_ms: int) -> int:
         """Return how many requests an engine got in a span."""
         times_ms = self.sent_times_ms.get(engine, [])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import msgspec
+
 from bridge.daemon import EdgeDaemon
 from fakes.store import FakeKvStore
 from plantainwood.core import events as ev
@@ -253,6 +255,29 @@
     run(scenario, count=3)
 
 
+def test_a_limit_that_an_upstream_names_to_one_node_is_known_to_all():
+    async def scenario(store, daemons):
+        entry = {
+            "service": "pool",
+            "address": "127.0.0.1:9",
+            "zone": "a",
+            "slots": 8,
+            "state": "ready",
+            "born": 1_000,
+        }
+        store.put("servers/i-0", msgspec.json.encode(entry))
+        states = [daemon.edge.broker.dispatcher.state for daemon in daemons]
+        await wait_until(lambda: all(state.loads for state in states))
+        (name,) = states[0].loads
+        daemons[0].edge.broker.feed(ev.LimitNamed(name, 2.0))
+        limits = [state.upstream_limits for state in states]
+        await wait_until(lambda: all(item.find_limit(name) == 2.0 for item in limits))
+        daemons[1].edge.broker.feed(ev.LimitNamed(name, None))
+        await wait_until(lambda: all(item.find_limit(name) is None for item in limits))
+
+    run(scenario, count=3)
+
+
 CRASHING_PART = "service/pool#cause"
 CRASHING_REQUEST = "fingerprint of the cause"
 
