Follow the store when it comes back from an older copy of itself

Store-Era is new in the contract: after a drill revisions go back and are given out again. Callers would have seen every change unheeded until the store's revisions had passed the old ones (CONFIG, DRAIN), and runners that drained after the copy used again. On the first read of an era the mirror keeps what it knows of keys that the operator and runners write, until they write them again or 2.5 s are over.

--- a/plantainwood/core/mirror.py
+++ b/plantainwood/core/mirror.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from plantainwood.core.storeeras import get_era
+
 
 class Item(msgspec.Struct, array_like=True, frozen=True):
     """A key's value at a revision of the store; None if the key is deleted."""
@@ -18,7 +20,7 @@
 class Mirror:
     """Hold the items of some prefixes as of one revision of the store."""
 
-    __slots__ = ("revision", "items", "confirmed_ms", "_deleted")
+    __slots__ = ("revision", "items", "confirmed_ms", "_deleted", "_noted_era")
 
     def __init__(self) -> None:
         self.revision = 0
@@ -26,6 +28,16 @@
         self.confirmed_ms: int | None = None
         """The time at which a read found nothing newer in the store; None before."""
         self._deleted: dict[str, int] = {}
+        self._noted_era = 0
+
+    @property
+    def era(self) -> int:
+        """Return the newest era of the store that is known here."""
+        return max(self._noted_era, get_era(self.revision))
+
+    def note_era(self, era: int) -> None:
+        """Record an era that a response of the store named; items may lag behind."""
+        self._noted_era = max(self._noted_era, era)
 
     def apply(self, base: int, revision: int, items: list[Item]) -> list[Item] | None:
         """Apply all changes after `base` up to `revision`.
--- a/plantainwood/reader.py
+++ b/plantainwood/reader.py
@@ -10,6 +10,12 @@
 
 from plantainwood.core.errors import StoreError
 from plantainwood.core.mirror import Item
+from plantainwood.core.storecopies import (
+    REWRITE_GRACE_MS,
+    came_back,
+    keep_known_items,
+)
+from plantainwood.core.storeeras import get_era
 from plantainwood.core.storereaders import is_reader
 from plantainwood.edge import Edge
 from plantainwood.logs import log_event
@@ -34,6 +40,10 @@
     async def read_all(self) -> tuple[int, list[Item]]:
         """Return the store's revision before the read, and all items."""
 
+    def is_foreign(self, key: str) -> bool:
+        """Tell whether others than the fleet write a key; none by default."""
+        return False
+
     @abstractmethod
     async def read_changes(self, after: int, wait_ms: int) -> StoreChanges:
         """Return the changes after a revision; wait up to `wait_ms` for the first."""
@@ -68,6 +78,8 @@
         self._publisher = publisher
         self._is_reader = False
         self._store_lost = False
+        self._read_all_at_ms: int | None = None
+        """When to read everything again, after the store came back from a copy."""
         super().__init__(**kwargs)
 
     @Service.task
@@ -81,10 +93,14 @@
     def _should_read(self) -> bool:
         edge = self.edge
         now_ms = edge.clock.now_ms()
-        should_read = edge.mirror.revision == 0 or is_reader(
-            edge.settings.node,
-            edge.vms.list_live_names(now_ms),
-            edge.mirror.compute_age_ms(now_ms),
+        should_read = (
+            edge.mirror.revision == 0
+            or self._read_all_at_ms is not None
+            or is_reader(
+                edge.settings.node,
+                edge.vms.list_live_names(now_ms),
+                edge.mirror.compute_age_ms(now_ms),
+            )
         )
         if should_read != self._is_reader:
             self._is_reader = should_read
@@ -101,6 +117,12 @@
         try:
             if base == 0:
                 await self._read_all(requested_ms)
+            elif self._read_all_at_ms is not None and (
+                requested_ms >= self._read_all_at_ms
+            ):
+                self._read_all_at_ms = None
+                await self._read_all(requested_ms)
+                self._publisher.publish_snapshot()
             else:
                 await self._read_changes(base, requested_ms)
         except StoreError as error:
@@ -117,6 +139,11 @@
     async def _read_all(self, requested_ms: int) -> None:
         revision, items = await self._source.read_all()
         mirror = self.edge.mirror
+        if came_back(mirror, revision):
+            era = get_era(revision)
+            log_event("store_came_back", era=era, revision=revision, items=len(items))
+            items = keep_known_items(mirror, items, era, self._source.is_foreign)
+            self._read_all_at_ms = requested_ms + REWRITE_GRACE_MS
         changed_items = mirror.replace(revision, items)
         if changed_items is None:
             return
