--- a/plantainwood/core/leases.py
+++ b/plantainwood/core/leases.py
@@ -1,5 +1,7 @@
 """Leases: at most one process at a time believes that it holds a duty."""
 
+from typing import Callable
+
 import msgspec
 
 from plantainwood.core.clock import Clock
@@ -8,6 +10,8 @@
 
 LEASE_PREFIX = "leases/"
 MAX_CLOCK_DRIFT_PERCENT = 10
+FENCES_PER_ERA = 1_000_000
+"""Fences of a later era of the store are higher than all earlier ones."""
 
 
 class LeaseRecord(msgspec.Struct, frozen=True):
@@ -60,11 +64,26 @@
         "_seen_revision",
         "_seen_at_ms",
         "_nonce",
+        "_find_era",
+        "_era",
+        "_barred_until_ms",
     )
 
     def __init__(
-        self, duty: str, node: str, incarnation: int, clock: Clock, times: LeaseTimes
+        self,
+        duty: str,
+        node: str,
+        incarnation: int,
+        clock: Clock,
+        times: LeaseTimes,
+        find_era: Callable[[], int] = lambda: 0,
+        may_be_held: bool = False,
     ) -> None:
+        """Make a lease that is not held.
+
+        `find_era` returns the newest era of the store that is known. `may_be_held`
+        tells that some process may hold the duty though the store lost its record.
+        """
         self.duty = duty
         self.node = node
         self.incarnation = incarnation
@@ -79,6 +98,11 @@
         self._seen_revision = -1
         self._seen_at_ms = 0
         self._nonce = 0
+        self._find_era = find_era
+        self._era: int | None = None
+        self._barred_until_ms = 0
+        if may_be_held:
+            self._barred_until_ms = clock.now_ms() + times.takeover_ms
 
     @property
     def key(self) -> str:
@@ -140,8 +164,27 @@
         self._held_until_ms = 0
         self._seen_revision = -1
 
+    def _is_new_era(self) -> bool:
+        """Note the store's era; a new one bars acquiring until all terms are over.
+
+        The store may have lost the record of a holder that is still within its term.
+        """
+        era = self._find_era()
+        if era == self._era:
+            return False
+        is_first = self._era is None
+        self._era = era
+        if is_first:
+            return False
+        now_ms = self._clock.now_ms()
+        self._barred_until_ms = now_ms + self._times.takeover_ms
+        return True
+
     def _try_acquire(self) -> Procedure:
         found = yield Read(self.key)
+        self._is_new_era()
+        if self._clock.now_ms() < self._barred_until_ms:
+            return
         if not isinstance(found, StoredValue):
             yield from self._acquire(0, 1, None)
             return
@@ -163,8 +206,9 @@
 
     def _acquire(self, expected: int, fence: int, previous: str | None) -> Procedure:
         asked_ms = self._clock.now_ms()
+        fence = max(fence, (self._era or 0) * FENCES_PER_ERA + 1)
         revision = yield from self._write(self._make_record(fence), expected)
-        if not revision:
+        if not revision or self._is_new_era():
             return
         self.fence = fence
         self.previous_holder = previous
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -121,6 +121,8 @@
                 LEASE_MARGIN_MS,
                 LEASE_FLIGHT_MS,
             ),
+            lambda: self.mirror.era,
+            may_be_held=not settings.bootstrap,
         )
         self.demand_peaks: dict[str, DemandPeak] = {}
         self.driver: Driver
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -82,6 +82,8 @@
     store: EdgeStore
     fleet: Annotated[str, msgspec.Meta(min_length=16)]
     """The shared secret that authenticates messages between the fleet's nodes."""
+    bootstrap: bool = True
+    """Whether the whole fleet starts for the first time: nobody holds a duty yet."""
     seeds: list[str] = []
     """Addresses of some nodes, which may be gone; all nodes use the same link port."""
     cpu_share: NonNegativeFloat = 1.0
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -70,6 +70,8 @@
         text.replace('[{{#zones}}"{{@}}"{{,}}{{/zones}}]', '["a"]')
         .replace('[{{#seeds}}"{{.}}"{{,}}{{/seeds}}]', "[]")
         .replace("{{cloud.duties|json}}{{^cloud.duties}}[]{{/cloud.duties}}", "[]")
+        .replace("{{#bootstrap}}true{{/bootstrap}}", "")
+        .replace("{{^bootstrap}}false{{/bootstrap}}", "false")
         .replace("{{node}}", "vm-1")
         .replace("{{zone}}", "a")
         .replace("{{ip}}:{{internalPorts.0}}", "10.0.0.1:83")
@@ -92,3 +94,4 @@
         filled = filled.replace("{{%s}}" % name, "1")
     assert "{{" not in filled
     assert parse_edge_settings(filled).node == "vm-1"
+    assert not parse_edge_settings(filled).bootstrap
