--- a/plantainwood/core/fleetmessages.py
+++ b/plantainwood/core/fleetmessages.py
@@ -94,6 +94,14 @@
     parts: list[str]
 
 
+class FrozenReportNotice(msgspec.Struct, tag=39, array_like=True, frozen=True):
+    """Counts of a window that the sender froze and is about to report."""
+
+    sender: str
+    key: str
+    counts: bytes
+
+
 class CountsReport(msgspec.Struct, tag=35, array_like=True, frozen=True):
     """A VM's counts of started requests, sent to the holder of the duty."""
 
@@ -127,4 +135,5 @@
     | HeartbeatBatch
     | PartCrashNotice
     | PartsClearedNotice
+    | FrozenReportNotice
 )
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -29,6 +29,7 @@
 from plantainwood.core.messages import CrashMark, NodeState
 from plantainwood.core.mirror import Mirror
 from plantainwood.core.promptrouter import PromptRouter, make_prompt_router
+from plantainwood.core.reports import FrozenReports
 from plantainwood.core.retries import SharedRetryBudget
 from plantainwood.core.routes import RouteTable
 from plantainwood.core.sizing import DemandPeak, EngineCounts, Scaling
@@ -111,6 +112,7 @@
             settings.node, self.incarnation, settings.duties.window_ms
         )
         self.window_totals = WindowTotals()
+        self.frozen_reports = FrozenReports()
         self.lease = Lease(
             FLEET_DUTY,
             settings.node,
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -6,7 +6,7 @@
 import msgspec
 from mode import Service
 
-from plantainwood.core.fleetmessages import CountsReport
+from plantainwood.core.fleetmessages import CountsReport, FrozenReportNotice
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.leases import LEASE_PREFIX, LeaseRecord
 from plantainwood.core.messages import NodeState
@@ -150,8 +150,9 @@
 class UsageReporter(Service):
     """Report the usage of each window that ended, while the lease is held."""
 
-    def __init__(self, edge: Edge, **kwargs) -> None:
+    def __init__(self, edge: Edge, fleet_links: FleetLinks, **kwargs) -> None:
         self.edge = edge
+        self._fleet_links = fleet_links
         self._last_processed_window = 0
         super().__init__(**kwargs)
 
@@ -180,6 +181,14 @@
             edge.agreed_time.now(edge.clock.now_ms())
         )
 
+    def _tell_successors(self, key: str, counts: bytes) -> None:
+        """Send frozen counts to the nodes that may report next."""
+        edge = self.edge
+        notice = FrozenReportNotice(edge.settings.node, key, counts)
+        for name in find_lease_candidates(edge):
+            if name != edge.settings.node:
+                self._fleet_links.send(name, notice)
+
     async def _report_ended_windows(self) -> None:
         edge = self.edge
         window_ms = edge.settings.duties.window_ms
@@ -192,7 +201,13 @@
                 self._last_processed_window = window
                 continue
             accepted = await edge.driver.run(
-                report_window(window, edge.window_totals, edge.lease)
+                report_window(
+                    window,
+                    edge.window_totals,
+                    edge.lease,
+                    edge.frozen_reports,
+                    self._tell_successors,
+                )
             )
             log_event(
                 "usage_report",
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -9,6 +9,7 @@
 from plantainwood.core.fleetmessages import (
     CountsReport,
     CrashNotice,
+    FrozenReportNotice,
     HeartbeatBatch,
     Message,
     MirrorRequest,
@@ -254,6 +255,8 @@
                     self.edge.broker.feed(ev.PartCrashReceived(crash))
             case PartsClearedNotice():
                 self.edge.broker.feed(ev.PartsClearedReceived(message.parts))
+            case FrozenReportNotice():
+                self.edge.frozen_reports.record(message.key, message.counts)
             case CountsReport():
                 for record in message.records:
                     self.edge.window_totals.put(record)
--- a/tests/test_era_duties.py
+++ b/tests/test_era_duties.py
@@ -5,8 +5,9 @@
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.effects import SendReport
 from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.reports import FrozenReports, make_report_key, report_window
 from tests.fakes import FakeStore
-from tests.test_windows import run_procedure
+from tests.test_windows import make_totals, run_procedure
 
 TIMES = LeaseTimes(3_000, 500, 500)
 
@@ -77,3 +78,30 @@
     assert holder.is_held() and not site.try_lease(fresh)
     site.clock.advance(TIMES.takeover_ms + 1)
     assert site.try_lease(fresh)
+
+
+# Guards against ONE: a reported window was frozen again, with other counts.
+def test_counts_that_the_store_lost_are_frozen_again_as_they_were():
+    site = EraSite()
+    before = copy.copy(site.store.items)
+    first = site.make_lease("vm-1")
+    second = site.make_lease("vm-2")
+    assert site.try_lease(first)
+    site.try_lease(second)
+    known = FrozenReports()
+    told: dict[str, bytes] = {}
+    report = report_window(7, make_totals({"a": 3}), first, known, told.__setitem__)
+    assert run_procedure(report, site.store, site.sent)
+    assert list(told) == [make_report_key(7)]
+    site.come_back(before)
+    site.clock.advance(2 * TIMES.takeover_ms)
+    site.try_lease(second)
+    site.clock.advance(2 * TIMES.takeover_ms)
+    assert site.try_lease(second)
+    others_knowledge = FrozenReports()
+    for key, counts in told.items():
+        others_knowledge.record(key, counts)
+    later = make_totals({"a": 4})
+    report = report_window(7, later, second, others_knowledge)
+    assert run_procedure(report, site.store, site.sent)
+    assert [item.body for item in site.sent] == [site.sent[0].body] * 2
--- a/tests/test_store_era.py
+++ b/tests/test_store_era.py
@@ -102,3 +102,14 @@
         await site.wait_until(lambda: site.usable_upstream_count == 1)
 
     run(scenario, runners=2)
+
+
+def test_a_vm_is_registered_again_after_the_store_came_back():
+    async def scenario(site):
+        await site.wait_until(lambda: "vms/vm-1" in site.store.items)
+        copy = site.store.copy()
+        del copy.items["vms/vm-1"]
+        site.store.come_back(copy)
+        await site.wait_until(lambda: "vms/vm-1" in site.store.items)
+
+    run(scenario)
