Take no limit from another process at an upstream's address (LIMIT)

A 421 comes from whatever process listens at the address now; it named no limit and so ended the one of the upstream expected there, on all VMs. Test: test_an_answer_of_another_process_says_nothing_of_the_upstreams_limit failed before.

--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -224,8 +224,9 @@
             self.broker.feed(
                 ev.LoadReported(dispatch.upstream, (0,) * 9 + (running + waiting,), 0)
             )
-        self._record_limit(dispatch, codec.read_rate_limit(response))
         result = codec.classify_response(response)
+        if result is not AttemptResult.WRONG_INSTANCE:
+            self._record_limit(dispatch, codec.read_rate_limit(response))
         if result is AttemptResult.BUSY:
             raise make_not_run_error("the upstream is at capacity", BUSY_PAUSE_MS)
         if result is AttemptResult.WRONG_INSTANCE:
--- a/tests/test_edge.py
+++ b/tests/test_edge.py
@@ -307,3 +307,22 @@
         assert sum(len(runner.received) for runner in site.runners) == 1
 
     run(scenario, script=make_unframed_script(STREAM), runners=2)
+
+
+def test_an_answer_of_another_process_says_nothing_of_the_upstreams_limit():
+    async def script(request, writer):
+        if request.line.startswith(b"GET /r/limited"):
+            writer.write(make_response(request, b"ok", 200, "Server-Limit: 50\r\n"))
+        else:
+            writer.write(make_response(request, b"", 421))
+
+    async def scenario(site):
+        assert (await site.call("GET", "/r/limited"))[0] == 200
+        state = site.daemon.edge.broker.dispatcher.state
+        (name,) = state.loads
+        assert state.upstream_limits.find_limit(name) == 50.0
+        await asyncio.sleep(0.1)
+        assert (await site.call("GET", "/r/other"))[0] == 503
+        assert state.upstream_limits.find_limit(name) == 50.0
+
+    run(scenario, script=script)
