--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -5,7 +5,6 @@
 
 from mode import Service
 
-from plantainwood.core import events as ev
 from plantainwood.core.fleetmessages import (
     CountsReport,
     CrashNotice,
@@ -20,10 +19,8 @@
     StoreUpdate,
     VmHeartbeat,
 )
-from plantainwood.core.messages import CrashMark
 from plantainwood.core.mirror import Item
 from plantainwood.core.relays import HeartbeatTargets, find_targets, is_mesh
-from plantainwood.core.upstreamlimits import LimitReport
 from plantainwood.core.vms import (
     HeartbeatStatus,
     compute_heartbeat_interval_ms,
@@ -32,11 +29,10 @@
 from plantainwood.edge import Edge
 from plantainwood.logs import log_event
 from plantainwood.messenger import Messenger, make_messenger
+from plantainwood.notices import apply_limit_reports, apply_notice, list_mark_notices
 from plantainwood.reader import MirrorPublisher
 
 MIRROR_REQUEST_PAUSE_MS = 400
-MARK_SENDERS = 4
-"""How many VMs send their crash marks to a VM that is new to them."""
 
 
 class FleetLinks(Service, MirrorPublisher):
@@ -199,25 +195,9 @@
         self._live_names = live_names
 
     def _hand_over_marks(self, name: str) -> None:
-        """Send the crash marks to a VM that started or was cut off.
-
-        The VMs that run longest do so, since they know most.
-        """
-        edge = self.edge
-        now_ms = edge.clock.now_ms()
-        ages = [(edge.incarnation, edge.settings.node)]
-        for heartbeat in edge.vms.list_live(now_ms):
-            if heartbeat.sender != name:
-                ages.append((heartbeat.incarnation, heartbeat.sender))
-        if (edge.incarnation, edge.settings.node) not in sorted(ages)[:MARK_SENDERS]:
-            return
-        state = edge.broker.dispatcher.state
-        for mark in state.quarantine.list_marks(now_ms):
-            notice = CrashMark(mark.fingerprint, mark.upstream)
-            self.send(name, CrashNotice(edge.settings.node, notice, mark.age_ms))
-        crashes = state.part_quarantine.list_crashes(now_ms)
-        if crashes:
-            self.send(name, PartCrashNotice(edge.settings.node, crashes))
+        """Send the crash marks to a VM that started or was cut off."""
+        for notice in list_mark_notices(self.edge, name):
+            self.send(name, notice)
 
     @Service.task
     async def _broadcast_notices(self) -> None:
@@ -244,17 +224,8 @@
                 self._handle_mirror_request(message)
             case MirrorSnapshot():
                 self._handle_snapshot(message)
-            case CrashNotice():
-                mark = message.mark
-                event = ev.CrashMarkReceived(
-                    mark.fingerprint, mark.upstream, mark.lifted, message.age_ms
-                )
-                self.edge.broker.feed(event)
-            case PartCrashNotice():
-                for crash in message.crashes:
-                    self.edge.broker.feed(ev.PartCrashReceived(crash))
-            case PartsClearedNotice():
-                self.edge.broker.feed(ev.PartsClearedReceived(message.parts))
+            case CrashNotice() | PartCrashNotice() | PartsClearedNotice():
+                apply_notice(self.edge, message)
             case FrozenReportNotice():
                 self.edge.frozen_reports.record(message.key, message.counts)
             case CountsReport():
@@ -277,28 +248,10 @@
         edge.router.engine_states.record_remote(
             heartbeat.sender, heartbeat.pending_tokens, heartbeat.sent_parts, now_ms
         )
-        self._handle_limit_reports(heartbeat, age_ms)
+        apply_limit_reports(edge, heartbeat, age_ms)
         if heartbeat.revision > edge.mirror.revision and edge.mirror.revision == 0:
             self._request_mirror(heartbeat.sender)
 
-    def _handle_limit_reports(self, heartbeat: VmHeartbeat, age_ms: int) -> None:
-        """Record the request rates that upstreams named to another VM; log changes."""
-        broker = self.edge.broker
-        limits = broker.dispatcher.state.upstream_limits
-        for report in heartbeat.limits:
-            before = limits.find_limit(report.upstream)
-            aged = LimitReport(report.upstream, report.per_s, report.age_ms + age_ms)
-            broker.feed(ev.LimitReported(aged))
-            if limits.find_limit(report.upstream) != before:
-                log_event(
-                    "upstream_limit",
-                    upstream=report.upstream,
-                    vm=heartbeat.sender,
-                    age_ms=aged.age_ms,
-                    per_s=report.per_s,
-                    before=before,
-                )
-
     def _request_mirror(self, name: str) -> None:
         """Request a VM's whole mirror, at most once in MIRROR_REQUEST_PAUSE_MS."""
         edge = self.edge
