--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -111,3 +111,12 @@
         other.record_crash(crash, 90_000)
     assert other.is_blocked(("cause",), 90_000)
     assert not other.is_blocked(("cause",), 90_000 + MARK_LIFETIME_MS)
+
+
+def test_engines_lost_at_the_same_moment_count_as_one_crash():
+    """A node that has just started knows no part to be sound."""
+    quarantine = PartQuarantine(max_crashes=3)
+    for number in range(8):
+        lost = [LostAttempt(f"request {number}", ("first",))]
+        quarantine.record_crash(PartCrash(f"e{number}", lost), 1_000 + 5 * number)
+    assert not quarantine.is_blocked(("first",), 2_000)
