--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -21,7 +21,7 @@
 from plantainwood.core.catalogue import DiscoveredUpstream
 from plantainwood.core.clock import Clock
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
-from plantainwood.core.eventstream import EventSplitter, EventTooLong
+from plantainwood.core.eventstream import EventSplitter
 from plantainwood.core.keys import Identity
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.routes import RetrySafety
@@ -32,6 +32,7 @@
     may_retry,
 )
 from plantainwood.engines import AttemptError, make_not_run_error
+from plantainwood.eventreader import EventReader
 from plantainwood.logs import log_event
 from plantainwood.spans import Spans
 
@@ -299,17 +300,14 @@
         self, connection: Connection, response: ResponseHead, dispatch: ev.Dispatch
     ) -> None:
         """Relay complete events only; a failed attempt leaves no partial event."""
-        self.splitter.discard_partial()
+        events = EventReader(connection, self.splitter)
         self.summary.status = response.status
         stall_ms = compute_gap_stall_ms(self.call.route, self.summary.attempts)
         is_first = True
         while True:
             events_before = self.splitter.event_count
             complete_events = await self._read_within(
-                self._read_events(connection, is_first),
-                connection,
-                stall_ms,
-                "no event received",
+                events.read(), connection, stall_ms, "no event received"
             )
             if not complete_events:
                 break
@@ -324,30 +322,6 @@
             await self.sink.start_stream(response)
         await self.sink.finish()
 
-    async def _read_events(self, connection: Connection, is_first: bool) -> bytes:
-        """Return the next complete events, empty at the end of a complete stream.
-
-        Bytes that complete no event don't count as progress. A stream that ends inside
-        an event was broken off, and so was one that ends with its connection before
-        its first event.
-        """
-        while True:
-            chunk = await connection.read_chunk()
-            if not chunk:
-                if self.splitter.partial:
-                    message = "the stream ended in the middle of an event"
-                    raise AttemptError(message, False, False)
-                if is_first and connection.ends_with_connection:
-                    message = "the connection ended before the first event"
-                    raise AttemptError(message, False, False)
-                return b""
-            try:
-                complete_events = self.splitter.feed(chunk)
-            except EventTooLong as error:
-                raise AttemptError(str(error), False, False) from error
-            if complete_events:
-                return complete_events
-
     def _report_progress(
         self, dispatch: ev.Dispatch, events: int, is_first: bool = True
     ) -> None:
