--- a/plantainwood/core/leases.py
+++ b/plantainwood/core/leases.py
@@ -66,7 +66,7 @@
         "_nonce",
         "_find_era",
         "_era",
-        "_barred_until_ms",
+        "_earliest_acquire_ms",
     )
 
     def __init__(
@@ -100,9 +100,9 @@
         self._nonce = 0
         self._find_era = find_era
         self._era: int | None = None
-        self._barred_until_ms = 0
+        self._earliest_acquire_ms = 0
         if may_be_held:
-            self._barred_until_ms = clock.now_ms() + times.takeover_ms
+            self._earliest_acquire_ms = clock.now_ms() + times.takeover_ms
 
     @property
     def key(self) -> str:
@@ -165,7 +165,7 @@
         self._seen_revision = -1
 
     def _is_new_era(self) -> bool:
-        """Note the store's era; a new one bars acquiring until all terms are over.
+        """Note the store's era; none acquires until all earlier terms are over.
 
         The store may have lost the record of a holder that is still within its term.
         """
@@ -177,13 +177,13 @@
         if is_first:
             return False
         now_ms = self._clock.now_ms()
-        self._barred_until_ms = now_ms + self._times.takeover_ms
+        self._earliest_acquire_ms = now_ms + self._times.takeover_ms
         return True
 
     def _try_acquire(self) -> Procedure:
         found = yield Read(self.key)
         self._is_new_era()
-        if self._clock.now_ms() < self._barred_until_ms:
+        if self._clock.now_ms() < self._earliest_acquire_ms:
             return
         if not isinstance(found, StoredValue):
             yield from self._acquire(0, 1, None)
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -142,13 +142,13 @@
     Whole requests that were lost with a blocked part are no suspects any more.
     """
     marked = {part for attempt in crash.attempts for part in attempt.parts}
-    convicted = set(state.part_quarantine.find_convicted(marked, now_ms))
-    if not convicted:
+    crashing = set(state.part_quarantine.find_crashing_parts(marked, now_ms))
+    if not crashing:
         return
-    explained = state.part_quarantine.list_marked_upstreams(convicted)
+    explained = state.part_quarantine.list_marked_upstreams(crashing)
     state.quarantine.lift_explained(explained)
     for request in list(state.requests.values()):
-        if request.first_token_ms or convicted.isdisjoint(request.shared_parts):
+        if request.first_token_ms or crashing.isdisjoint(request.shared_parts):
             continue
         if crashed and request.upstream == crashed:
             continue
--- a/plantainwood/core/partquarantine.py
+++ b/plantainwood/core/partquarantine.py
@@ -107,17 +107,17 @@
     def is_blocked(self, parts: tuple[str, ...], now_ms: int) -> bool:
         """Tell whether a request with these parts must be refused."""
         for part in parts:
-            if part not in self._marks or not self._is_convicted(part, now_ms):
+            if part not in self._marks or not self._has_enough_marks(part, now_ms):
                 continue
             if all(peer in parts for peer in self._list_peers(part)):
                 return True
         return False
 
-    def find_convicted(self, parts: Iterable[str], now_ms: int) -> list[str]:
+    def find_crashing_parts(self, parts: Iterable[str], now_ms: int) -> list[str]:
         """Return those of some parts whose own marks suffice to block them."""
         found: list[str] = []
         for part in parts:
-            if part in self._marks and self._is_convicted(part, now_ms):
+            if part in self._marks and self._has_enough_marks(part, now_ms):
                 found.append(part)
         return found
 
@@ -154,7 +154,7 @@
             crashes.append(PartCrash(upstream, lost_attempts, age_ms))
         return crashes
 
-    def _is_convicted(self, part: str, now_ms: int) -> bool:
+    def _has_enough_marks(self, part: str, now_ms: int) -> bool:
         """Tell whether a part has enough marks, of enough requests."""
         self._expire(part, now_ms)
         marks = self._marks.get(part, {})
--- a/tests/crashingpart.py
+++ b/tests/crashingpart.py
@@ -1,7 +1,7 @@
 """A fleet of dispatchers over engines that a part of some prompts crashes.
 
 Everything runs in virtual time. An engine crashes when it begins to answer a request
-with the deadly part; it is back under another name some seconds later.
+with the crashing part; it is back under another name some seconds later.
 """
 
 import random
@@ -32,17 +32,19 @@
     request_id: str
     attempt: int
     engine: str
-    deadly: bool
+    crashing: bool
     dispatched_ms: int
     started: bool = False
 
 
 class CrashingPartFleet:
-    """VMs and engines under traffic of which a share has the deadly part."""
+    """VMs and engines under traffic of which a share has the crashing part."""
 
-    def __init__(self, seed: int, deadly_parts: tuple[str, ...] = ("deadly",)) -> None:
+    def __init__(
+        self, seed: int, crashing_parts: tuple[str, ...] = ("crashing",)
+    ) -> None:
         self.random = random.Random(seed)
-        self.deadly_parts = deadly_parts
+        self.crashing_parts = crashing_parts
         self.now_ms = 1_000
         self.engines = {f"e{number}": number for number in range(1, 6)}
         """Numbers of the running engines, by name; a restarted one has a new name."""
@@ -54,11 +56,11 @@
         self._apply_catalogue()
         self.attempts: dict[tuple[int, str], RunningAttempt] = {}
         self.crash_times_ms: list[int] = []
-        self.deadly_dispatch_times_ms: list[int] = []
+        self.crashing_dispatch_times_ms: list[int] = []
         self.refused_sound: dict[str, RequestError] = {}
-        """Errors of requests without the deadly part, by request id."""
+        """Errors of requests without the crashing part, by request id."""
         self.started: set[str] = set()
-        self.deadly_requests: set[str] = set()
+        self.crashing_requests: set[str] = set()
         self._request_count = 0
 
     def _make_dispatcher(self, number: int, seed: int) -> Dispatcher:
@@ -81,22 +83,15 @@
         for dispatcher in self.dispatchers:
             dispatcher.apply_catalogue(catalogue)
 
-    def replace_vm(self, vm: int) -> None:
-        """Replace a VM by an empty one; its attempts end with it."""
-        self.dispatchers[vm] = self._make_dispatcher(vm, self.now_ms)
-        self._apply_catalogue()
-        for key in [key for key in self.attempts if key[0] == vm]:
-            del self.attempts[key]
-
-    def arrive(self, deadly: bool) -> None:
+    def arrive(self, crashing: bool) -> None:
         """Send a new request, unlike all others, to some VM."""
         self._request_count += 1
         request_id = f"r-{self._request_count}"
         session = self.random.randrange(SESSIONS)
         parts = [Part("first", 300), Part(f"session-{session}", 2_000)]
-        if deadly:
-            parts.append(Part(self.random.choice(self.deadly_parts), 100))
-            self.deadly_requests.add(request_id)
+        if crashing:
+            parts.append(Part(self.random.choice(self.crashing_parts), 100))
+            self.crashing_requests.add(request_id)
         parts.append(Part(f"own-{request_id}", 200))
         self._send(request_id, f"print-{request_id}", parts)
 
@@ -130,7 +125,7 @@
                     self.attempts.pop((vm, decision.request_id), None)
                 case ev.Refuse():
                     self.attempts.pop((vm, decision.request_id), None)
-                    if decision.request_id not in self.deadly_requests:
+                    if decision.request_id not in self.crashing_requests:
                         self.refused_sound[decision.request_id] = decision.error
                 case ev.BroadcastCrashMark():
                     mark = ev.CrashMarkReceived(*msgspec.structs.astuple(decision))
@@ -146,23 +141,23 @@
                 self.handle_event(other, event)
 
     def _record_dispatch(self, vm: int, dispatch: ev.Dispatch) -> None:
-        deadly = dispatch.request_id in self.deadly_requests
-        if deadly:
-            self.deadly_dispatch_times_ms.append(self.now_ms)
+        crashing = dispatch.request_id in self.crashing_requests
+        if crashing:
+            self.crashing_dispatch_times_ms.append(self.now_ms)
         self.attempts[(vm, dispatch.request_id)] = RunningAttempt(
             vm,
             dispatch.request_id,
             dispatch.attempt,
             dispatch.upstream,
-            deadly,
+            crashing,
             self.now_ms,
         )
 
-    def run(self, duration_ms: int, deadly_share: float) -> None:
-        """Send a request in each step, some of them deadly, and run the engines."""
+    def run(self, duration_ms: int, crashing_share: float) -> None:
+        """Send a request in each step, some of them crashing, and run the engines."""
         until_ms = self.now_ms + duration_ms
         while self.now_ms < until_ms:
-            self.arrive(self.random.random() < deadly_share)
+            self.arrive(self.random.random() < crashing_share)
             self.advance()
 
     def advance(self) -> None:
@@ -185,7 +180,7 @@
             return
         took_ms = self.now_ms - attempt.dispatched_ms
         if not attempt.started and took_ms >= PREFILL_MS:
-            if attempt.deadly:
+            if attempt.crashing:
                 self._crash(attempt.engine)
                 return
             attempt.started = True
--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -10,15 +10,15 @@
 DURATION_MS = 22_000
 CONTACT_MS = 3_000
 CRASHES_BEFORE_BOUND = 5
-MAX_DEADLY_AFTER_BOUND = 3
+MAX_LATE_DISPATCHES = 3
 
 
-def count_late_deadly_dispatches(fleet: CrashingPartFleet) -> int:
-    """Return how many deadly requests engines got once the fleet had time to know."""
+def count_late_dispatches(fleet: CrashingPartFleet) -> int:
+    """Return how many crashing requests engines got once the fleet had time to know."""
     if len(fleet.crash_times_ms) < CRASHES_BEFORE_BOUND:
         return 0
     bound_ms = fleet.crash_times_ms[CRASHES_BEFORE_BOUND - 1] + CONTACT_MS
-    return sum(time_ms > bound_ms for time_ms in fleet.deadly_dispatch_times_ms)
+    return sum(time_ms > bound_ms for time_ms in fleet.crashing_dispatch_times_ms)
 
 
 # Guards against BUDGET: requests that all differ, but share a part that crashes
@@ -26,20 +26,20 @@
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_a_part_that_crashes_engines_is_refused_in_requests_never_seen(seed):
     fleet = CrashingPartFleet(seed)
-    fleet.run(DURATION_MS, deadly_share=0.05)
-    assert fleet.crash_times_ms, "the day has no deadly request"
-    assert count_late_deadly_dispatches(fleet) <= MAX_DEADLY_AFTER_BOUND
+    fleet.run(DURATION_MS, crashing_share=0.05)
+    assert fleet.crash_times_ms, "the day has no crashing request"
+    assert count_late_dispatches(fleet) <= MAX_LATE_DISPATCHES
 
 
 @pytest.mark.parametrize("seed", range(1, 9))
 def test_sound_requests_with_the_other_parts_are_not_refused(seed):
-    """None is refused on arrival; half at least begin while deadly ones still come.
+    """None is refused on arrival; half at least begin while crashing ones still come.
 
-    A request that lost each of its attempts beside a deadly one has ended; sent again,
-    it is served.
+    A request that lost each of its attempts beside a crashing one has ended; sent
+    again, it is served.
     """
     fleet = CrashingPartFleet(seed)
-    fleet.run(DURATION_MS, deadly_share=0.05)
+    fleet.run(DURATION_MS, crashing_share=0.05)
     lost: list[str] = []
     for request_id, error in fleet.refused_sound.items():
         if error.code is not ErrorCode.CRASH_SUSPECT:
@@ -48,7 +48,7 @@
         lost.append(request_id)
     started_before = len(fleet.started)
     again = [fleet.resend(request_id) for request_id in lost]
-    fleet.run(DURATION_MS, deadly_share=0.05)
+    fleet.run(DURATION_MS, crashing_share=0.05)
     assert set(again) <= fleet.started, "blocked for what ran beside it"
     sound = (DURATION_MS // STEP_MS) * 0.95
     assert len(fleet.started) - started_before >= sound / 2
@@ -58,27 +58,27 @@
 def test_an_outage_of_all_engines_blocks_no_part(seed):
     """All engines stop at once, twice, under requests that all share a part."""
     fleet = CrashingPartFleet(seed)
-    fleet.run(2_000, deadly_share=0.0)
+    fleet.run(2_000, crashing_share=0.0)
     for _ in range(2):
         fleet.crash_all()
-        fleet.run(5_000, deadly_share=0.0)
+        fleet.run(5_000, crashing_share=0.0)
     codes = {error.code for error in fleet.refused_sound.values()}
     assert ErrorCode.CRASH_SUSPECT not in codes
     started_before = len(fleet.started)
-    fleet.run(2_000, deadly_share=0.0)
+    fleet.run(2_000, crashing_share=0.0)
     assert len(fleet.started) - started_before >= 0.9 * (2_000 // STEP_MS)
 
 
 @pytest.mark.parametrize("seed", range(1, 5))
 def test_two_parts_that_crash_engines_are_both_refused(seed):
-    fleet = CrashingPartFleet(seed, deadly_parts=("deadly", "lethal"))
-    fleet.run(DURATION_MS, deadly_share=0.08)
-    fleet.run(DURATION_MS, deadly_share=0.08)
+    fleet = CrashingPartFleet(seed, crashing_parts=("crashing", "also crashing"))
+    fleet.run(DURATION_MS, crashing_share=0.08)
+    fleet.run(DURATION_MS, crashing_share=0.08)
     settled_ms = fleet.now_ms - DURATION_MS
     late = [
-        time_ms for time_ms in fleet.deadly_dispatch_times_ms if time_ms > settled_ms
+        time_ms for time_ms in fleet.crashing_dispatch_times_ms if time_ms > settled_ms
     ]
-    assert len(late) <= MAX_DEADLY_AFTER_BOUND
+    assert len(late) <= MAX_LATE_DISPATCHES
 
 
 def test_a_part_of_one_request_only_is_not_blocked():
