--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -27,6 +27,8 @@
     took_ms = now_ms - request.dispatched_ms
     load.record_first_token(took_ms, state.router.find_prefill_tokens(request))
     state.router.record_started(request, load)
+    if not request.shared_parts:
+        return
     cleared = state.part_quarantine.record_start(request.shared_parts, now_ms)
     if cleared:
         decisions.append(ev.BroadcastPartsCleared(cleared))
--- a/plantainwood/core/partquarantine.py
+++ b/plantainwood/core/partquarantine.py
@@ -5,7 +5,8 @@
 attempts lost with their engines, of several requests, is the one that crashes them.
 """
 
-from collections import OrderedDict
+from bisect import bisect_right
+from collections import OrderedDict, deque
 from typing import Iterable
 
 import msgspec
@@ -20,7 +21,10 @@
 TRUSTED_MS = 60_000
 """How long a part is trusted after an engine began to answer a request with it."""
 MAX_CRASHES_OF_TRUSTED = 8
-"""Crashes that block a trusted part; more than an outage causes one by one."""
+"""Crashes that block a trusted part, counted only if others were answered between
+them: while all engines are out, the parts that most prompts share must not be blocked,
+since no answer could clear them."""
+MAX_START_TIMES = 1_024
 MIN_MARKS_TOLD = 2
 MAX_TRUSTED_PARTS = 8_192
 MAX_MARKED_PARTS = 2_048
@@ -64,7 +68,7 @@
     request without the cause. An answer that begins clears all parts of its prompt.
     """
 
-    __slots__ = ("_max_crashes", "_marks", "_trusted")
+    __slots__ = ("_max_crashes", "_marks", "_trusted", "_start_times_ms")
 
     def __init__(self, max_crashes: int) -> None:
         self._max_crashes = max_crashes
@@ -72,6 +76,8 @@
         """By part, then by upstream; the parts marked last are at the end."""
         self._trusted: OrderedDict[str, int] = OrderedDict()
         """When an answer to a request with a part last began."""
+        self._start_times_ms: deque[int] = deque(maxlen=MAX_START_TIMES)
+        """When the last answers to prompts began."""
 
     def record_crash(self, crash: PartCrash, now_ms: int) -> None:
         """Mark the parts of the attempts that were lost in a crash."""
@@ -95,6 +101,7 @@
     def record_start(self, parts: Iterable[str], now_ms: int) -> list[str]:
         """Clear the parts of an answer that begins; return those that had marks."""
         cleared: list[str] = []
+        self._start_times_ms.append(now_ms)
         for part in parts:
             self._trusted[part] = now_ms
             self._trusted.move_to_end(part)
@@ -158,11 +165,14 @@
         """Tell whether a part has enough marks, of enough requests."""
         self._expire(part, now_ms)
         marks = self._marks.get(part, {})
-        needed = self._max_crashes
         trusted_ms = self._trusted.get(part)
         if trusted_ms is not None and now_ms - trusted_ms < TRUSTED_MS:
-            needed = max(needed, MAX_CRASHES_OF_TRUSTED)
-        if _count_crashes(marks.values()) < needed:
+            count = _count_crashes(marks.values(), list(self._start_times_ms))
+            needed = max(self._max_crashes, MAX_CRASHES_OF_TRUSTED)
+        else:
+            count = _count_crashes(marks.values())
+            needed = self._max_crashes
+        if count < needed:
             return False
         requests: set[str] = set()
         for mark in marks.values():
@@ -194,13 +204,23 @@
             del self._marks[part]
 
 
-def _count_crashes(marks: Iterable[PartMark]) -> int:
-    """Return the number of crashes, those within SAME_CAUSE_MS counted as one."""
+def _count_crashes(
+    marks: Iterable[PartMark], start_times_ms: list[int] | None = None
+) -> int:
+    """Return the number of crashes, those within SAME_CAUSE_MS counted as one.
+
+    With the times at which answers began, in order, crashes without one between them
+    count as one too.
+    """
     count = 0
     last_ms = 0
     for time_ms in sorted(mark.time_ms for mark in marks):
         if count and time_ms - last_ms < SAME_CAUSE_MS:
             continue
+        if count and start_times_ms is not None:
+            after = bisect_right(start_times_ms, last_ms)
+            if after == len(start_times_ms) or start_times_ms[after] > time_ms:
+                continue
         count += 1
         last_ms = time_ms
     return count
--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -3,7 +3,12 @@
 import pytest
 
 from plantainwood.core.errors import ErrorCode, Outcome
-from plantainwood.core.partquarantine import LostAttempt, PartCrash, PartQuarantine
+from plantainwood.core.partquarantine import (
+    MAX_CRASHES_OF_TRUSTED,
+    LostAttempt,
+    PartCrash,
+    PartQuarantine,
+)
 from plantainwood.core.quarantine import MARK_LIFETIME_MS
 from tests.crashingpart import STEP_MS, CrashingPartFleet
 
@@ -120,3 +125,24 @@
         lost = [LostAttempt(f"request {number}", ("first",))]
         quarantine.record_crash(PartCrash(f"e{number}", lost), 1_000 + 5 * number)
     assert not quarantine.is_blocked(("first",), 2_000)
+
+
+# Guards against an outage of all engines that is noticed engine by engine: it made the
+# parts that most prompts share suspects, and no answer could clear them any more.
+def test_engines_lost_one_by_one_while_nothing_is_answered_block_no_trusted_part():
+    quarantine = PartQuarantine(max_crashes=3)
+    quarantine.record_start(["first"], 1_000)
+    for number in range(30):
+        lost = [LostAttempt(f"request {number}", ("first",))]
+        quarantine.record_crash(PartCrash(f"e{number}", lost), 2_000 + 200 * number)
+    assert not quarantine.is_blocked(("first",), 8_000)
+
+
+def test_a_trusted_part_is_blocked_if_others_are_answered_between_the_crashes():
+    quarantine = PartQuarantine(max_crashes=3)
+    quarantine.record_start(["first"], 1_000)
+    for number in range(MAX_CRASHES_OF_TRUSTED):
+        lost = [LostAttempt(f"request {number}", ("first",))]
+        quarantine.record_crash(PartCrash(f"e{number}", lost), 2_000 + 200 * number)
+        quarantine.record_start(["other"], 2_100 + 200 * number)
+    assert quarantine.is_blocked(("first",), 8_000)
