--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -51,6 +51,7 @@
         self._heartbeat_triggered = asyncio.Event()
         self._mirror_requested_ms = -MIRROR_REQUEST_PAUSE_MS
         self._live_names: set[str] = set()
+        self._is_relay = False
         self._relayed_versions: dict[str, tuple[int, int]] = {}
         """Incarnation and sequence of the heartbeats last relayed, by VM."""
         super().__init__(**kwargs)
@@ -153,9 +154,24 @@
         targets = find_targets(edge.settings.node, domains)
         for name in targets.heartbeats:
             self.send(name, heartbeat)
+        self._update_relay_role(targets)
         if targets.members:
             self._relay_heartbeats(targets, heartbeat, live, now_ms)
 
+    def _update_relay_role(self, targets: HeartbeatTargets) -> None:
+        """Log when this VM begins or ceases to relay the heartbeats of its domain."""
+        is_relay = bool(targets.members)
+        if is_relay == self._is_relay:
+            return
+        self._is_relay = is_relay
+        log_event(
+            "relaying",
+            active=is_relay,
+            members=len(targets.members),
+            relays=len(targets.relays),
+            link_mbps=self.edge.settings.link_mbps,
+        )
+
     def _relay_heartbeats(
         self,
         targets: HeartbeatTargets,
--- a/plantainwood/messenger.py
+++ b/plantainwood/messenger.py
@@ -47,7 +47,10 @@
         self._metrics.link_messages.inc({"direction": direction})
 
     def close_idle(self, in_use: set[str]) -> None:
-        """Close the connections to addresses that are no longer used."""
+        """Close the connections to addresses that are no longer used; log drops."""
+        dropped = self._transport.take_dropped()
+        if dropped:
+            log_event("link_full", logging.WARNING, dropped=dropped)
         self._transport.close_idle(in_use)
 
     def close(self) -> None:
--- a/plantainwood/transport.py
+++ b/plantainwood/transport.py
@@ -1,12 +1,9 @@
 """Transport of frames between nodes: nng over TCP, where a frame may be lost."""
 
-import logging
 from abc import ABC, abstractmethod
 
 import pynng
 
-from plantainwood.logs import log_event
-
 SEND_BUFFER_MESSAGES = 64
 MAX_IDLE_ROUNDS = 30
 
@@ -18,6 +15,10 @@
     def send(self, address: str, frame: bytes) -> None:
         """Send a frame without waiting; drop it if it can't be buffered."""
 
+    @abstractmethod
+    def take_dropped(self) -> int:
+        """Return how many frames full buffers dropped since the last call."""
+
     @abstractmethod
     async def receive(self) -> bytes:
         """Return the next received frame."""
@@ -38,6 +39,7 @@
         self._pull_socket = pynng.Pull0(listen=listen, recv_buffer_size=1_024)
         self._push_sockets: dict[str, pynng.Push0] = {}
         self._idle_rounds: dict[str, int] = {}
+        self._dropped_frames = 0
 
     def send(self, address: str, frame: bytes) -> None:
         """Send a frame; the first one to an address dials it in the background."""
@@ -50,7 +52,12 @@
         try:
             push_socket.send(frame, block=False)
         except pynng.exceptions.TryAgain:
-            log_event("link_full", logging.DEBUG, address=address)
+            self._dropped_frames += 1
+
+    def take_dropped(self) -> int:
+        """Return how many frames full buffers dropped since the last call."""
+        dropped, self._dropped_frames = self._dropped_frames, 0
+        return dropped
 
     async def receive(self) -> bytes:
         """Return the next received frame from any sender."""
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -1,5 +1,7 @@
 """Heartbeats over relays in a large fleet, in memory: reach and message counts."""
 
+import logging
+
 from plantainwood.core.messages import NodeState
 from plantainwood.core.mirror import Item
 from plantainwood.core.relays import find_relays
@@ -107,3 +109,13 @@
             edge.vms.forget_address(name)
     fleet.run(12)
     assert fleet.all_vms_list_each_other()
+
+
+def test_a_vm_logs_when_it_begins_and_ceases_to_relay(caplog):
+    caplog.set_level(logging.INFO, logger="plantainwood")
+    fleet = LargeFleet(40)
+    fleet.run(6)
+    relays = find_relays("d1", fleet.get_domains())
+    records = [r for r in caplog.records if r.getMessage() == "relaying"]
+    assert len([r for r in records if r.active]) >= len(relays)
+    assert all(r.members and r.link_mbps for r in records if r.active)
