--- a/plantainwood/core/hashing.py
+++ b/plantainwood/core/hashing.py
@@ -18,6 +18,15 @@
     return sorted(members, key=lambda member: (compute_rank(key, member), member))[::-1]
 
 
+def rank_by_weight(key: str, members: list[str], weights: dict[str, int]) -> list[str]:
+    """Return the members, heaviest first; those of one weight by rank for the key.
+
+    Members without a weight come last.
+    """
+    ranked = rank_members(key, members)
+    return sorted(ranked, key=lambda member: -weights.get(member, 0))
+
+
 def pick_subset(node: str, domains: dict[str, str], size: int) -> list[str]:
     """Return a node's bounded subset of members, spread evenly over domains.
 
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -15,12 +15,11 @@
     MirrorSnapshot,
     PartCrashNotice,
     PartsClearedNotice,
-    RelayedHeartbeat,
     StoreUpdate,
     VmHeartbeat,
 )
 from plantainwood.core.mirror import Item
-from plantainwood.core.relays import HeartbeatTargets, find_targets, is_mesh
+from plantainwood.core.relays import find_targets, is_mesh
 from plantainwood.core.vms import (
     HeartbeatStatus,
     compute_heartbeat_interval_ms,
@@ -31,6 +30,7 @@
 from plantainwood.messenger import Messenger, make_messenger
 from plantainwood.notices import apply_limit_reports, apply_notice, list_mark_notices
 from plantainwood.reader import MirrorPublisher
+from plantainwood.relaying import HeartbeatRelay
 
 MIRROR_REQUEST_PAUSE_MS = 400
 
@@ -51,9 +51,7 @@
         self._heartbeat_triggered = asyncio.Event()
         self._mirror_requested_ms = -MIRROR_REQUEST_PAUSE_MS
         self._live_names: set[str] = set()
-        self._is_relay = False
-        self._relayed_versions: dict[str, tuple[int, int]] = {}
-        """Incarnation and sequence of the heartbeats last relayed, by VM."""
+        self._relay = HeartbeatRelay(edge, self._send_to_names)
         super().__init__(**kwargs)
 
     async def on_start(self) -> None:
@@ -92,14 +90,16 @@
         addresses.discard(f"tcp://{self.edge.settings.addresses.links}")
         self._send(addresses, message)
 
-    def _get_known_addresses(self, names: list[str]) -> list[str]:
-        """Return the link addresses of VMs, without those that are unknown."""
+    def _send_to_names(self, names: list[str], message: Message) -> int:
+        """Send a message to VMs, not to those of unknown address; return the bytes."""
         known = self.edge.vms.list_addresses()
-        return [known[name] for name in names if name in known]
+        return self._send([known[name] for name in names if name in known], message)
 
-    def _send(self, addresses: Iterable[str], message: Message) -> None:
-        if self._messenger is not None:
-            self._messenger.send(addresses, message)
+    def _send(self, addresses: Iterable[str], message: Message) -> int:
+        """Send a message to link addresses; return the bytes sent."""
+        if self._messenger is None:
+            return 0
+        return self._messenger.send(addresses, message)
 
     @Service.task
     async def _run_heartbeats(self) -> None:
@@ -146,60 +146,17 @@
         """Send this VM's heartbeat; a relay also passes on those of other VMs."""
         edge = self.edge
         heartbeat = edge.make_heartbeat()
+        self._relay.record(heartbeat, now_ms)
         domains = {item.sender: item.domain for item in live}
         domains[edge.settings.node] = edge.settings.domain
+        weights = {item.sender: item.weight for item in [*live, heartbeat]}
         if urgent or is_mesh(len(domains)):
             self.broadcast(heartbeat)
             return
-        targets = find_targets(edge.settings.node, domains)
+        targets = find_targets(edge.settings.node, domains, weights)
         for name in targets.heartbeats:
             self.send(name, heartbeat)
-        self._update_relay_role(targets)
-        if targets.members:
-            self._relay_heartbeats(targets, heartbeat, live, now_ms)
-
-    def _update_relay_role(self, targets: HeartbeatTargets) -> None:
-        """Log when this VM begins or ceases to relay the heartbeats of its domain."""
-        is_relay = bool(targets.members)
-        if is_relay == self._is_relay:
-            return
-        self._is_relay = is_relay
-        log_event(
-            "relaying",
-            active=is_relay,
-            members=len(targets.members),
-            relays=len(targets.relays),
-            link_mbps=self.edge.settings.link_mbps,
-        )
-
-    def _relay_heartbeats(
-        self,
-        targets: HeartbeatTargets,
-        own: VmHeartbeat,
-        live: list[VmHeartbeat],
-        now_ms: int,
-    ) -> None:
-        """Relay the heartbeats received since the last batch."""
-        edge = self.edge
-        heartbeats = [RelayedHeartbeat(own, 0)]
-        for heartbeat in live:
-            version = (heartbeat.incarnation, heartbeat.sequence)
-            if self._relayed_versions.get(heartbeat.sender) == version:
-                continue
-            self._relayed_versions[heartbeat.sender] = version
-            heartbeats.append(
-                RelayedHeartbeat(
-                    heartbeat, edge.vms.compute_age_ms(heartbeat.sender, now_ms)
-                )
-            )
-        node = edge.settings.node
-        domain = edge.settings.domain
-        of_domain = [item for item in heartbeats if item.heartbeat.domain == domain]
-        for names, selected in (
-            (targets.members, heartbeats),
-            (targets.relays, of_domain),
-        ):
-            self._send(self._get_known_addresses(names), HeartbeatBatch(node, selected))
+        self._relay.pass_on(targets, now_ms)
 
     def _update_live_names(self, live_names: set[str]) -> None:
         """Store the live names, and log the VMs whose heartbeats stopped or resumed."""
@@ -254,6 +211,7 @@
         status = edge.vms.record(heartbeat, now_ms - age_ms)
         if status is HeartbeatStatus.STALE:
             return
+        self._relay.record(heartbeat, now_ms - age_ms)
         if status is HeartbeatStatus.NEW:
             log_event("vm_heard", vm=heartbeat.sender, domain=heartbeat.domain)
             self._hand_over_marks(heartbeat.sender)
--- a/plantainwood/messenger.py
+++ b/plantainwood/messenger.py
@@ -20,12 +20,15 @@
         self._secret = secret.encode()
         self._metrics = metrics
 
-    def send(self, addresses: Iterable[str], message: Message) -> None:
-        """Send a message to each of the addresses, without waiting for its delivery."""
+    def send(self, addresses: Iterable[str], message: Message) -> int:
+        """Send a message to each address without waiting; return the bytes sent."""
         frame = encode_frame(message, self._secret)
+        sent_bytes = 0
         for address in addresses:
             self._count_frame("out", frame)
             self._transport.send(address, frame)
+            sent_bytes += len(frame)
+        return sent_bytes
 
     async def receive(self) -> AsyncIterator[Message]:
         """Yield messages until the sockets close; log and drop invalid frames."""
--- a/tests/largefleet.py
+++ b/tests/largefleet.py
@@ -46,14 +46,17 @@
         self._network = network
         self._node = node
 
-    def send(self, addresses, message) -> None:
-        """Queue a message for each address."""
+    def send(self, addresses, message) -> int:
+        """Queue a message for each address; return the bytes that this takes."""
         size = len(encode_frame(message, SECRET))
+        sent_bytes = 0
         for address in addresses:
             self._network.sent += 1
             self._network.sent_bytes[self._node] += size
             self._network.received_bytes[address] += size
             self._network.queue.append((address, message))
+            sent_bytes += size
+        return sent_bytes
 
     def close_idle(self, in_use) -> None:
         """Do nothing: there are no connections."""
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -21,7 +21,7 @@
 def test_the_loss_of_a_relay_hides_no_other_vm():
     fleet = LargeFleet(40)
     fleet.run(6)
-    lost_relay = find_relays("d1", fleet.get_domains())[0]
+    lost_relay = find_relays("d1", fleet.get_domains(), {})[0]
     fleet.kill(lost_relay)
     for _ in range(12):
         fleet.run(1)
@@ -33,7 +33,7 @@
 def test_the_fleet_recovers_from_the_loss_of_all_relays_of_a_domain():
     fleet = LargeFleet(40)
     fleet.run(6)
-    for name in find_relays("d1", fleet.get_domains()):
+    for name in find_relays("d1", fleet.get_domains(), {}):
         fleet.kill(name)
     fleet.run(20)
     assert fleet.all_vms_list_each_other()
@@ -65,7 +65,7 @@
     origin = next(
         name
         for name, domain in fleet.get_domains().items()
-        if name not in find_relays(domain, fleet.get_domains())
+        if name not in find_relays(domain, fleet.get_domains(), {})
     )
     fleet.edges[origin].router.sent_tokens["service/pool"] = 10_000
     fleet.run(4)
@@ -115,7 +115,7 @@
     caplog.set_level(logging.INFO, logger="plantainwood")
     fleet = LargeFleet(40)
     fleet.run(6)
-    relays = find_relays("d1", fleet.get_domains())
+    relays = find_relays("d1", fleet.get_domains(), {})
     records = [r for r in caplog.records if r.getMessage() == "relaying"]
     assert len([r for r in records if r.active]) >= len(relays)
     assert all(r.members and r.link_mbps for r in records if r.active)
--- a/tests/test_messages.py
+++ b/tests/test_messages.py
@@ -1,5 +1,7 @@
 """Messages between daemons: authentication, other releases, merging in any order."""
 
+import zlib
+
 import msgspec
 import pytest
 from hypothesis import given
@@ -7,7 +9,9 @@
 
 from plantainwood.core.catalogue import ServiceClass
 from plantainwood.core.frames import (
+    COMPRESSED_VERSION,
     HEADER_BYTES,
+    MAX_MESSAGE_BYTES,
     FrameError,
     _compute_mac,
     decode_frame,
@@ -72,6 +76,30 @@
     assert decode_frame(encode_frame(message, SECRET), SECRET) == message
 
 
+def make_compressed_frame(payload: bytes) -> bytes:
+    """Return the signed frame of some bytes that claim to be a compressed message."""
+    return bytes([COMPRESSED_VERSION]) + _compute_mac(SECRET, payload) + payload
+
+
+# Guards against batches that fill the thin link of a VM which relays them.
+def test_a_message_that_repeats_itself_is_compressed():
+    records = [
+        Heartbeat(f"front-fln-b-{number}", 1, 2, NodeState.LIVE, 7, 40)
+        for number in range(74)
+    ]
+    message = GossipBatch("vm-1", 1, 2, 3, records, True)
+    frame = encode_frame(message, SECRET)
+    assert len(frame) < len(msgspec.msgpack.encode(message)) / 3
+    assert decode_frame(frame, SECRET) == message
+
+
+def test_a_broken_or_endless_compressed_message_is_dropped():
+    data = zlib.compress(bytes(MAX_MESSAGE_BYTES + 1))
+    for payload in (b"not compressed", data, data[:-4]):
+        with pytest.raises(FrameError):
+            decode_frame(make_compressed_frame(payload), SECRET)
+
+
 def test_an_unknown_kind_of_message_is_dropped():
     with pytest.raises(FrameError):
         decode_frame(make_frame([99, "vm-1"]), SECRET)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -18,7 +18,7 @@
     receivers = {origin}
     for _ in range(3):
         for name in sorted(receivers):
-            targets = find_targets(name, domains)
+            targets = find_targets(name, domains, {})
             reached = set(targets.heartbeats) if name == origin else set()
             reached.update(targets.members)
             if domains[name] == domains[origin]:
@@ -29,7 +29,7 @@
 
 def test_all_vms_of_a_small_fleet_send_to_each_other_directly():
     domains = make_domains(MAX_MESH_SIZE)
-    targets = find_targets("vm-3", domains)
+    targets = find_targets("vm-3", domains, {})
     assert len(targets.heartbeats) == MAX_MESH_SIZE - 1
     assert not targets.members and not targets.relays
 
@@ -42,7 +42,7 @@
 
 def test_heartbeats_reach_all_vms_without_one_relay_of_each_domain():
     domains = make_domains(74)
-    dead = {find_relays(f"d{number}", domains)[0] for number in range(5)}
+    dead = {find_relays(f"d{number}", domains, {})[0] for number in range(5)}
     for origin in set(domains) - dead:
         assert find_receivers(origin, domains, dead) == set(domains) - dead
 
@@ -52,7 +52,7 @@
         domains = make_domains(count, 8)
         sent = 0
         for name in domains:
-            targets = find_targets(name, domains)
+            targets = find_targets(name, domains, {})
             sent += len(targets.heartbeats) + len(targets.members) + len(targets.relays)
         assert (
             sent <= (2 * RELAYS_PER_DOMAIN + 1) * count + (8 * RELAYS_PER_DOMAIN) ** 2
@@ -62,7 +62,7 @@
 def test_a_member_sends_only_to_the_relays_of_its_domain():
     domains = make_domains(300, 8)
     for name, domain in domains.items():
-        targets = find_targets(name, domains)
-        if name not in find_relays(domain, domains):
+        targets = find_targets(name, domains, {})
+        if name not in find_relays(domain, domains, {}):
             assert len(targets.heartbeats) == RELAYS_PER_DOMAIN
             assert not targets.members and not targets.relays
