--- a/plantainwood/core/storereaders.py
+++ b/plantainwood/core/storereaders.py
@@ -1,12 +1,13 @@
 """Selection of the few nodes that read the store, without an election.
 
-Every node ranks the live nodes alike. The first READER_COUNT read the store; any other
-reads too once its mirror was not confirmed for a time that grows with its rank, so a
-failed reader is replaced soon and not by all at once. Several readers do no harm:
-a mirror applies each change once.
+Every node ranks the live nodes alike, the strongest first, since a reader sends each
+change to all others. The first READER_COUNT read the store; any other reads too once
+its mirror was not confirmed for a time that grows with its rank, so a failed reader is
+replaced soon and not by all at once. Several readers do no harm: a mirror applies each
+change once.
 """
 
-from plantainwood.core.hashing import rank_members
+from plantainwood.core.hashing import rank_by_weight
 
 READER_COUNT = 2
 TAKEOVER_MS = 1_250
@@ -14,13 +15,13 @@
 MAX_TAKEOVER_MS = 2_200
 
 
-def is_reader(node: str, live: list[str], age_ms: int | None) -> bool:
+def is_reader(node: str, weights: dict[str, int], age_ms: int | None) -> bool:
     """Tell whether a node must read the store now.
 
-    `live` are the live nodes; `age_ms` is the time since its mirror was last known to
-    be current, None if it never was.
+    `weights` has the capacity of each live node, this one included; `age_ms` is the
+    time since its mirror was last known to be current, None if it never was.
     """
-    ranked = rank_members("reader", sorted(set(live) | {node}))
+    ranked = rank_by_weight("reader", sorted(weights), weights)
     rank = ranked.index(node)
     if rank < READER_COUNT or age_ms is None:
         return True
--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -142,10 +142,14 @@
 
     def list_live_names(self, now_ms: int) -> list[str]:
         """Return the names of the other VMs that are live and not leaving."""
-        found: list[str] = []
+        return [heartbeat.sender for heartbeat in self.list_staying(now_ms)]
+
+    def list_staying(self, now_ms: int) -> list[VmHeartbeat]:
+        """Return the newest heartbeats of the other VMs that live and don't leave."""
+        found: list[VmHeartbeat] = []
         for heartbeat in self.list_live(now_ms):
             if heartbeat.state is NodeState.LIVE:
-                found.append(heartbeat.sender)
+                found.append(heartbeat)
         return found
 
     def forget_silent(self, now_ms: int) -> list[str]:
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -184,6 +184,13 @@
             limits=self.broker.dispatcher.state.upstream_limits.list_reports(now_ms),
         )
 
+    def find_weights(self) -> dict[str, int]:
+        """Return the capacity of each live VM that is not leaving, and of this one."""
+        weights = {self.settings.node: self.settings.capacity_percent}
+        for heartbeat in self.vms.list_staying(self.clock.now_ms()):
+            weights[heartbeat.sender] = heartbeat.weight
+        return weights
+
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this node."""
         return self.state is NodeState.LIVE and self.view.routes is not None
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -7,7 +7,7 @@
 from mode import Service
 
 from plantainwood.core.fleetmessages import CountsReport, FrozenReportNotice
-from plantainwood.core.hashing import rank_members
+from plantainwood.core.hashing import rank_by_weight
 from plantainwood.core.leases import LEASE_PREFIX, LeaseRecord
 from plantainwood.core.messages import NodeState
 from plantainwood.core.reports import report_window
@@ -69,9 +69,9 @@
 
 
 def find_lease_candidates(edge: Edge) -> list[str]:
-    """Return the live VMs that try to acquire the lease, best ranked first."""
-    live = edge.vms.list_live_names(edge.clock.now_ms())
-    ranked = rank_members(f"duty\0{FLEET_DUTY}", sorted({*live, edge.settings.node}))
+    """Return the live VMs that try to acquire the lease, the strongest first."""
+    weights = edge.find_weights()
+    ranked = rank_by_weight(f"duty\0{FLEET_DUTY}", sorted(weights), weights)
     return ranked[:LEASE_CANDIDATES]
 
 
--- a/plantainwood/reader.py
+++ b/plantainwood/reader.py
@@ -98,7 +98,7 @@
             or self._read_all_at_ms is not None
             or is_reader(
                 edge.settings.node,
-                edge.vms.list_live_names(now_ms),
+                edge.find_weights(),
                 edge.mirror.compute_age_ms(now_ms),
             )
         )
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -96,7 +96,7 @@
     readers = []
     others = []
     for daemon in daemons:
-        reads = is_reader(daemon.edge.settings.node, names, 0)
+        reads = is_reader(daemon.edge.settings.node, dict.fromkeys(names, 100), 0)
         (readers if reads else others).append(daemon)
     return readers, others
 
--- a/tests/test_mirror.py
+++ b/tests/test_mirror.py
@@ -85,15 +85,27 @@
 
 def test_few_nodes_read_and_all_read_once_updates_stop():
     names = [f"vm-{number}" for number in range(20)]
-    readers = [name for name in names if is_reader(name, names, 300)]
+    weights = dict.fromkeys(names, 100)
+    readers = [name for name in names if is_reader(name, weights, 300)]
     assert len(readers) == READER_COUNT
-    assert all(is_reader(name, names, 10_000) for name in names)
-    assert is_reader("vm-3", names, None)
+    assert all(is_reader(name, weights, 10_000) for name in names)
+    assert is_reader("vm-3", weights, None)
+
+
+# Guards against updates to all VMs that fill the thin link of the VM which reads them.
+def test_vms_with_thin_links_leave_the_reading_to_stronger_ones():
+    names = [f"vm-{number}" for number in range(20)]
+    weights = {name: 20 for name in names}
+    weights["vm-4"] = weights["vm-11"] = 215
+    readers = [name for name in names if is_reader(name, weights, 300)]
+    assert readers == ["vm-4", "vm-11"]
 
 
 def test_failed_readers_are_replaced_one_by_one():
     names = [f"vm-{number}" for number in range(20)]
-    readers = [name for name in names if is_reader(name, names, 1_300)]
+    readers = [
+        name for name in names if is_reader(name, dict.fromkeys(names, 100), 1_300)
+    ]
     assert READER_COUNT < len(readers) < 6
 
 
