Refuse a request that no upstream ran as not run, and spend no retries on it (TIER)

What callers saw: ficha-perro got a 502 without a runner, while less urgent requests began; a 502 does not tell that the request has not run, nor when to come back.

Cause: connections that don't open, as on relays whose links are full, took from the retry budget of their VM, though that bounds arrivals at upstreams. So the second or third ended the request, with 502 whatever was known.

--- a/plantainwood/attempts.py
+++ b/plantainwood/attempts.py
@@ -67,6 +67,7 @@
                     error.crashed,
                     error.proved_not_run,
                     error.pause_ms,
+                    error.reached,
                 )
             )
             return
--- a/plantainwood/connectionpool.py
+++ b/plantainwood/connectionpool.py
@@ -4,7 +4,7 @@
 
 from plantainwood.connections import Connection
 from plantainwood.core.clock import Clock
-from plantainwood.engines import AttemptError
+from plantainwood.engines import AttemptError, make_unreached_error
 
 CONNECT_TIMEOUT_MS = 350
 PROBE_TIMEOUT_MS = 80
@@ -41,7 +41,7 @@
                     lambda: Connection(address, self._clock), host, int(port)
                 )
         except (OSError, TimeoutError) as error:
-            raise AttemptError(repr(error), False, proved_not_run=True) from error
+            raise make_unreached_error(repr(error)) from error
         return connection
 
     async def probe_refused(self, address: str) -> bool:
--- a/plantainwood/core/errors.py
+++ b/plantainwood/core/errors.py
@@ -36,6 +36,7 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     EARLIER_UNKNOWN = "earlier_outcome_unknown"
     UPSTREAM_FAILED = "upstream_failed"
+    UPSTREAM_UNAVAILABLE = "upstream_unavailable"
     UPSTREAM_TIMEOUT = "upstream_timeout"
     BODY_TIMEOUT = "body_timeout"
     HEADERS_TOO_LARGE = "headers_too_large"
@@ -72,6 +73,7 @@
     ErrorCode.CLAIM_UNAVAILABLE: 503,
     ErrorCode.EARLIER_UNKNOWN: 409,
     ErrorCode.UPSTREAM_FAILED: 502,
+    ErrorCode.UPSTREAM_UNAVAILABLE: 503,
     ErrorCode.UPSTREAM_TIMEOUT: 504,
     ErrorCode.BODY_TIMEOUT: 408,
     ErrorCode.HEADERS_TOO_LARGE: 431,
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -64,6 +64,8 @@
     """No byte was written, or the upstream proved that it did not run the request."""
     pause_ms: int = FAILED_PAUSE_MS
     """How long the upstream gets no new attempts, if `proved_not_run`."""
+    reached: bool = True
+    """Whether any byte of the attempt may have arrived at the upstream."""
 
 
 class CallerLeft(msgspec.Struct, frozen=True):
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -12,6 +12,8 @@
 
 CRASH_PAUSE_MS = 2_000
 RETRY_FAILED_MS = 2_000
+RETRY_NOT_RUN_MS = 300
+"""When to come back with a request that no upstream ran: another VM may reach one."""
 
 
 def handle_started(
@@ -204,16 +206,22 @@
         return make_blocked_error(outcome)
     exhausted = request.attempts_made >= request.max_attempts
     if request.attempt >= MAX_ATTEMPTS or exhausted:
-        spent = True
-    else:
-        spent = not state.budget.spend(request.tier)
-    if spent:
-        message = "the upstreams failed"
-        code = ErrorCode.UPSTREAM_FAILED
-        return RequestError(code, message, outcome, RETRY_FAILED_MS)
+        return _make_failed_error(outcome)
+    if event.reached and not state.budget.spend(request.tier):
+        return _make_failed_error(outcome)
     return None
 
 
+def _make_failed_error(outcome: Outcome) -> RequestError:
+    """Return the error of a request that gets no further attempt."""
+    if outcome is Outcome.NOT_RUN:
+        message = "no upstream took the request"
+        code = ErrorCode.UPSTREAM_UNAVAILABLE
+        return RequestError(code, message, outcome, RETRY_NOT_RUN_MS)
+    message = "the upstreams failed"
+    return RequestError(ErrorCode.UPSTREAM_FAILED, message, outcome, RETRY_FAILED_MS)
+
+
 def _avoid_failed_upstream(
     state: DispatcherState, request: Request, load: UpstreamLoad
 ) -> None:
--- a/plantainwood/engines.py
+++ b/plantainwood/engines.py
@@ -56,7 +56,8 @@
     """Report a failed attempt and what is known of its effect.
 
     `crashed` is set if the upstream seems to have crashed while it ran the attempt,
-    `proved_not_run` if the attempt certainly did not run.
+    `proved_not_run` if the attempt certainly did not run, `reached` unless it is also
+    certain that no byte of it arrived.
     """
 
     def __init__(
@@ -65,8 +66,10 @@
         crashed: bool,
         proved_not_run: bool,
         pause_ms: int = FAILED_PAUSE_MS,
+        reached: bool = True,
     ) -> None:
         super().__init__(reason)
+        self.reached = reached
         self.crashed = crashed
         self.proved_not_run = proved_not_run
         self.pause_ms = pause_ms
@@ -78,6 +81,11 @@
     return AttemptError(reason, crashed=False, proved_not_run=True, pause_ms=pause_ms)
 
 
+def make_unreached_error(reason: str) -> AttemptError:
+    """Return the error of an attempt of which no byte arrived at its upstream."""
+    return AttemptError(reason, crashed=False, proved_not_run=True, reached=False)
+
+
 class EngineClient(ABC):
     """Call an engine; one subclass per engine API."""
 
@@ -126,9 +134,9 @@
                 async for part in _parse_events(response.content):
                     yield part
         except aiohttp.ClientConnectorError as error:
-            raise AttemptError(repr(error), False, proved_not_run=True) from error
+            raise make_unreached_error(repr(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
-            raise AttemptError(repr(error), False, proved_not_run=True) from error
+            raise make_unreached_error(repr(error)) from error
         except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError) as error:
             crashed = not isinstance(error, asyncio.TimeoutError)
             raise AttemptError(repr(error), crashed, False) from error
@@ -296,7 +304,7 @@
                 content_type = response.headers.get("Content-Type", "")
                 return PlainAnswer(response.status, content_type, body)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise AttemptError(repr(error), False, proved_not_run=True) from error
+            raise make_unreached_error(repr(error)) from error
         except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError) as error:
             raise AttemptError(repr(error), True, proved_not_run=False) from error
         except SecondConnectionError as error:
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -31,7 +31,7 @@
     compute_gap_stall_ms,
     may_retry,
 )
-from plantainwood.engines import AttemptError, make_not_run_error
+from plantainwood.engines import AttemptError, make_not_run_error, make_unreached_error
 from plantainwood.eventreader import EventReader
 from plantainwood.logs import log_event
 from plantainwood.spans import Spans
@@ -126,9 +126,7 @@
         self.summary.upstream = dispatch.upstream
         load = self.broker.dispatcher.state.loads.get(dispatch.upstream)
         if load is None:
-            raise AttemptError(
-                "the upstream is no longer known", False, proved_not_run=True
-            )
+            raise make_unreached_error("the upstream is no longer known")
         self._log_dispatch(dispatch, load)
         with self.forwarder.spans.open("attempt", upstream=dispatch.upstream):
             await self._perform_on_connection(dispatch, load.entry)
