--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -1,108 +1,11 @@
 """Heartbeats over relays in a large fleet, in memory: reach and message counts."""
 
-import msgspec
+import logging
 
-from plantainwood.core.clock import VirtualClock
-from plantainwood.core.fleetmessages import VmHeartbeat
 from plantainwood.core.messages import NodeState
 from plantainwood.core.mirror import Item
-from plantainwood.core.relays import RELAYED_HEARTBEAT_INTERVAL_MS, find_relays
-from plantainwood.edge import Edge
-from plantainwood.edgesettings import EdgeAddresses
-from plantainwood.fleet import FleetLinks
-from plantainwood.metrics import Metrics
-from tests.samples import SETTINGS
-
-DOMAINS = 4
-
-
-class Network:
-    """Queue messages until the end of a round, and count them."""
-
-    def __init__(self) -> None:
-        self.fleet_links: dict[str, FleetLinks] = {}
-        self.queue: list[tuple[str, object]] = []
-        self.sent = 0
-
-    def deliver(self) -> None:
-        """Deliver the queued messages; drop those to removed VMs."""
-        queue, self.queue = self.queue, []
-        for address, message in queue:
-            links = self.fleet_links.get(address)
-            if links is not None:
-                links.handle_message(message)
-
-
-class MemoryMessenger:
-    """Send to an in-memory network."""
-
-    def __init__(self, network: Network) -> None:
-        self._network = network
-
-    def send(self, addresses, message) -> None:
-        """Queue a message for each address."""
-        for address in addresses:
-            self._network.sent += 1
-            self._network.queue.append((address, message))
-
-    def close_idle(self, in_use) -> None:
-        """Do nothing: there are no connections."""
-
-
-class LargeFleet:
-    """VMs that share one virtual clock and know each other's addresses."""
-
-    def __init__(self, count: int) -> None:
-        self.clock = VirtualClock(now_ms=100_000)
-        self.network = Network()
-        self.edges: dict[str, Edge] = {}
-        names = [f"vm-{number}" for number in range(count)]
-        for number, name in enumerate(names):
-            addresses = EdgeAddresses(
-                f"h{number}:1", "h:2", "h:3", f"h{number}:4", metrics_port=5
-            )
-            settings = msgspec.structs.replace(
-                SETTINGS,
-                node=name,
-                domain=f"d{number % DOMAINS}",
-                addresses=addresses,
-            )
-            edge = Edge(settings, self.clock, Metrics())
-            links = FleetLinks(edge, lambda items: None, MemoryMessenger(self.network))
-            self.edges[name] = edge
-            self.network.fleet_links[f"tcp://{addresses.links}"] = links
-        for edge in self.edges.values():
-            for number, name in enumerate(names):
-                edge.vms.learn_address(name, f"tcp://h{number}:4")
-
-    def run(self, rounds: int) -> None:
-        """Let every VM send a heartbeat in each round; a round lasts one interval."""
-        for _ in range(rounds):
-            for links in list(self.network.fleet_links.values()):
-                links.send_heartbeat(urgent=False)
-            self.network.deliver()
-            self.clock.advance(RELAYED_HEARTBEAT_INTERVAL_MS)
-
-    def kill(self, name: str) -> None:
-        """Remove a VM without notice to the others."""
-        edge = self.edges.pop(name)
-        del self.network.fleet_links[f"tcp://{edge.settings.addresses.links}"]
-
-    def get_live_vms(self, name: str) -> set[str]:
-        """Return the other VMs that a VM counts as live."""
-        heartbeats: list[VmHeartbeat] = self.edges[name].vms.list_live(
-            self.clock.now_ms()
-        )
-        return {heartbeat.sender for heartbeat in heartbeats}
-
-    def get_domains(self) -> dict[str, str]:
-        """Return the failure domain of each VM."""
-        return {name: edge.settings.domain for name, edge in self.edges.items()}
-
-    def all_vms_list_each_other(self) -> bool:
-        """Return whether every VM counts exactly the other existing VMs as live."""
-        names = set(self.edges)
-        return all(self.get_live_vms(name) == names - {name} for name in names)
+from plantainwood.core.relays import find_relays
+from tests.largefleet import LargeFleet
 
 
 def test_a_large_fleet_discovers_all_vms_and_sends_few_messages():
@@ -118,7 +21,7 @@
 def test_the_loss_of_a_relay_hides_no_other_vm():
     fleet = LargeFleet(40)
     fleet.run(6)
-    lost_relay = find_relays("d1", fleet.get_domains())[0]
+    lost_relay = find_relays("d1", fleet.get_domains(), {})[0]
     fleet.kill(lost_relay)
     for _ in range(12):
         fleet.run(1)
@@ -130,7 +33,7 @@
 def test_the_fleet_recovers_from_the_loss_of_all_relays_of_a_domain():
     fleet = LargeFleet(40)
     fleet.run(6)
-    for name in find_relays("d1", fleet.get_domains()):
+    for name in find_relays("d1", fleet.get_domains(), {}):
         fleet.kill(name)
     fleet.run(20)
     assert fleet.all_vms_list_each_other()
@@ -162,7 +65,7 @@
     origin = next(
         name
         for name, domain in fleet.get_domains().items()
-        if name not in find_relays(domain, fleet.get_domains())
+        if name not in find_relays(domain, fleet.get_domains(), {})
     )
     fleet.edges[origin].router.sent_tokens["service/pool"] = 10_000
     fleet.run(4)
@@ -206,3 +109,13 @@
             edge.vms.forget_address(name)
     fleet.run(12)
     assert fleet.all_vms_list_each_other()
+
+
+def test_a_vm_logs_when_it_begins_and_ceases_to_relay(caplog):
+    caplog.set_level(logging.INFO, logger="plantainwood")
+    fleet = LargeFleet(40)
+    fleet.run(6)
+    relays = find_relays("d1", fleet.get_domains(), {})
+    records = [r for r in caplog.records if r.getMessage() == "relaying"]
+    assert len([r for r in records if r.active]) >= len(relays)
+    assert all(r.members and r.link_mbps for r in records if r.active)
