--- a/tests/test_unreached_requests.py
+++ b/tests/test_unreached_requests.py
@@ -46,7 +46,7 @@
             self._decisions = self._dispatcher.decide(ev.Tick(), self._now_ms)
 
 
-# Guards against a 502 for a request that ran nowhere: its caller can't come back (TIER).
+# Guards against a 502 for a request that ran nowhere, which tells no return (TIER).
 def test_a_request_that_reached_no_upstream_is_refused_as_not_run():
     vm = Vm(slack=50.0)
     for _ in range(MAX_ATTEMPTS):
