--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -159,6 +159,7 @@
             proved_not_run=error.proved_not_run,
             crashed=error.crashed,
             began=self._has_begun(dispatch),
+            fingerprint=self.call.fingerprint or "-",
             parts=self.call.prompt.format_parts(MAX_LOGGED_PARTS),
         )
         if not error.proved_not_run:
