--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,153 @@
+"""Requests without a body that crash upstreams, and sound ones beside them.
+
+Three VMs and four servers in virtual time, without network; marks reach the other VMs
+in the next step.
+"""
+
+from bridge.requests import make_call
+from plantainwood.calls import make_arrival
+from plantainwood.core import events as ev
+from plantainwood.core.catalogue import (
+    Catalogue,
+    Change,
+    apply_changes,
+)
+from plantainwood.core.dispatcher import Dispatcher, Options
+from plantainwood.core.routes import ConfiguredCustomer
+from tests.samples import ROUTE
+
+MAX_CRASHES = 3
+SERVERS = 4
+VMS = 3
+STEP_MS = 200
+CUSTOMER = ConfiguredCustomer("norte", None)
+CRASHING_PATH = "/s/2f"
+SOUND_PATH = "/s/30"
+
+
+def make_catalogue() -> Catalogue:
+    """Return a catalogue with one plain service on a server in each failure domain."""
+    changes = [
+        Change("classes", "r1", {"owner": "paseos", "tier": 0}),
+        Change("customers", "norte", {"owner": "paseos", "classes": ["r1"]}),
+        Change("services", "pool", {"owner": "paseos"}),
+    ]
+    for number in range(SERVERS):
+        body = {
+            "owner": "paseos",
+            "kind": "plain",
+            "address": f"http://s{number}",
+            "domain": f"d{number}",
+            "service": "pool",
+            "slots": 6,
+        }
+        changes.append(Change("upstreams", f"s{number}", body))
+    return apply_changes(Catalogue(), changes, "first")
+
+
+class Fleet:
+    """VMs that tell each other of marks, and servers that one request crashes."""
+
+    def __init__(self) -> None:
+        self.now_ms = 1_000
+        self.crashes = 0
+        self.refused: list[str] = []
+        self._requests = 0
+        self._marks: list[ev.CrashMarkReceived] = []
+        self._dispatchers: list[Dispatcher] = []
+        for number in range(VMS):
+            options = Options(
+                isolate_suspects=False, preempt=False, max_crashes=MAX_CRASHES
+            )
+            dispatcher = Dispatcher(f"vm-{number}", number, options)
+            dispatcher.apply_catalogue(make_catalogue())
+            self._dispatchers.append(dispatcher)
+
+    def advance(self, step_ms: int = STEP_MS) -> None:
+        """Let time pass, and deliver the marks to all VMs."""
+        self.now_ms += step_ms
+        marks, self._marks = self._marks, []
+        for dispatcher in self._dispatchers:
+            for mark in marks:
+                self._collect(dispatcher.decide(mark, self.now_ms))
+
+    def send(self, vm: int, path: str) -> ev.Dispatch | None:
+        """Send a GET at a VM; return its first attempt, or None if it is refused."""
+        self._requests += 1
+        name = f"{self._requests:016x}"
+        headers = [(b"Request-Id", name.encode())]
+        call = make_call(ROUTE, CUSTOMER, "GET", path, headers, b"", self.now_ms, name)
+        decisions = self._dispatchers[vm].decide(make_arrival(call), self.now_ms)
+        return self._collect(decisions)
+
+    def crash(self, vm: int, attempt: ev.Dispatch) -> ev.Dispatch | None:
+        """Crash the server of an attempt; return the next attempt, if there is one."""
+        self.crashes += 1
+        event = ev.AttemptFailed(attempt.request_id, attempt.attempt, True, False)
+        return self._collect(self._dispatchers[vm].decide(event, self.now_ms))
+
+    def finish(self, vm: int, attempt: ev.Dispatch) -> None:
+        """Complete an attempt."""
+        event = ev.AttemptDone(attempt.request_id, attempt.attempt)
+        self._collect(self._dispatchers[vm].decide(event, self.now_ms))
+
+    def _collect(self, decisions: list[ev.Decision]) -> ev.Dispatch | None:
+        found = None
+        for decision in decisions:
+            if isinstance(decision, ev.Dispatch):
+                found = decision
+            elif isinstance(decision, ev.Refuse):
+                self.refused.append(decision.request_id)
+            elif isinstance(decision, ev.BroadcastCrashMark):
+                self._marks.append(
+                    ev.CrashMarkReceived(
+                        decision.fingerprint, decision.upstream, decision.lifted
+                    )
+                )
+        return found
+
+
+# Guards against requests without a body that crash servers without end (BUDGET).
+def test_a_crashing_request_without_a_body_is_refused_after_three_crashes():
+    fleet = Fleet()
+    for number in range(12):
+        vm = number % VMS
+        attempt = fleet.send(vm, CRASHING_PATH)
+        while attempt is not None:
+            fleet.advance()
+            attempt = fleet.crash(vm, attempt)
+        fleet.advance(4_000)
+    assert fleet.crashes <= MAX_CRASHES + 1
+
+
+def test_requests_without_a_body_for_other_things_or_customers_are_served():
+    fleet = Fleet()
+    for number in range(4):
+        vm = number % VMS
+        attempt = fleet.send(vm, CRASHING_PATH)
+        while attempt is not None:
+            fleet.advance()
+            attempt = fleet.crash(vm, attempt)
+        fleet.advance(4_000)
+    assert fleet.send(0, SOUND_PATH) is not None
+
+
+# Guards against refusing a popular request after an outage that had another cause.
+def test_a_popular_request_is_served_after_all_servers_crashed_at_once():
+    fleet = Fleet()
+    for vm in range(VMS):
+        attempt = fleet.send(vm, SOUND_PATH)
+        fleet.advance()
+        assert attempt is not None
+        fleet.finish(vm, attempt)
+    running = [(vm, fleet.send(vm, SOUND_PATH)) for vm in range(VMS) for _ in range(4)]
+    fleet.advance()
+    crashed: set[str] = set()
+    for vm, attempt in running:
+        assert attempt is not None
+        crashed.add(attempt.upstream)
+        fleet.crash(vm, attempt)
+    assert len(crashed) >= MAX_CRASHES
+    fleet.advance(4_000)
+    for vm in range(VMS):
+        assert fleet.send(vm, SOUND_PATH) is not None
