--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -64,7 +64,8 @@
     state.get_or_create_tier(pool, request.tier).record_answer_length(request.tokens)
     state.detach_attempt(request, now_ms, decisions)
     state.end_request(request)
-    state.broadcast_marks(state.quarantine.clear_marks(request.fingerprint), decisions)
+    marks = state.quarantine.record_completion(request.fingerprint, now_ms)
+    state.broadcast_marks(marks, decisions)
     dispatch_waiting(state, pool, now_ms, decisions)
 
 
--- a/plantainwood/core/partquarantine.py
+++ b/plantainwood/core/partquarantine.py
@@ -11,19 +11,17 @@
 
 import msgspec
 
-from plantainwood.core.quarantine import MARK_LIFETIME_MS
+from plantainwood.core.quarantine import (
+    MARK_LIFETIME_MS,
+    MAX_CRASHES_OF_TRUSTED,
+    TRUSTED_MS,
+)
 
 MIN_REQUESTS = 2
 """A part is blocked only if this many requests with it were lost; one that keeps
 crashing engines by itself is blocked by its fingerprint."""
 SAME_CAUSE_MS = 100
 """Crashes closer together count as one: an outage stops many engines at once."""
-TRUSTED_MS = 60_000
-"""How long a part is trusted after an engine began to answer a request with it."""
-MAX_CRASHES_OF_TRUSTED = 8
-"""Crashes that block a trusted part, counted only if others were answered between
-them: while all engines are out, the parts that most prompts share must not be blocked,
-since no answer could clear them."""
 MAX_START_TIMES = 1_024
 MIN_MARKS_TOLD = 2
 MAX_TRUSTED_PARTS = 8_192
@@ -166,6 +164,8 @@
         self._expire(part, now_ms)
         marks = self._marks.get(part, {})
         trusted_ms = self._trusted.get(part)
+        # Only crashes with an answer between them count: the parts that most prompts
+        # share are lost in every crash of an outage of all engines.
         if trusted_ms is not None and now_ms - trusted_ms < TRUSTED_MS:
             count = _count_crashes(marks.values(), list(self._start_times_ms))
             needed = max(self._max_crashes, MAX_CRASHES_OF_TRUSTED)
--- a/plantainwood/core/quarantine.py
+++ b/plantainwood/core/quarantine.py
@@ -1,6 +1,6 @@
 """Containment of requests that crash the upstreams they run on."""
 
-from collections import deque
+from collections import OrderedDict, deque
 
 import msgspec
 
@@ -9,6 +9,13 @@
 MAX_CRASHES = 2
 MARK_LIFETIME_MS = 600_000
 EVICTION_WINDOW_MS = 2_000
+TRUSTED_MS = 60_000
+"""How long a fingerprint, or a part of prompts, is trusted after an upstream answered a
+request with it."""
+MAX_CRASHES_OF_TRUSTED = 8
+"""Crashes that block what is trusted: a popular request runs on many upstreams, and
+an outage of them all must not block it, since no answer could clear it then."""
+MAX_TRUSTED_FINGERPRINTS = 4_096
 SECOND_CRASH_SUFFIX = "+"
 
 
@@ -54,15 +61,18 @@
     After `max_crashes` a fingerprint is blocked: every node refuses it at once, for
     MARK_LIFETIME_MS. A suspect (one mark) reserves its upstream fleet-wide, so it
     never shares one with another suspect and a second crash has only one suspect. A
-    suspect that completes has its marks lifted. Crashes of several upstreams of one
-    failure domain without a common fingerprint are an eviction and mark nothing.
+    suspect that completes has its marks lifted, and is trusted for TRUSTED_MS. Crashes
+    of several upstreams of one failure domain without a common fingerprint are an
+    eviction and mark nothing.
     """
 
-    __slots__ = ("_max_crashes", "_marks", "_recent_crashes")
+    __slots__ = ("_max_crashes", "_marks", "_trusted", "_recent_crashes")
 
     def __init__(self, max_crashes: int = MAX_CRASHES) -> None:
         self._max_crashes = max_crashes
         self._marks: dict[str, dict[str, int]] = {}
+        self._trusted: OrderedDict[str, int] = OrderedDict()
+        """When a request with a fingerprint last completed, the latest at the end."""
         self._recent_crashes: deque[Crash] = deque(maxlen=64)
 
     def count_marks(self, fingerprint: str, now_ms: int) -> int:
@@ -83,11 +93,19 @@
 
     def is_blocked(self, fingerprint: str, now_ms: int) -> bool:
         """Tell whether a fingerprint must be refused at once."""
-        return (
-            bool(fingerprint)
-            and self.count_marks(fingerprint, now_ms) >= self._max_crashes
+        if not fingerprint:
+            return False
+        count = self.count_marks(fingerprint, now_ms)
+        if count < self._max_crashes:
+            return False
+        return count >= MAX_CRASHES_OF_TRUSTED or not self._is_trusted(
+            fingerprint, now_ms
         )
 
+    def _is_trusted(self, fingerprint: str, now_ms: int) -> bool:
+        trusted_ms = self._trusted.get(fingerprint)
+        return trusted_ms is not None and now_ms - trusted_ms < TRUSTED_MS
+
     def add_mark(self, fingerprint: str, upstream: str, now_ms: int) -> None:
         """Set a mark of a crash at `now_ms`, which lasts for MARK_LIFETIME_MS."""
         marks = self._marks.setdefault(fingerprint, {})
@@ -97,8 +115,14 @@
         """Lift a mark, if it is set."""
         self._marks.get(fingerprint, {}).pop(upstream, None)
 
-    def clear_marks(self, fingerprint: str) -> list[Mark]:
-        """Lift and return all marks of a fingerprint whose request completed."""
+    def record_completion(self, fingerprint: str, now_ms: int) -> list[Mark]:
+        """Trust a fingerprint whose request completed; lift and return its marks."""
+        if not fingerprint:
+            return []
+        self._trusted[fingerprint] = now_ms
+        self._trusted.move_to_end(fingerprint)
+        while len(self._trusted) > MAX_TRUSTED_FINGERPRINTS:
+            self._trusted.popitem(last=False)
         marks: list[Mark] = []
         for upstream in self._marks.pop(fingerprint, {}):
             marks.append(Mark(fingerprint, upstream, lifted=True))
@@ -125,9 +149,10 @@
     ) -> list[Mark]:
         """Record a crash and return the marks that it sets or lifts.
 
-        If suspects were running, only they get a mark.
+        If suspects were running, only they get a mark; each gets one, however many
+        requests had its fingerprint.
         """
-        fingerprints = [text for text in fingerprints if text]
+        fingerprints = [text for text in dict.fromkeys(fingerprints) if text]
         crash = Crash(upstream, domain, now_ms, fingerprints)
         earlier = self._find_evicted(crash)
         self._recent_crashes.append(crash)
