--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -36,6 +36,8 @@
     """When the caller gives up or the route's timeout expires, whichever is earlier."""
     last_event_id: str = ""
     """The id of the last event that the caller received on an earlier request."""
+    resumes: str = ""
+    """The id of the caller's request that began the stream which this one continues."""
 
 
 def make_arrival(call: Call) -> Arrival:
--- a/plantainwood/core/catalogue.py
+++ b/plantainwood/core/catalogue.py
@@ -81,6 +81,11 @@
     cheap: bool = False
     checks_fencing: bool = True
 
+    @property
+    def software_version(self) -> str:
+        """Return the version of the process, not of its weights; empty if unknown."""
+        return ""
+
 
 class DiscoveredUpstream(Upstream, frozen=True):
     """An upstream that registered itself; operators don't write such entries."""
@@ -93,6 +98,13 @@
     """Connections that it accepts from all nodes together; 0 if no limit is known."""
     leaving: bool = False
     """Whether it finishes its running requests and accepts no new ones."""
+    version: str = ""
+    """The version of its software; empty if not known."""
+
+    @property
+    def software_version(self) -> str:
+        """Return the version that the process registered."""
+        return self.version
 
 
 class Key(EntryBase, frozen=True):
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -143,7 +143,9 @@
             waited_ms=now_ms - self.call.arrived_ms,
             left_ms=self.call.deadline_ms - now_ms,
             source=dispatch.source or "-",
-            last_event=self.splitter.last_id or "-",
+            version=load.entry.software_version or "-",
+            resumes=self.call.resumes or "-",
+            last_event=self.splitter.last_id or self.call.last_event_id or "-",
             **router.explain(load, now_ms),
         )
 
