--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -9,7 +9,7 @@
 from plantainwood.core.catalogue import DiscoveredUpstream
 from plantainwood.core.events import Arrival
 from plantainwood.core.prompts import Prompt
-from plantainwood.core.routes import Route
+from plantainwood.core.routes import RetrySafety, Route
 
 
 class Call(msgspec.Struct):
@@ -42,6 +42,7 @@
 
 def make_arrival(call: Call) -> Arrival:
     """Return the arrival event that tells the dispatcher of a call."""
+    is_stream = call.route.retry_safety is RetrySafety.STREAM
     return Arrival(
         request_id=call.local_id,
         customer=call.customer,
@@ -53,6 +54,8 @@
         tier=call.tier,
         queue_deadline_ms=call.deadline_ms,
         max_attempts=call.route.attempts,
+        stream=(call.resumes or call.request_id) if is_stream else "",
+        resumed=is_stream and bool(call.resumes),
     )
 
 
--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -3,7 +3,11 @@
 import heapq
 
 from plantainwood.core import events as ev
-from plantainwood.core.dispatcherstate import DispatcherState
+from plantainwood.core.dispatcherstate import (
+    DispatcherState,
+    find_outcome,
+    make_failed_error,
+)
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.pools import Pool
 from plantainwood.core.quarantine import make_blocked_error
@@ -13,6 +17,7 @@
 
 RETRY_DRAINING_MS = 1_000
 RETRY_NO_UPSTREAM_MS = 5_000
+RETRY_NO_VERSION_MS = 500
 
 
 def handle_arrival(
@@ -48,6 +53,7 @@
     if not any(not load.leaving for load in pool.group):
         message = "no upstream serves this"
         raise _make_refusal(ErrorCode.NO_UPSTREAM, message, RETRY_NO_UPSTREAM_MS)
+    version = _find_version(state, pool, event, now_ms) if event.resumed else ""
     limit = state.get_or_create_limit(event.customer, customer, now_ms)
     wait_ms = limit.admit(state.limit_floor, now_ms)
     if wait_ms is not None:
@@ -55,6 +61,7 @@
         raise _make_refusal(ErrorCode.RATE_LIMITED, message, wait_ms)
     is_engine = event.pool.startswith("model/")
     request = Request(event, service_class, is_engine, now_ms)
+    request.version = version
     try:
         _make_room(state, pool, request, now_ms, decisions)
     except RequestError:
@@ -63,6 +70,20 @@
     return request
 
 
+def _find_version(
+    state: DispatcherState, pool: Pool, event: ev.Arrival, now_ms: int
+) -> str:
+    """Return the version that may continue a stream; raise RequestError without one."""
+    version = state.stream_versions.find(event.stream, event.pool, now_ms)
+    if version is None:
+        message = "it is not known which version began the stream"
+        raise _make_refusal(ErrorCode.NO_UPSTREAM, message, RETRY_NO_VERSION_MS)
+    if not pool.serves_version(version):
+        message = "no upstream of the version that began the stream serves"
+        raise _make_refusal(ErrorCode.NO_UPSTREAM, message, RETRY_NO_VERSION_MS)
+    return version
+
+
 def _make_room(
     state: DispatcherState, pool: Pool, request: Request, now_ms: int, decisions: list
 ) -> None:
@@ -93,6 +114,19 @@
     return RequestError(code, message, Outcome.NOT_RUN, retry_ms)
 
 
+def refuse_unservable(state: DispatcherState, now_ms: int, decisions: list) -> None:
+    """Refuse the waiting streams of which no upstream has the version any more."""
+    for request in list(state.requests.values()):
+        if request.is_running or not request.version:
+            continue
+        if state.pools[request.pool].serves_version(request.version):
+            continue
+        state.remove_waiting(request)
+        state.end_request(request)
+        error = make_failed_error(find_outcome(request))
+        decisions.append(ev.Refuse(request.id, error))
+
+
 def expire_waiting(state: DispatcherState, now_ms: int, decisions: list) -> None:
     """Refuse overdue requests that can displace no less urgent one; preempt for others.
 
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -3,7 +3,11 @@
 from typing import Callable
 
 from plantainwood.core import events as ev
-from plantainwood.core.admission import expire_waiting, handle_arrival
+from plantainwood.core.admission import (
+    expire_waiting,
+    handle_arrival,
+    refuse_unservable,
+)
 from plantainwood.core.catalogue import Catalogue
 from plantainwood.core.dispatcherstate import DispatcherState, Options
 from plantainwood.core.outcomes import (
@@ -58,6 +62,10 @@
         """Set the live nodes, among which upstreams' request rates are divided."""
         self.state.upstream_limits.set_nodes(nodes, now_ms)
 
+    def set_versions(self, versions: dict[str, set[str]], now_ms: int) -> None:
+        """Set the software versions of each pool's upstreams."""
+        self.state.stream_versions.set_versions(versions, now_ms)
+
     def set_connection_share(self, share: float) -> None:
         """Set the share of each upstream's connections that this node may use."""
         self.state.set_connection_share(share)
@@ -136,6 +144,7 @@
     state: DispatcherState, event: ev.Tick, now_ms: int, decisions: list
 ) -> None:
     """Expire waiting requests, eject stragglers, move attempts and dispatch."""
+    refuse_unservable(state, now_ms, decisions)
     expire_waiting(state, now_ms, decisions)
     for upstream in state.upstream_limits.expire(now_ms):
         state.update_rate(upstream)
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -27,12 +27,16 @@
 from plantainwood.core.requests import Request
 from plantainwood.core.retries import RetryBudget
 from plantainwood.core.router import FewChoicesRouter, Router
+from plantainwood.core.streamversions import StreamVersions
 from plantainwood.core.upstreamlimits import UpstreamLimits
 
 TOP_TIER = 0
 MIN_CRASHES_OF_PART = 3
 """Crashes before a prompt part is blocked: more than of whole requests, because sound
 requests come along with those that have the part."""
+RETRY_FAILED_MS = 2_000
+RETRY_NOT_RUN_MS = 300
+"""When to come back with a request that no upstream ran: another VM may reach one."""
 USABLE_CONNECTION_SHARE = 0.9
 """The fraction of an upstream's connections that the nodes divide among them; the rest
 is left for probes and for shares that overlap while VMs join and leave."""
@@ -71,6 +75,7 @@
         "quarantine",
         "part_quarantine",
         "upstream_limits",
+        "stream_versions",
         "hints",
         "limits",
         "limit_floor",
@@ -99,6 +104,7 @@
             max(options.max_crashes, MIN_CRASHES_OF_PART)
         )
         self.upstream_limits = UpstreamLimits(node)
+        self.stream_versions = StreamVersions()
         self.hints = PrefixHints()
         self.limits: dict[str, CustomerLimit] = {}
         self.limit_floor = options.limit_floor
@@ -330,3 +336,13 @@
 def find_outcome(request: Request) -> Outcome:
     """Return the outcome to report for a request that ends without its answer."""
     return Outcome.UNKNOWN if request.attempts_made else Outcome.NOT_RUN
+
+
+def make_failed_error(outcome: Outcome) -> RequestError:
+    """Return the error of a request that gets no further attempt."""
+    if outcome is Outcome.NOT_RUN:
+        message = "no upstream took the request"
+        code = ErrorCode.UPSTREAM_UNAVAILABLE
+        return RequestError(code, message, outcome, RETRY_NOT_RUN_MS)
+    message = "the upstreams failed"
+    return RequestError(ErrorCode.UPSTREAM_FAILED, message, outcome, RETRY_FAILED_MS)
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -29,6 +29,10 @@
     """When a waiting request is refused at the latest, on the node's clock; 0: only
     the class's queue timeout applies."""
     max_attempts: int = MAX_ATTEMPTS
+    stream: str = ""
+    """The name by which a caller takes up the stream; empty if the answer is none."""
+    resumed: bool = False
+    """Whether the stream began in an earlier request."""
 
 
 class AttemptStarted(msgspec.Struct, frozen=True):
--- a/plantainwood/core/fleetmessages.py
+++ b/plantainwood/core/fleetmessages.py
@@ -39,6 +39,8 @@
     """Prompt parts sent to each engine since the last heartbeat."""
     limits: list[LimitReport] = []
     """Request rates of upstreams of which the sender got the newest answer."""
+    begun_streams: dict[str, list[str]] = {}
+    """Streams begun since the last heartbeat, by the version that began them."""
 
 
 class StoreUpdate(msgspec.Struct, tag=31, array_like=True, frozen=True):
@@ -102,6 +104,13 @@
     counts: bytes
 
 
+class BegunStreamsNotice(msgspec.Struct, tag=40, array_like=True, frozen=True):
+    """All streams that the sender knows of, by the version that began them."""
+
+    sender: str
+    streams: dict[str, list[str]]
+
+
 class CountsReport(msgspec.Struct, tag=35, array_like=True, frozen=True):
     """A VM's counts of started requests, sent to the holder of the duty."""
 
@@ -136,4 +145,5 @@
     | PartCrashNotice
     | PartsClearedNotice
     | FrozenReportNotice
+    | BegunStreamsNotice
 )
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -1,19 +1,21 @@
 """Outcomes of attempts: progress, completion, crashes and retries."""
 
 from plantainwood.core import events as ev
-from plantainwood.core.dispatcherstate import DispatcherState, find_outcome
+from plantainwood.core.dispatcherstate import (
+    DispatcherState,
+    find_outcome,
+    make_failed_error,
+)
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.partquarantine import LostAttempt, PartCrash
 from plantainwood.core.quarantine import make_blocked_error
 from plantainwood.core.requests import Request
 from plantainwood.core.retries import MAX_ATTEMPTS
+from plantainwood.core.router import has_version
 from plantainwood.core.scheduling import dispatch_waiting
 
 CRASH_PAUSE_MS = 2_000
-RETRY_FAILED_MS = 2_000
-RETRY_NOT_RUN_MS = 300
-"""When to come back with a request that no upstream ran: another VM may reach one."""
 
 
 def handle_started(
@@ -29,6 +31,7 @@
     took_ms = now_ms - request.dispatched_ms
     load.record_first_token(took_ms, state.router.find_prefill_tokens(request))
     state.router.record_started(request, load)
+    _record_stream(state, request, load, now_ms)
     if not request.shared_parts:
         return
     cleared = state.part_quarantine.record_start(request.shared_parts, now_ms)
@@ -36,6 +39,19 @@
         decisions.append(ev.BroadcastPartsCleared(cleared))
 
 
+def _record_stream(
+    state: DispatcherState, request: Request, load: UpstreamLoad, now_ms: int
+) -> None:
+    """Record which version began a stream, so that only this one continues it."""
+    if not request.stream:
+        return
+    request.version = load.entry.software_version
+    if request.version:
+        state.stream_versions.record_start(
+            request.stream, request.pool, request.version, now_ms
+        )
+
+
 def handle_tokens(
     state: DispatcherState, event: ev.TokensRelayed, now_ms: int, decisions: list
 ) -> None:
@@ -84,7 +100,7 @@
         request.attempts_not_run += 1
         load.paused_until_ms = now_ms + event.pause_ms
     state.detach_attempt(request, now_ms, decisions)
-    error = _find_retry_error(state, request, event, now_ms)
+    error = _find_retry_error(state, request, load, event, now_ms)
     if error is not None:
         state.end_request(request)
         decisions.append(ev.Refuse(request.id, error))
@@ -196,7 +212,11 @@
 
 
 def _find_retry_error(
-    state: DispatcherState, request: Request, event: ev.AttemptFailed, now_ms: int
+    state: DispatcherState,
+    request: Request,
+    failed: UpstreamLoad,
+    event: ev.AttemptFailed,
+    now_ms: int,
 ) -> RequestError | None:
     """Return the error that ends a failed request, or None to retry it."""
     if not request.repeatable and not event.proved_not_run:
@@ -207,20 +227,24 @@
         return make_blocked_error(outcome)
     exhausted = request.attempts_made >= request.max_attempts
     if request.attempt >= MAX_ATTEMPTS or exhausted:
-        return _make_failed_error(outcome)
+        return make_failed_error(outcome)
+    if request.version and not _has_other_upstream(state, request, failed):
+        return make_failed_error(outcome)
     if event.reached and not state.budget.spend(request.tier):
-        return _make_failed_error(outcome)
+        return make_failed_error(outcome)
     return None
 
 
-def _make_failed_error(outcome: Outcome) -> RequestError:
-    """Return the error of a request that gets no further attempt."""
-    if outcome is Outcome.NOT_RUN:
-        message = "no upstream took the request"
-        code = ErrorCode.UPSTREAM_UNAVAILABLE
-        return RequestError(code, message, outcome, RETRY_NOT_RUN_MS)
-    message = "the upstreams failed"
-    return RequestError(ErrorCode.UPSTREAM_FAILED, message, outcome, RETRY_FAILED_MS)
+def _has_other_upstream(
+    state: DispatcherState, request: Request, failed: UpstreamLoad
+) -> bool:
+    """Tell whether an upstream other than the failed one can continue a stream."""
+    for load in state.pools[request.pool].group:
+        if load.leaving or load is failed:
+            continue
+        if has_version(request, load):
+            return True
+    return False
 
 
 def _avoid_failed_upstream(
@@ -230,7 +254,9 @@
     request.avoid_upstream = load.name
     request.avoid_domain = ""
     for other in state.pools[request.pool].group:
-        if other.entry.domain != load.entry.domain and not other.leaving:
+        if other.leaving or not has_version(request, other):
+            continue
+        if other.entry.domain != load.entry.domain:
             request.avoid_domain = load.entry.domain
             return
 
--- a/plantainwood/core/pools.py
+++ b/plantainwood/core/pools.py
@@ -90,6 +90,18 @@
         self.awaiting_reservation: dict[str, Request] = {}
         """Suspects that wait for a reservation, outside of the queues."""
 
+    def serves_version(self, version: str) -> bool:
+        """Tell whether an upstream that stays can continue a version's streams.
+
+        Any can if the version is empty.
+        """
+        for load in self.group:
+            if load.leaving:
+                continue
+            if not version or load.entry.software_version == version:
+                return True
+        return False
+
     def count_waiting(self) -> int:
         """Return the number of requests in the queues or awaiting a reservation."""
         queued = sum(len(tier.queue) for tier in self.tiers.values())
--- a/plantainwood/core/requests.py
+++ b/plantainwood/core/requests.py
@@ -43,6 +43,8 @@
         "queue_deadline_ms",
         "max_attempts",
         "attempts_not_run",
+        "stream",
+        "version",
         "_tier",
     )
 
@@ -90,6 +92,9 @@
         self.max_attempts = arrival.max_attempts
         self.attempts_not_run = 0
         """Attempts that upstreams proved not to have run."""
+        self.stream = arrival.stream
+        self.version = ""
+        """The software version that began the stream; empty before its first event."""
         self._tier = service_class.tier if arrival.tier is None else arrival.tier
 
     @property
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -61,18 +61,24 @@
     """Tell whether an upstream may take a request at all.
 
     A leaving or paused upstream takes none, nor does one on which this node uses its
-    full share of connections or its part of the rate that the upstream named. A retry
-    never goes to the upstream or the failure domain that just failed it.
+    full share of connections or its part of the rate that the upstream named, nor one
+    of another version than began the request's stream. A retry never goes to the
+    upstream or the failure domain that just failed it.
     """
     if load.leaving or now_ms < load.paused_until_ms or load.is_at_connection_limit():
         return False
     if load.rate is not None and not load.rate.may_send(now_ms):
         return False
-    if load.name == request.avoid_upstream:
+    if load.name == request.avoid_upstream or not has_version(request, load):
         return False
     return load.entry.domain != request.avoid_domain
 
 
+def has_version(request: Request, load: UpstreamLoad) -> bool:
+    """Tell whether an upstream's software can continue a request's stream."""
+    return not request.version or load.entry.software_version == request.version
+
+
 class FewChoicesRouter(Router):
     """Take the best of a few random upstreams, with prefix affinity.
 
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -50,7 +50,7 @@
 
 def _is_constrained(state: DispatcherState, request: Request, now_ms: int) -> bool:
     """Tell whether other requests may find a slot where this one found none."""
-    if request.avoid_upstream or request.avoid_domain:
+    if request.avoid_upstream or request.avoid_domain or request.version:
         return True
     return state.is_suspect(request, now_ms)
 
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -162,6 +162,7 @@
         """Return a heartbeat with the demand and the parts sent since the last one."""
         now_ms = self.clock.now_ms()
         addresses = self.settings.addresses
+        state = self.broker.dispatcher.state
         self._heartbeat_sequence += 1
         sent, self.router.sent_tokens = self.router.sent_tokens, {}
         demand = {pool.removeprefix("service/"): sent[pool] for pool in sent}
@@ -181,7 +182,8 @@
             pending_tokens=self.router.engine_states.count_own_backlogs(),
             demand=demand,
             sent_parts=self.router.engine_states.take_sent_parts(),
-            limits=self.broker.dispatcher.state.upstream_limits.list_reports(now_ms),
+            limits=state.upstream_limits.list_reports(now_ms),
+            begun_streams=state.stream_versions.take_untold(now_ms),
         )
 
     def find_weights(self) -> dict[str, int]:
@@ -200,6 +202,7 @@
         self.view = view
         dispatcher = self.broker.dispatcher
         dispatcher.apply_catalogue(view.catalogue)
+        dispatcher.set_versions(find_versions(view.catalogue), self.clock.now_ms())
         self.driver.catalogue = view.catalogue
         gap_targets_ms: dict[str, set[int]] = {}
         first_token_targets_ms: dict[str, int] = {}
@@ -252,6 +255,16 @@
                 self.notices.put_nowait(PartsClearedNotice(node, parts))
 
 
+def find_versions(catalogue: Catalogue) -> dict[str, set[str]]:
+    """Return the software versions that are registered, by pool."""
+    found: dict[str, set[str]] = {}
+    for entry in catalogue.upstreams.values():
+        if entry.software_version:
+            pool = f"service/{entry.service}"
+            found.setdefault(pool, set()).add(entry.software_version)
+    return found
+
+
 def _format_names(names: Iterable[str]) -> str:
     """Return a bounded list of names for a log line."""
     return ",".join(sorted(names)[:MAX_LOGGED_NAMES])
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -6,6 +6,7 @@
 from mode import Service
 
 from plantainwood.core.fleetmessages import (
+    BegunStreamsNotice,
     CountsReport,
     CrashNotice,
     FrozenReportNotice,
@@ -28,7 +29,7 @@
 from plantainwood.edge import Edge
 from plantainwood.logs import log_event
 from plantainwood.messenger import Messenger, make_messenger
-from plantainwood.notices import apply_limit_reports, apply_notice, list_mark_notices
+from plantainwood.notices import apply_limit_reports, apply_notice, list_notices
 from plantainwood.reader import MirrorPublisher
 from plantainwood.relaying import HeartbeatRelay
 
@@ -164,12 +165,12 @@
             log_event("vm_lost", vm=name, live=len(live_names))
         for name in sorted(live_names - self._live_names):
             log_event("vm_live", vm=name, live=len(live_names))
-            self._hand_over_marks(name)
+            self._hand_over_notices(name)
         self._live_names = live_names
 
-    def _hand_over_marks(self, name: str) -> None:
-        """Send the crash marks to a VM that started or was cut off."""
-        for notice in list_mark_notices(self.edge, name):
+    def _hand_over_notices(self, name: str) -> None:
+        """Send marks and streams to a VM that started or was cut off."""
+        for notice in list_notices(self.edge, name):
             self.send(name, notice)
 
     @Service.task
@@ -197,7 +198,12 @@
                 self._handle_mirror_request(message)
             case MirrorSnapshot():
                 self._handle_snapshot(message)
-            case CrashNotice() | PartCrashNotice() | PartsClearedNotice():
+            case (
+                CrashNotice()
+                | PartCrashNotice()
+                | PartsClearedNotice()
+                | BegunStreamsNotice()
+            ):
                 apply_notice(self.edge, message)
             case FrozenReportNotice():
                 self.edge.frozen_reports.record(message.key, message.counts)
@@ -214,7 +220,7 @@
         self._relay.record(heartbeat, now_ms - age_ms)
         if status is HeartbeatStatus.NEW:
             log_event("vm_heard", vm=heartbeat.sender, domain=heartbeat.domain)
-            self._hand_over_marks(heartbeat.sender)
+            self._hand_over_notices(heartbeat.sender)
             if is_mesh(len(edge.vms.list_live(now_ms))):
                 self.trigger_heartbeat()
         edge.agreed_time.record(heartbeat.sender, heartbeat.agreed_ms + age_ms, now_ms)
@@ -223,6 +229,9 @@
             heartbeat.sender, heartbeat.pending_tokens, heartbeat.sent_parts, now_ms
         )
         apply_limit_reports(edge, heartbeat, age_ms)
+        edge.broker.dispatcher.state.stream_versions.record_remote(
+            heartbeat.begun_streams, now_ms
+        )
         if heartbeat.revision > edge.mirror.revision and edge.mirror.revision == 0:
             self._request_mirror(heartbeat.sender)
 
--- a/plantainwood/notices.py
+++ b/plantainwood/notices.py
@@ -1,7 +1,8 @@
-"""What VMs tell each other of crashes and of the rates that upstreams name."""
+"""What VMs tell each other of crashes, of rates that upstreams name and of streams."""
 
 from plantainwood.core import events as ev
 from plantainwood.core.fleetmessages import (
+    BegunStreamsNotice,
     CrashNotice,
     Message,
     PartCrashNotice,
@@ -13,12 +14,13 @@
 from plantainwood.edge import Edge
 from plantainwood.logs import log_event
 
-MARK_SENDERS = 4
-"""How many VMs send their crash marks to a VM that is new to them."""
+NOTICE_SENDERS = 4
+"""How many VMs send what they know to a VM that is new to them."""
 
 
 def apply_notice(
-    edge: Edge, notice: CrashNotice | PartCrashNotice | PartsClearedNotice
+    edge: Edge,
+    notice: CrashNotice | PartCrashNotice | PartsClearedNotice | BegunStreamsNotice,
 ) -> None:
     """Pass a notice from another VM to the dispatcher."""
     match notice:
@@ -33,10 +35,13 @@
                 edge.broker.feed(ev.PartCrashReceived(crash))
         case PartsClearedNotice():
             edge.broker.feed(ev.PartsClearedReceived(notice.parts))
+        case BegunStreamsNotice():
+            state = edge.broker.dispatcher.state
+            state.stream_versions.record_remote(notice.streams, edge.clock.now_ms())
 
 
-def list_mark_notices(edge: Edge, name: str) -> list[Message]:
-    """Return the notices of all marks for a VM that started or was cut off.
+def list_notices(edge: Edge, name: str) -> list[Message]:
+    """Return notices of all marks and streams for a VM that started or was cut off.
 
     Only the VMs that run longest send them, since they know most; none on the others.
     """
@@ -46,7 +51,7 @@
     for heartbeat in edge.vms.list_live(now_ms):
         if heartbeat.sender != name:
             senders.append((heartbeat.incarnation, heartbeat.sender))
-    if own not in sorted(senders)[:MARK_SENDERS]:
+    if own not in sorted(senders)[:NOTICE_SENDERS]:
         return []
     node = edge.settings.node
     state = edge.broker.dispatcher.state
@@ -57,6 +62,9 @@
     crashes = state.part_quarantine.list_crashes(now_ms)
     if crashes:
         notices.append(PartCrashNotice(node, crashes))
+    streams = state.stream_versions.list_streams(now_ms)
+    if streams:
+        notices.append(BegunStreamsNotice(node, streams))
     return notices
 
 
--- a/tests/largefleet.py
+++ b/tests/largefleet.py
@@ -69,27 +69,35 @@
         self.clock = VirtualClock(now_ms=100_000)
         self.network = Network()
         self.edges: dict[str, Edge] = {}
-        names = [f"vm-{number}" for number in range(count)]
-        for number, name in enumerate(names):
-            addresses = EdgeAddresses(
-                f"h{number}:1", "h:2", "h:3", f"h{number}:4", metrics_port=5
-            )
-            settings = msgspec.structs.replace(
-                SETTINGS,
-                node=name,
-                domain=f"d{number % DOMAINS}",
-                addresses=addresses,
-                link_mbps=links_mbps[number] if links_mbps else SETTINGS.link_mbps,
-            )
-            edge = Edge(settings, self.clock, Metrics())
-            links = FleetLinks(
-                edge, lambda items: None, MemoryMessenger(self.network, name)
-            )
-            self.edges[name] = edge
-            self.network.fleet_links[f"tcp://{addresses.links}"] = links
-        for edge in self.edges.values():
-            for number, name in enumerate(names):
-                edge.vms.learn_address(name, f"tcp://h{number}:4")
+        self._links_mbps = links_mbps or [SETTINGS.link_mbps] * count
+        for number in range(count):
+            self._start(number)
+
+    def _start(self, number: int) -> Edge:
+        """Start a VM that knows the link addresses of all others."""
+        addresses = EdgeAddresses(
+            f"h{number}:1", "h:2", "h:3", f"h{number}:4", metrics_port=5
+        )
+        settings = msgspec.structs.replace(
+            SETTINGS,
+            node=f"vm-{number}",
+            domain=f"d{number % DOMAINS}",
+            addresses=addresses,
+            link_mbps=self._links_mbps[number],
+        )
+        edge = Edge(settings, self.clock, Metrics())
+        messenger = MemoryMessenger(self.network, settings.node)
+        links = FleetLinks(edge, lambda items: None, messenger)
+        self.edges[settings.node] = edge
+        self.network.fleet_links[f"tcp://{addresses.links}"] = links
+        for other in range(len(self._links_mbps)):
+            edge.vms.learn_address(f"vm-{other}", f"tcp://h{other}:4")
+        return edge
+
+    def restart(self, name: str) -> Edge:
+        """Replace a VM's process by a new one that knows nothing of before."""
+        self.kill(name)
+        return self._start(int(name.removeprefix("vm-")))
 
     def run(self, rounds: int) -> None:
         """Let every VM send a heartbeat in each round; a round lasts one interval."""
