Send nothing new to a runner whose answer says that it leaves (DRAIN)

The users' new contract line: a runner that leaves says so in all its answers, and the VM that passed such an answer on is bound by it, whatever the registry says. Nothing read the header.

--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -122,6 +122,10 @@
         None if the response names no limit.
         """
 
+    @abstractmethod
+    def is_leaving(self, response: ResponseHead) -> bool:
+        """Return whether a response says that its upstream is leaving."""
+
 
 class Sink(ABC):
     """The destination of an answer: the caller's connection."""
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -35,6 +35,7 @@
 from plantainwood.eventreader import EventReader
 from plantainwood.logs import log_event
 from plantainwood.spans import Spans
+from plantainwood.upstreamreports import ReportRecorder
 
 BUSY_PAUSE_MS = 150
 """How long this node sends no attempt to an upstream that was at capacity."""
@@ -67,6 +68,7 @@
         self.broker = broker
         self.connection_pool = connection_pool
         self.codec = codec
+        self.report_recorder = ReportRecorder(broker, codec)
         self.start_observer = start_observer
 
     async def forward(self, call: Call, sink: Sink, clock: Clock) -> CallSummary:
@@ -219,16 +221,9 @@
         response = await self._read_within(
             connection.read_head(), connection, stall_ms, "no response began"
         )
-        codec = self.forwarder.codec
-        load = codec.read_load(response)
-        if load is not None:
-            running, waiting = load
-            self.broker.feed(
-                ev.LoadReported(dispatch.upstream, (0,) * 9 + (running + waiting,), 0)
-            )
-        result = codec.classify_response(response)
-        if result is not AttemptResult.WRONG_INSTANCE:
-            self._record_limit(dispatch, codec.read_rate_limit(response))
+        result = self.forwarder.report_recorder.record(
+            dispatch.upstream, self.call.request_id, response
+        )
         if result is AttemptResult.BUSY:
             raise make_not_run_error("the upstream is at capacity", BUSY_PAUSE_MS)
         if result is AttemptResult.WRONG_INSTANCE:
@@ -239,20 +234,6 @@
             raise AttemptError(f"status {response.status}", False, False)
         return response
 
-    def _record_limit(self, dispatch: ev.Dispatch, per_s: float | None) -> None:
-        """Record what an answer says of its upstream's limit; log a change."""
-        limits = self.broker.dispatcher.state.upstream_limits
-        before = limits.find_limit(dispatch.upstream)
-        self.broker.feed(ev.LimitNamed(dispatch.upstream, per_s))
-        if limits.find_limit(dispatch.upstream) != before:
-            log_event(
-                "upstream_limit",
-                upstream=dispatch.upstream,
-                request=self.call.request_id,
-                per_s=per_s,
-                before=before,
-            )
-
     async def _read_within(
         self,
         reading: Awaitable[Result],
--- /dev/null
+++ b/plantainwood/upstreamreports.py
@@ -0,0 +1,70 @@
+"""What the head of an upstream's answer says of the upstream itself."""
+
+from plantainwood.broker import RequestBroker
+from plantainwood.calls import AttemptResult, Codec
+from plantainwood.connections import ResponseHead
+from plantainwood.core import events as ev
+from plantainwood.core.loads import TIERS
+from plantainwood.logs import log_event
+
+
+class ReportRecorder:
+    """Tell the dispatcher, and the log, what answers say of their upstreams."""
+
+    __slots__ = ("_broker", "_codec")
+
+    def __init__(self, broker: RequestBroker, codec: Codec) -> None:
+        self._broker = broker
+        self._codec = codec
+
+    def record(
+        self, upstream: str, request_id: str, response: ResponseHead
+    ) -> AttemptResult:
+        """Record what a head says of its upstream; return what it says of the attempt.
+
+        The answer of another process at the address says nothing of the upstream.
+        """
+        result = self._codec.classify_response(response)
+        if result is AttemptResult.WRONG_INSTANCE:
+            return result
+        self._record_load(upstream, response)
+        self._record_limit(upstream, request_id, response)
+        self._record_leaving(upstream, request_id, response)
+        return result
+
+    def _record_load(self, upstream: str, response: ResponseHead) -> None:
+        load = self._codec.read_load(response)
+        if load is None:
+            return
+        running, waiting = load
+        by_tier = (0,) * (TIERS - 1) + (running + waiting,)
+        self._broker.feed(ev.LoadReported(upstream, by_tier, 0))
+
+    def _record_limit(
+        self, upstream: str, request_id: str, response: ResponseHead
+    ) -> None:
+        """Record what an answer says of its upstream's rate limit; log a change."""
+        per_s = self._codec.read_rate_limit(response)
+        limits = self._broker.dispatcher.state.upstream_limits
+        before = limits.find_limit(upstream)
+        self._broker.feed(ev.LimitNamed(upstream, per_s))
+        if limits.find_limit(upstream) != before:
+            log_event(
+                "upstream_limit",
+                upstream=upstream,
+                request=request_id,
+                per_s=per_s,
+                before=before,
+            )
+
+    def _record_leaving(
+        self, upstream: str, request_id: str, response: ResponseHead
+    ) -> None:
+        """Send nothing new to an upstream whose answer says that it leaves."""
+        if not self._codec.is_leaving(response):
+            return
+        load = self._broker.dispatcher.state.loads.get(upstream)
+        if load is None or load.leaving:
+            return
+        self._broker.feed(ev.UpstreamLeaving(upstream))
+        log_event("upstream_leaving", upstream=upstream, request=request_id)
