--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -126,6 +126,13 @@
     def is_leaving(self, response: ResponseHead) -> bool:
         """Return whether a response says that its upstream is leaving."""
 
+    @abstractmethod
+    def read_pause_ms(self, response: ResponseHead) -> int | None:
+        """Return for how long, in ms, the upstream wants no request from this node.
+
+        None if the response asks for no pause.
+        """
+
 
 class Sink(ABC):
     """The destination of an answer: the caller's connection."""
--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -115,16 +115,34 @@
 
 
 def refuse_unservable(state: DispatcherState, now_ms: int, decisions: list) -> None:
-    """Refuse the waiting streams of which no upstream has the version any more."""
+    """Refuse the waiting requests that no upstream will take in their time.
+
+    These are the streams whose version has left, and the requests that can't outlast
+    the pauses which all upstreams of their pool asked for.
+    """
+    pauses_ms: dict[str, int] = {}
+    for name, pool in state.pools.items():
+        pauses_ms[name] = pool.compute_pause_ms(now_ms)
     for request in list(state.requests.values()):
-        if request.is_running or not request.version:
+        if request.is_running:
             continue
-        if state.pools[request.pool].serves_version(request.version):
+        pause_ms = pauses_ms[request.pool]
+        if pause_ms and pause_ms > request.compute_remaining_wait_ms(now_ms):
+            _refuse_unservable(state, request, pause_ms, decisions)
             continue
-        state.remove_waiting(request)
-        state.end_request(request)
-        error = make_failed_error(find_outcome(request))
-        decisions.append(ev.Refuse(request.id, error))
+        if not request.version:
+            continue
+        if not state.pools[request.pool].serves_version(request.version):
+            _refuse_unservable(state, request, RETRY_NO_VERSION_MS, decisions)
+
+
+def _refuse_unservable(
+    state: DispatcherState, request: Request, retry_ms: int, decisions: list
+) -> None:
+    state.remove_waiting(request)
+    state.end_request(request)
+    error = make_failed_error(find_outcome(request), retry_ms)
+    decisions.append(ev.Refuse(request.id, error))
 
 
 def expire_waiting(state: DispatcherState, now_ms: int, decisions: list) -> None:
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -103,6 +103,16 @@
         state.update_rate(upstream)
 
 
+def handle_pause(
+    state: DispatcherState, event: ev.PauseNamed, now_ms: int, decisions: list
+) -> None:
+    """Send an upstream nothing for as long as it asks for."""
+    load = state.loads.get(event.upstream)
+    if load is not None:
+        until_ms = now_ms + event.pause_ms
+        load.unwilling_until_ms = max(load.unwilling_until_ms, until_ms)
+
+
 def handle_upstream_leaving(
     state: DispatcherState, event: ev.UpstreamLeaving, now_ms: int, decisions: list
 ) -> None:
@@ -168,6 +178,7 @@
     ev.LoadReported: handle_load_report,
     ev.LimitNamed: handle_limit,
     ev.LimitReported: handle_limit_report,
+    ev.PauseNamed: handle_pause,
     ev.UpstreamLeaving: handle_upstream_leaving,
     ev.CrashMarkReceived: handle_crash_mark,
     ev.PartCrashReceived: handle_part_crash,
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -338,11 +338,16 @@
     return Outcome.UNKNOWN if request.attempts_made else Outcome.NOT_RUN
 
 
-def make_failed_error(outcome: Outcome) -> RequestError:
-    """Return the error of a request that gets no further attempt."""
+def make_failed_error(
+    outcome: Outcome, not_run_retry_ms: int = RETRY_NOT_RUN_MS
+) -> RequestError:
+    """Return the error of a request that gets no further attempt.
+
+    If it has not run, it may come back after `not_run_retry_ms`.
+    """
     if outcome is Outcome.NOT_RUN:
         message = "no upstream took the request"
         code = ErrorCode.UPSTREAM_UNAVAILABLE
-        return RequestError(code, message, outcome, RETRY_NOT_RUN_MS)
+        return RequestError(code, message, outcome, not_run_retry_ms)
     message = "the upstreams failed"
     return RequestError(ErrorCode.UPSTREAM_FAILED, message, outcome, RETRY_FAILED_MS)
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -106,6 +106,13 @@
     report: LimitReport
 
 
+class PauseNamed(msgspec.Struct, frozen=True):
+    """An upstream wants no requests from this node for some time."""
+
+    upstream: str
+    pause_ms: int
+
+
 class UpstreamLeaving(msgspec.Struct, frozen=True):
     """An upstream is leaving; this never reverts for the same address."""
 
@@ -157,6 +164,7 @@
     | LoadReported
     | LimitNamed
     | LimitReported
+    | PauseNamed
     | UpstreamLeaving
     | CrashMarkReceived
     | PartCrashReceived
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -26,6 +26,7 @@
         "samples",
         "unstarted_attempts",
         "paused_until_ms",
+        "unwilling_until_ms",
         "max_own_in_flight",
         "rate",
         "_reported",
@@ -47,6 +48,8 @@
         self.unstarted_attempts = 0
         """This node's attempts without a first token; unlike reports, never delayed."""
         self.paused_until_ms = 0
+        self.unwilling_until_ms = 0
+        """Until when the upstream has asked for no attempts of this node."""
         self.max_own_in_flight = 0
         """How many attempts of this node may run at once; 0: no bound."""
         self.rate: NodeRate | None = None
--- a/plantainwood/core/pools.py
+++ b/plantainwood/core/pools.py
@@ -102,6 +102,14 @@
                 return True
         return False
 
+    def compute_pause_ms(self, now_ms: int) -> int:
+        """Return how long all upstreams that stay want no attempts; 0 if one does."""
+        pauses_ms: list[int] = []
+        for load in self.group:
+            if not load.leaving:
+                pauses_ms.append(load.unwilling_until_ms - now_ms)
+        return max(0, min(pauses_ms, default=0))
+
     def count_waiting(self) -> int:
         """Return the number of requests in the queues or awaiting a reservation."""
         queued = sum(len(tier.queue) for tier in self.tiers.values())
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -60,12 +60,14 @@
 def is_allowed(request: Request, load: UpstreamLoad, now_ms: int) -> bool:
     """Tell whether an upstream may take a request at all.
 
-    A leaving or paused upstream takes none, nor does one on which this node uses its
-    full share of connections or its part of the rate that the upstream named, nor one
-    of another version than began the request's stream. A retry never goes to the
-    upstream or the failure domain that just failed it.
+    A leaving, paused or unwilling upstream takes none, nor does one on which this node
+    uses its full share of connections or its part of the rate that the upstream named,
+    nor one of another version than began the request's stream. A retry never goes to
+    the upstream or the failure domain that just failed it.
     """
-    if load.leaving or now_ms < load.paused_until_ms or load.is_at_connection_limit():
+    if load.leaving or load.is_at_connection_limit():
+        return False
+    if now_ms < max(load.paused_until_ms, load.unwilling_until_ms):
         return False
     if load.rate is not None and not load.rate.may_send(now_ms):
         return False
--- a/plantainwood/upstreamreports.py
+++ b/plantainwood/upstreamreports.py
@@ -30,6 +30,7 @@
         self._record_load(upstream, response)
         self._record_limit(upstream, request_id, response)
         self._record_leaving(upstream, request_id, response)
+        self._record_pause(upstream, request_id, response)
         return result
 
     def _record_load(self, upstream: str, response: ResponseHead) -> None:
@@ -68,3 +69,18 @@
             return
         self._broker.feed(ev.UpstreamLeaving(upstream))
         log_event("upstream_leaving", upstream=upstream, request=request_id)
+
+    def _record_pause(
+        self, upstream: str, request_id: str, response: ResponseHead
+    ) -> None:
+        """Send nothing to an upstream for as long as its rejection asks for."""
+        pause_ms = self._codec.read_pause_ms(response)
+        if pause_ms is None:
+            return
+        self._broker.feed(ev.PauseNamed(upstream, pause_ms))
+        log_event(
+            "upstream_paused",
+            upstream=upstream,
+            request=request_id,
+            pause_ms=pause_ms,
+        )
