--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -20,6 +20,7 @@
 SERVERS = 4
 VMS = 3
 STEP_MS = 200
+RESTART_MS = 4_000
 CUSTOMER = ConfiguredCustomer("norte", None)
 CRASHING_PATH = "/s/2f"
 SOUND_PATH = "/s/30"
@@ -107,28 +108,27 @@
         return found
 
 
-# Guards against requests without a body that crash servers without end (BUDGET).
-def test_a_crashing_request_without_a_body_is_refused_after_three_crashes():
-    fleet = Fleet()
-    for number in range(12):
+def send_crashing_requests(fleet: Fleet, count: int) -> None:
+    """Send the request that crashes servers again and again, at all VMs in turn."""
+    for number in range(count):
         vm = number % VMS
         attempt = fleet.send(vm, CRASHING_PATH)
         while attempt is not None:
             fleet.advance()
             attempt = fleet.crash(vm, attempt)
-        fleet.advance(4_000)
+        fleet.advance(RESTART_MS)
+
+
+# Guards against requests without a body that crash servers without end (BUDGET).
+def test_a_crashing_request_without_a_body_is_refused_after_three_crashes():
+    fleet = Fleet()
+    send_crashing_requests(fleet, 12)
     assert fleet.crashes <= MAX_CRASHES + 1
 
 
-def test_requests_without_a_body_for_other_things_or_customers_are_served():
+def test_requests_without_a_body_for_other_things_are_served():
     fleet = Fleet()
-    for number in range(4):
-        vm = number % VMS
-        attempt = fleet.send(vm, CRASHING_PATH)
-        while attempt is not None:
-            fleet.advance()
-            attempt = fleet.crash(vm, attempt)
-        fleet.advance(4_000)
+    send_crashing_requests(fleet, 4)
     assert fleet.send(0, SOUND_PATH) is not None
 
 
@@ -148,6 +148,6 @@
         crashed.add(attempt.upstream)
         fleet.crash(vm, attempt)
     assert len(crashed) >= MAX_CRASHES
-    fleet.advance(4_000)
+    fleet.advance(RESTART_MS)
     for vm in range(VMS):
         assert fleet.send(vm, SOUND_PATH) is not None
