--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -9,7 +9,7 @@
 from plantainwood.core.catalogue import DiscoveredUpstream
 from plantainwood.core.events import Arrival
 from plantainwood.core.prompts import Prompt
-from plantainwood.core.routes import Route
+from plantainwood.core.routes import RetrySafety, Route
 
 
 class Call(msgspec.Struct):
@@ -36,10 +36,13 @@
     """When the caller gives up or the route's timeout expires, whichever is earlier."""
     last_event_id: str = ""
     """The id of the last event that the caller received on an earlier request."""
+    resumes: str = ""
+    """The id of the caller's request that began the stream which this one continues."""
 
 
 def make_arrival(call: Call) -> Arrival:
     """Return the arrival event that tells the dispatcher of a call."""
+    is_stream = call.route.retry_safety is RetrySafety.STREAM
     return Arrival(
         request_id=call.local_id,
         customer=call.customer,
@@ -51,6 +54,8 @@
         tier=call.tier,
         queue_deadline_ms=call.deadline_ms,
         max_attempts=call.route.attempts,
+        stream=(call.resumes or call.request_id) if is_stream else "",
+        resumed=is_stream and bool(call.resumes),
     )
 
 
@@ -117,6 +122,17 @@
         None if the response names no limit.
         """
 
+    @abstractmethod
+    def is_leaving(self, response: ResponseHead) -> bool:
+        """Return whether a response says that its upstream is leaving."""
+
+    @abstractmethod
+    def read_pause_ms(self, response: ResponseHead) -> int | None:
+        """Return for how long, in ms, the upstream wants no request from this node.
+
+        None if the response asks for no pause.
+        """
+
 
 class Sink(ABC):
     """The destination of an answer: the caller's connection."""
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -29,6 +29,10 @@
     """When a waiting request is refused at the latest, on the node's clock; 0: only
     the class's queue timeout applies."""
     max_attempts: int = MAX_ATTEMPTS
+    stream: str = ""
+    """The name by which a caller takes up the stream; empty if the answer is none."""
+    resumed: bool = False
+    """Whether the stream began in an earlier request."""
 
 
 class AttemptStarted(msgspec.Struct, frozen=True):
@@ -102,6 +106,13 @@
     report: LimitReport
 
 
+class PauseNamed(msgspec.Struct, frozen=True):
+    """An upstream wants no requests from this node for some time."""
+
+    upstream: str
+    pause_ms: int
+
+
 class UpstreamLeaving(msgspec.Struct, frozen=True):
     """An upstream is leaving; this never reverts for the same address."""
 
@@ -153,6 +164,7 @@
     | LoadReported
     | LimitNamed
     | LimitReported
+    | PauseNamed
     | UpstreamLeaving
     | CrashMarkReceived
     | PartCrashReceived
