Let the route's priority decide among customers of one priority (TIER)

What callers saw: urgent prompts got nothing while larger, less urgent ones began.

Cause: a customer's priority took the place of the route's. Where all customers have the same one, as on both sites, all kinds of request were equally urgent for the router and for engines.

Change: tiers are ranked by the customer's priority first, then by the route's.

--- a/plantainwood/core/routes.py
+++ b/plantainwood/core/routes.py
@@ -6,6 +6,7 @@
 
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.core.hashing import compute_rank
+from plantainwood.core.loads import TIERS
 
 
 class RetrySafety(Enum):
@@ -40,6 +41,8 @@
     open_to_all: bool
     resumable: bool
     weighted_services: tuple[WeightedService, ...]
+    priority: int = 0
+    """The operator's priority, from which the tier is ranked; 0 is the most urgent."""
 
     @property
     def repeatable(self) -> bool:
@@ -65,8 +68,38 @@
     """A customer from the operator's configuration."""
 
     name: str
-    tier: int | None = None
-    """The tier of its requests; None for the tier of the route."""
+    tiers: dict[int, int] = {}
+    """The tiers of its requests, by the priority of their route."""
+
+    def find_tier(self, route: Route) -> int:
+        """Return the tier of this customer's requests on a route."""
+        return self.tiers.get(route.priority, route.tier)
+
+
+def rank_priorities(
+    customers: set[int | None], routes: set[int]
+) -> dict[int | None, dict[int, int]]:
+    """Return tiers by the priorities of customers and of routes, 0 for the first.
+
+    The customer's priority goes first, and the route's decides among equals. A customer
+    without a priority (None) has that of each route; there is always an entry for it.
+    """
+    ranks: dict[int | None, dict[int, tuple[int, int]]] = {}
+    for customer in customers | {None}:
+        by_route = ranks[customer] = {}
+        for route in routes:
+            by_route[route] = (route if customer is None else customer, route)
+    ordered = sorted(
+        {rank for by_route in ranks.values() for rank in by_route.values()}
+    )
+    scale = max(TIERS, len(ordered))
+    tiers: dict[int | None, dict[int, int]] = {}
+    for customer, by_route in ranks.items():
+        tiers[customer] = {
+            route: ordered.index(rank) * TIERS // scale
+            for route, rank in by_route.items()
+        }
+    return tiers
 
 
 class RouteTable:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -21,7 +21,7 @@
 VMS = 3
 STEP_MS = 200
 RESTART_MS = 4_000
-CUSTOMER = ConfiguredCustomer("norte", None)
+CUSTOMER = ConfiguredCustomer("norte")
 CRASHING_PATH = "/s/2f"
 SOUND_PATH = "/s/30"
 
