Repeat an order for regular engines that was filled only in part

Cause: an order for regular engines fills only what the domain's maximum leaves beside spot engines. When these are reclaimed later, the order stands unchanged and is not sent again; must_resend knew spot orders only.

Change: an order of either kind is sent again if its engines do not serve in time after it.

--- a/plantainwood/core/sizing.py
+++ b/plantainwood/core/sizing.py
@@ -144,8 +144,8 @@
 
     def __init__(self, service: str) -> None:
         self._service = service
-        self._last_order_ms: dict[str, int] = {}
-        """When the last accepted order for spot engines was sent, by failure domain."""
+        self._last_order_ms: dict[tuple[str, bool], int] = {}
+        """When the last accepted order was sent, by failure domain and whether spot."""
         self._refused_ms: dict[str, int] = {}
         """When spot engines were refused, by domain, until an order is accepted."""
         self._missing_since_ms: dict[str, int] = {}
@@ -153,13 +153,14 @@
         """Regular engines in the last plan, by domain."""
 
     def record_answer(self, order: CountOrder, accepted: bool, now_ms: int) -> None:
-        """Record whether the platform accepted an order; only spot orders matter."""
+        """Record whether the platform accepted an order."""
+        if accepted:
+            self._last_order_ms[order.domain, order.spot] = now_ms
         if not order.spot:
             return
         if not accepted:
             self._refused_ms[order.domain] = now_ms
             return
-        self._last_order_ms[order.domain] = now_ms
         if self._refused_ms.pop(order.domain, None) is not None:
             self._missing_since_ms[order.domain] = now_ms
 
@@ -270,15 +271,18 @@
         """Tell whether an order that was accepted before must be sent again.
 
         The platform replaces reclaimed engines only on a new order, so one is sent as
-        soon as engines are missing, and again if they have not started in time.
+        soon as spot engines are missing, and again if engines of either kind have not
+        started in time: an order may be filled only in part.
         """
-        if not order.spot or engine_counts.spot >= order.desired:
+        serving = engine_counts.spot if order.spot else engine_counts.regular
+        if serving >= order.desired:
             return False
-        ordered_ms = self._last_order_ms.get(order.domain)
+        ordered_ms = self._last_order_ms.get((order.domain, order.spot))
         if ordered_ms is None:
             return True
-        if self._missing_since_ms.get(order.domain, now_ms) > ordered_ms:
-            return True
+        if order.spot:
+            if self._missing_since_ms.get(order.domain, now_ms) > ordered_ms:
+                return True
         return now_ms - ordered_ms >= scaling.boot_ms + BOOT_MARGIN_MS
 
 
