Keep no heartbeats to relay in a small fleet

Since the relays collect what they pass on, VMs of a fleet that sends to all directly kept up to 4,096 heartbeats that nobody needs, some MB each.

--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -141,6 +141,10 @@
         if self._messenger is not None:
             self._messenger.close_idle(set(edge.vms.list_addresses().values()))
 
+    def count_unrelayed(self) -> int:
+        """Return the number of heartbeats that this VM may have to pass on."""
+        return self._relay.count_waiting()
+
     def _send_or_relay(
         self, live: list[VmHeartbeat], urgent: bool, now_ms: int
     ) -> None:
@@ -151,7 +155,11 @@
         domains = {item.sender: item.domain for item in live}
         domains[edge.settings.node] = edge.settings.domain
         weights = {item.sender: item.weight for item in [*live, heartbeat]}
-        if urgent or is_mesh(len(domains)):
+        if is_mesh(len(domains)):
+            self._relay.clear()
+            self.broadcast(heartbeat)
+            return
+        if urgent:
             self.broadcast(heartbeat)
             return
         targets = find_targets(edge.settings.node, domains, weights)
--- a/plantainwood/relaying.py
+++ b/plantainwood/relaying.py
@@ -51,11 +51,19 @@
         """Add a new heartbeat of any VM, this one included, to the next batch."""
         self._heard.append(HeardHeartbeat(heartbeat, made_ms))
 
+    def count_waiting(self) -> int:
+        """Return the number of heartbeats that await a batch."""
+        return len(self._heard)
+
+    def clear(self) -> None:
+        """Forget the heartbeats that await a batch; nobody needs them from here."""
+        self._heard.clear()
+
     def pass_on(self, targets: HeartbeatTargets, now_ms: int) -> None:
         """Send the heartbeats since the last batch, unless a pause lasts."""
         self._update_role(targets)
         if not targets.members:
-            self._heard.clear()
+            self.clear()
             return
         if now_ms < self._budget.due_ms:
             return
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -119,3 +119,11 @@
     records = [r for r in caplog.records if r.getMessage() == "relaying"]
     assert len([r for r in records if r.active]) >= len(relays)
     assert all(r.members and r.link_mbps for r in records if r.active)
+
+
+# Guards against heartbeats that pile up on VMs of a small fleet, where nobody relays.
+def test_a_small_fleet_keeps_no_heartbeats_to_relay():
+    fleet = LargeFleet(5)
+    fleet.run(20)
+    for links in fleet.network.fleet_links.values():
+        assert links.count_unrelayed() <= 2 * len(fleet.edges)
