Log whether other upstreams accept a connection after a failed attempt

After an attempt that found no connection, lost it or stayed silent, the VM opens connections to up to four other upstreams and logs path_probed with how many accepted. Nothing is decided by it yet.

--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -38,6 +38,7 @@
 from plantainwood.edgesettings import EdgeSettings
 from plantainwood.logs import log_event
 from plantainwood.metrics import Metrics
+from plantainwood.pathprobe import PathProber
 from plantainwood.procedures import Driver
 
 FLEET_DUTY = "fleet"
@@ -108,6 +109,7 @@
         dispatcher = Dispatcher(settings.node, secrets.randbits(32), options)
         self.broker = RequestBroker(dispatcher, clock, self._queue_notice)
         self.connection_pool = ConnectionPool(clock)
+        self.path_prober = PathProber(self.broker, self.connection_pool, clock)
         self.start_counter = StartCounter(
             settings.node, self.incarnation, settings.duties.window_ms
         )
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -34,6 +34,7 @@
 from plantainwood.engines import AttemptError, make_not_run_error, make_unreached_error
 from plantainwood.eventreader import EventReader
 from plantainwood.logs import log_event
+from plantainwood.pathprobe import PathProber
 from plantainwood.spans import Spans
 from plantainwood.upstreamreports import ReportRecorder
 
@@ -60,6 +61,7 @@
         self,
         broker: RequestBroker,
         connection_pool: ConnectionPool,
+        path_prober: PathProber,
         codec: Codec,
         start_observer: StartObserver,
         spans: Spans,
@@ -67,6 +69,7 @@
         self.spans = spans
         self.broker = broker
         self.connection_pool = connection_pool
+        self.path_prober = path_prober
         self.codec = codec
         self.report_recorder = ReportRecorder(broker, codec)
         self.start_observer = start_observer
@@ -179,7 +182,7 @@
         self, dispatch: ev.Dispatch, entry: DiscoveredUpstream
     ) -> None:
         """Send an attempt on a connection and relay its answer."""
-        connection = await self.forwarder.connection_pool.acquire(entry.address)
+        connection = await self._connect(entry.address)
         succeeded = False
         may_have_run_before = self._may_have_run
         try:
@@ -207,6 +210,14 @@
             else:
                 connection.close()
 
+    async def _connect(self, address: str) -> Connection:
+        """Return a connection; if none opens, find out whether the path is lost."""
+        try:
+            return await self.forwarder.connection_pool.acquire(address)
+        except AttemptError:
+            await self.forwarder.path_prober.has_path(address)
+            raise
+
     def _get_address(self, upstream: str) -> str:
         """Return an upstream's address; empty if it is gone or none is given."""
         load = self.broker.dispatcher.state.loads.get(upstream)
@@ -251,11 +262,13 @@
                 return await reading
         except TimeoutError as error:
             reason = f"{timeout_reason} within {stall_ms} ms"
+            await self.forwarder.path_prober.has_path(connection.address)
             raise AttemptError(reason, False, proved_not_run=False) from error
         except AttemptError as error:
             error.crashed = await self.forwarder.connection_pool.probe_refused(
                 connection.address
             )
+            await self.forwarder.path_prober.has_path(connection.address)
             raise
 
     async def _relay(
--- /dev/null
+++ b/plantainwood/pathprobe.py
@@ -0,0 +1,89 @@
+"""Probes that tell a failed upstream from a lost path between this node and all."""
+
+import asyncio
+import random
+
+from plantainwood.broker import RequestBroker
+from plantainwood.connectionpool import ConnectionPool
+from plantainwood.core.clock import Clock
+from plantainwood.core.loads import UpstreamLoad
+from plantainwood.engines import AttemptError
+from plantainwood.logs import log_event
+
+PROBE_TIMEOUT_MS = 250
+WITNESSES_PER_POOL = 2
+MAX_WITNESSES = 4
+RESULT_LIFETIME_MS = 200
+"""How long a result holds for further failures."""
+
+
+class PathProber:
+    """Open connections to other upstreams after an attempt at one has failed.
+
+    If none of them accepts a connection, the path of this node is at fault and not the
+    upstream. Failures at the same time share one probe.
+    """
+
+    def __init__(
+        self, broker: RequestBroker, connection_pool: ConnectionPool, clock: Clock
+    ) -> None:
+        self._broker = broker
+        self._connection_pool = connection_pool
+        self._clock = clock
+        self._random = random.Random()
+        self._probe: asyncio.Task[bool] | None = None
+        self._probed_ms = -RESULT_LIFETIME_MS
+        self._has_path = True
+
+    async def has_path(self, failed_address: str) -> bool:
+        """Return whether this node reaches upstreams other than the failed one.
+
+        Without other upstreams nothing is known, and the path counts as working.
+        """
+        if self._clock.now_ms() - self._probed_ms < RESULT_LIFETIME_MS:
+            return self._has_path
+        if self._probe is None:
+            self._probe = asyncio.create_task(self._run_probe(failed_address))
+        return await asyncio.shield(self._probe)
+
+    async def _run_probe(self, failed_address: str) -> bool:
+        try:
+            witnesses = self._choose_witnesses(failed_address)
+            results = await asyncio.gather(
+                *(self._accepts_connection(load.entry.address) for load in witnesses)
+            )
+            self._has_path = any(results) or not witnesses
+            self._probed_ms = self._clock.now_ms()
+            log_event(
+                "path_probed",
+                failed=failed_address,
+                witnesses=",".join(load.name for load in witnesses) or "-",
+                accepted=sum(results),
+            )
+            return self._has_path
+        finally:
+            self._probe = None
+
+    def _choose_witnesses(self, failed_address: str) -> list[UpstreamLoad]:
+        """Return some upstreams of each pool, but not the failed one."""
+        chosen: list[UpstreamLoad] = []
+        pools = list(self._broker.dispatcher.state.pools.values())
+        self._random.shuffle(pools)
+        for pool in pools:
+            others = [
+                load
+                for load in pool.group
+                if not load.leaving and load.entry.address != failed_address
+            ]
+            count = min(WITNESSES_PER_POOL, len(others))
+            chosen.extend(self._random.sample(others, count))
+        return chosen[:MAX_WITNESSES]
+
+    async def _accepts_connection(self, address: str) -> bool:
+        try:
+            async with asyncio.timeout(PROBE_TIMEOUT_MS / 1_000):
+                connection = await self._connection_pool.acquire(address, fresh=True)
+        except (AttemptError, TimeoutError):
+            return False
+        connection.close()
+        return True
