--- a/plantainwood/attempts.py
+++ b/plantainwood/attempts.py
@@ -30,7 +30,10 @@
 
     @abstractmethod
     async def perform_attempt(self, dispatch: ev.Dispatch) -> None:
-        """Send one attempt and relay its answer; raise AttemptError if it fails."""
+        """Send one attempt and relay its answer; raise AttemptError if it fails.
+
+        Raise RequestError if no further attempt may follow.
+        """
 
     def record_failure(self, dispatch: ev.Dispatch, error: AttemptError) -> None:
         """Record a failed attempt; the default does nothing."""
@@ -71,6 +74,10 @@
                 )
             )
             return
+        except RequestError as error:
+            refusal = ev.Refuse(dispatch.request_id, error)
+            self.active_request.decisions.put_nowait(refusal)
+            return
         except ConnectionError:
             message = "the caller closed the connection"
             self._refuse(dispatch, ErrorCode.CALLER_LEFT, message)
--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -38,6 +38,8 @@
     """The id of the last event that the caller received on an earlier request."""
     resumes: str = ""
     """The id of the caller's request that began the stream which this one continues."""
+    from_vm: str = ""
+    """The VM that sent the call, if another one has taken it from the caller."""
 
 
 def make_arrival(call: Call) -> Arrival:
@@ -56,6 +58,7 @@
         max_attempts=call.route.attempts,
         stream=(call.resumes or call.request_id) if is_stream else "",
         resumed=is_stream and bool(call.resumes),
+        from_vm=bool(call.from_vm),
     )
 
 
@@ -139,6 +142,8 @@
 
     started: bool
     """Whether sending the answer to the caller has begun."""
+    upstream: str
+    """The upstream whose answer is sent; set before the answer begins."""
 
     @abstractmethod
     async def send_answer(self, response: ResponseHead, body: bytes) -> None:
--- a/plantainwood/core/addresses.py
+++ b/plantainwood/core/addresses.py
@@ -6,11 +6,9 @@
 connections to addresses that a new answer omits.
 """
 
-import math
-
 import msgspec
 
-from plantainwood.core.hashing import compute_rank
+from plantainwood.core.hashing import compute_weighted_score
 
 MAX_ADDRESSES = 64
 SUBSET_SHARE = 1 / 3
@@ -21,7 +19,6 @@
 MIN_SUBSET = 12
 EVEN_RATIO = 1.5
 """Weights count as equal while the largest is below this multiple of the smallest."""
-HASH_RANGE = 2**64
 
 
 class Candidate(msgspec.Struct, frozen=True):
@@ -29,6 +26,18 @@
 
     address: str
     weight: int
+    path_lost: bool = False
+    """Whether the VM reaches no upstreams, so that other VMs serve for it."""
+
+
+def leave_out_lost_paths(candidates: list[Candidate]) -> list[Candidate]:
+    """Return the candidates that reach upstreams, or all if these are too few.
+
+    VMs without a path serve through others, so leaving them out only saves that hop;
+    it must not concentrate the callers on few VMs.
+    """
+    found = [candidate for candidate in candidates if not candidate.path_lost]
+    return found if 2 * len(found) >= len(candidates) else candidates
 
 
 def choose_addresses(candidates: list[Candidate], caller: str) -> list[str]:
@@ -37,6 +46,7 @@
     If the weights differ, a VM is selected roughly in proportion to its weight. If
     they are equal, all VMs are returned, up to MAX_ADDRESSES.
     """
+    candidates = leave_out_lost_paths(candidates)
     weights = [max(1, candidate.weight) for candidate in candidates]
     count = min(MAX_ADDRESSES, len(candidates))
     if weights and max(weights) >= EVEN_RATIO * min(weights):
@@ -46,9 +56,5 @@
 
 
 def _score(candidate: Candidate, caller: str) -> float:
-    """Return the weighted rendezvous score; the highest scores are selected.
-
-    See "Weighted Distributed Hash Tables" (Schindelhauer, Schomaker, 2005).
-    """
-    point = (compute_rank(caller, candidate.address) + 1) / (HASH_RANGE + 1)
-    return -max(1, candidate.weight) / math.log(point)
+    """Return a candidate's score; the highest scores are selected."""
+    return compute_weighted_score(caller, candidate.address, candidate.weight)
--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -4,6 +4,7 @@
 
 from plantainwood.core import events as ev
 from plantainwood.core.dispatcherstate import (
+    RETRY_NOT_RUN_MS,
     DispatcherState,
     find_outcome,
     make_failed_error,
@@ -30,7 +31,8 @@
         decisions.append(ev.Refuse(event.request_id, error))
         return
     state.requests[request.id] = request
-    state.budget.earn(request.tier)
+    if not state.path_lost:
+        state.budget.earn(request.tier)
     state.enqueue(request, now_ms)
     dispatch_waiting(state, state.pools[request.pool], now_ms, decisions)
 
@@ -42,6 +44,9 @@
     if state.draining:
         message = "this VM is leaving; use another"
         raise _make_refusal(ErrorCode.DRAINING, message, RETRY_DRAINING_MS)
+    if event.from_vm and state.path_lost:
+        message = "this VM reaches no upstreams either"
+        raise _make_refusal(ErrorCode.UPSTREAM_UNAVAILABLE, message, RETRY_NOT_RUN_MS)
     service_class = state.catalogue.classes.get(event.class_name)
     customer = state.catalogue.customers.get(event.customer)
     if service_class is None or customer is None:
@@ -114,6 +119,26 @@
     return RequestError(code, message, Outcome.NOT_RUN, retry_ms)
 
 
+def handle_path_probed(
+    state: DispatcherState, event: ev.PathProbed, now_ms: int, decisions: list
+) -> None:
+    """Record whether this node reaches upstreams, and dispatch what waits.
+
+    While it does not, requests go to other VMs, and those from other VMs are refused.
+    """
+    if event.lost == state.path_lost:
+        return
+    state.path_lost = event.lost
+    for request in list(state.requests.values()):
+        if event.lost and request.from_vm and not request.is_running:
+            _refuse_unservable(state, request, RETRY_NOT_RUN_MS, decisions)
+    for pool in state.pools.values():
+        if not event.lost:
+            for load in pool.group:
+                load.paused_until_ms = min(load.paused_until_ms, now_ms)
+        dispatch_waiting(state, pool, now_ms, decisions)
+
+
 def refuse_unservable(state: DispatcherState, now_ms: int, decisions: list) -> None:
     """Refuse the waiting requests that no upstream will take in their time.
 
--- a/plantainwood/core/catalogue.py
+++ b/plantainwood/core/catalogue.py
@@ -107,6 +107,18 @@
         return self.version
 
 
+class ServingVm(Upstream, frozen=True):
+    """Another VM, which serves calls for nodes that have lost their own path.
+
+    Operators don't write such entries; they come from the VMs' heartbeats.
+    """
+
+    weight: int = 1
+    """Its capacity in hundredths of a core."""
+    path_lost: bool = False
+    """Whether it reaches no upstreams itself."""
+
+
 class Key(EntryBase, frozen=True):
     """A caller's API key, stored only as a salted hash."""
 
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -6,9 +6,10 @@
 from plantainwood.core.admission import (
     expire_waiting,
     handle_arrival,
+    handle_path_probed,
     refuse_unservable,
 )
-from plantainwood.core.catalogue import Catalogue
+from plantainwood.core.catalogue import Catalogue, ServingVm
 from plantainwood.core.dispatcherstate import DispatcherState, Options
 from plantainwood.core.outcomes import (
     enforce_mark,
@@ -62,6 +63,10 @@
         """Set the live nodes, among which upstreams' request rates are divided."""
         self.state.upstream_limits.set_nodes(nodes, now_ms)
 
+    def set_serving_vms(self, vms: dict[str, ServingVm]) -> None:
+        """Set the VMs that may serve for this node, by the names of their loads."""
+        self.state.set_serving_vms(vms)
+
     def set_versions(self, versions: dict[str, set[str]], now_ms: int) -> None:
         """Set the software versions of each pool's upstreams."""
         self.state.stream_versions.set_versions(versions, now_ms)
@@ -184,5 +189,6 @@
     ev.PartCrashReceived: handle_part_crash,
     ev.PartsClearedReceived: handle_parts_cleared,
     ev.ReservationAnswered: handle_reservation_answer,
+    ev.PathProbed: handle_path_probed,
     ev.Tick: handle_tick,
 }
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -12,6 +12,7 @@
     Catalogue,
     Customer,
     DiscoveredUpstream,
+    ServingVm,
     Upstream,
     UpstreamKind,
 )
@@ -87,6 +88,8 @@
         "last_crash_ms",
         "leaving_addresses",
         "counters",
+        "path_lost",
+        "serving_vms",
         "_connection_share",
         "_own_domain",
         "_domains",
@@ -117,6 +120,10 @@
         self.leaving_addresses: set[tuple[str, str]] = set()
         self.counters = TokenCounters()
         """Shared by all tiers: tokens served in one tier count in the others too."""
+        self.path_lost = False
+        """Whether this node reaches no upstreams."""
+        self.serving_vms: dict[str, ServingVm] = {}
+        """The VMs that serve for this node while its path is lost, by load name."""
         self._connection_share = 1.0
         self._own_domain = ""
         self._domains: list[str] = []
@@ -149,11 +156,9 @@
                 entry, self._connection_share
             )
         for name, load in list(self.loads.items()):
-            if name in catalogue.upstreams:
+            if name in catalogue.upstreams or name in self.serving_vms:
                 continue
-            load.leaving = True
-            if not self.running_by_upstream.get(name):
-                self._forget_upstream(name)
+            self._remove_load(load)
         for name, customer in catalogue.customers.items():
             if name in self.limits:
                 self.limits[name].set_customer(customer)
@@ -161,6 +166,28 @@
         for pool in self.pools.values():
             self._choose_subset(pool)
 
+    def set_serving_vms(self, vms: dict[str, ServingVm]) -> None:
+        """Replace the VMs that may serve for this node; loads are kept by name."""
+        for name in self.serving_vms.keys() - vms.keys():
+            self._remove_load(self.loads[name])
+        self.serving_vms = vms
+        for name, entry in vms.items():
+            load = self.loads.get(name)
+            if load is None or load.entry.address != entry.address:
+                load = self.loads[name] = UpstreamLoad(name, entry)
+            load.entry = entry
+            load.leaving = False
+
+    def list_serving_vms(self) -> list[UpstreamLoad]:
+        """Return the loads of the VMs that may serve for this node."""
+        return [self.loads[name] for name in self.serving_vms]
+
+    def _remove_load(self, load: UpstreamLoad) -> None:
+        """Send an upstream nothing more, and forget it once it runs no attempt."""
+        load.leaving = True
+        if not self.running_by_upstream.get(load.name):
+            self._forget_upstream(load.name)
+
     def _is_leaving(self, name: str, entry: Upstream) -> bool:
         """Tell whether an upstream told this node or its registry that it leaves."""
         if isinstance(entry, DiscoveredUpstream) and entry.leaving:
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -33,6 +33,8 @@
     """The name by which a caller takes up the stream; empty if the answer is none."""
     resumed: bool = False
     """Whether the stream began in an earlier request."""
+    from_vm: bool = False
+    """Whether another VM sent the request, so that it goes to no further VM."""
 
 
 class AttemptStarted(msgspec.Struct, frozen=True):
@@ -149,6 +151,12 @@
     granted: bool
 
 
+class PathProbed(msgspec.Struct, frozen=True):
+    """This node found out whether it reaches upstreams at all."""
+
+    lost: bool
+
+
 class Tick(msgspec.Struct, frozen=True):
     """Time passed; queue timeouts and other timed work may be due."""
 
@@ -170,6 +178,7 @@
     | PartCrashReceived
     | PartsClearedReceived
     | ReservationAnswered
+    | PathProbed
     | Tick
 )
 
--- a/plantainwood/core/fleetmessages.py
+++ b/plantainwood/core/fleetmessages.py
@@ -41,6 +41,11 @@
     """Request rates of upstreams of which the sender got the newest answer."""
     begun_streams: dict[str, list[str]] = {}
     """Streams begun since the last heartbeat, by the version that began them."""
+    calls_port: int = 0
+    """The port on the host of the link address where the sender takes calls that other
+    VMs can't serve; 0 if it takes none."""
+    path_lost: bool = False
+    """Whether the sender reaches no upstreams."""
 
 
 class StoreUpdate(msgspec.Struct, tag=31, array_like=True, frozen=True):
--- a/plantainwood/core/frames.py
+++ b/plantainwood/core/frames.py
@@ -36,7 +36,11 @@
 
 def encode_frame(message: Message, secret: bytes) -> bytes:
     """Return the frame of a message, authenticated with the fleet's shared secret."""
-    payload = _encoder.encode(message)
+    return seal(_encoder.encode(message), secret)
+
+
+def seal(payload: bytes, secret: bytes) -> bytes:
+    """Return the frame of a payload, compressed if that may be worth it."""
     version = WIRE_VERSION
     if len(payload) >= MIN_COMPRESSED_BYTES:
         payload = zlib.compress(payload, COMPRESSION_LEVEL)
@@ -46,6 +50,14 @@
 
 def decode_frame(frame: bytes, secret: bytes) -> Message:
     """Return the message in a frame; raise FrameError if it must be dropped."""
+    try:
+        return _decoder.decode(unseal(frame, secret))
+    except msgspec.DecodeError as error:
+        raise FrameError(str(error)) from error
+
+
+def unseal(frame: bytes, secret: bytes) -> bytes:
+    """Return the payload of a frame; raise FrameError if it is not authentic."""
     versions = (WIRE_VERSION, COMPRESSED_VERSION)
     if len(frame) <= HEADER_BYTES or frame[0] not in versions:
         raise FrameError("frame too short or of an unknown version")
@@ -54,10 +66,7 @@
         raise FrameError("wrong authentication code")
     if frame[0] == COMPRESSED_VERSION:
         payload = _decompress(payload)
-    try:
-        return _decoder.decode(payload)
-    except msgspec.DecodeError as error:
-        raise FrameError(str(error)) from error
+    return payload
 
 
 def _decompress(data: bytes) -> bytes:
--- a/plantainwood/core/hashing.py
+++ b/plantainwood/core/hashing.py
@@ -1,13 +1,26 @@
 """Rendezvous hashing: every node computes the same ranking without coordination."""
 
+import math
+
 import xxhash
 
+HASH_RANGE = 2**64
+
 
 def compute_rank(key: str, member: str) -> int:
     """Return a 64-bit rank of a member for a key."""
     return xxhash.xxh3_64_intdigest(f"{key}\0{member}".encode())
 
 
+def compute_weighted_score(key: str, member: str, weight: int) -> float:
+    """Return a member's weighted rendezvous score for a key; the highest is chosen.
+
+    See "Weighted Distributed Hash Tables" (Schindelhauer, Schomaker, 2005).
+    """
+    point = (compute_rank(key, member) + 1) / (HASH_RANGE + 1)
+    return -max(1, weight) / math.log(point)
+
+
 def hash_poller(node: str) -> int:
     """Return the 16-bit hash that identifies a node in load reports."""
     return compute_rank("poller", node) & 0xFFFF
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -14,6 +14,7 @@
 from plantainwood.core.retries import MAX_ATTEMPTS
 from plantainwood.core.router import has_version
 from plantainwood.core.scheduling import dispatch_waiting
+from plantainwood.core.servingvms import is_serving_vm
 
 CRASH_PAUSE_MS = 2_000
 
@@ -42,8 +43,11 @@
 def _record_stream(
     state: DispatcherState, request: Request, load: UpstreamLoad, now_ms: int
 ) -> None:
-    """Record which version began a stream, so that only this one continues it."""
-    if not request.stream:
+    """Record which version began a stream, so that only this one continues it.
+
+    If another VM serves the stream, that VM records it.
+    """
+    if not request.stream or is_serving_vm(load):
         return
     request.version = load.entry.software_version
     if request.version:
@@ -225,6 +229,8 @@
     outcome = find_outcome(request)
     if state.is_blocked(request.fingerprint, request.shared_parts, now_ms):
         return make_blocked_error(outcome)
+    if request.from_vm and state.path_lost:
+        return make_failed_error(outcome)
     exhausted = request.attempts_made >= request.max_attempts
     if request.attempt >= MAX_ATTEMPTS or exhausted:
         return make_failed_error(outcome)
--- a/plantainwood/core/requests.py
+++ b/plantainwood/core/requests.py
@@ -45,6 +45,7 @@
         "attempts_not_run",
         "stream",
         "version",
+        "from_vm",
         "_tier",
     )
 
@@ -95,6 +96,7 @@
         self.stream = arrival.stream
         self.version = ""
         """The software version that began the stream; empty before its first event."""
+        self.from_vm = arrival.from_vm
         self._tier = service_class.tier if arrival.tier is None else arrival.tier
 
     @property
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -7,6 +7,11 @@
 from plantainwood.core.pools import Pool, TierQueue, find_victim
 from plantainwood.core.requests import Request
 from plantainwood.core.router import is_allowed
+from plantainwood.core.servingvms import (
+    choose_serving_vm,
+    is_serving_vm,
+    list_usable_vms,
+)
 
 MAX_SKIPPED = 4
 RESERVATION_RETRY_MS = 500
@@ -61,6 +66,10 @@
     """Return the best upstream of a group for a request, or None if it must wait."""
     if now_ms < request.retry_at_ms:
         return None
+    if state.path_lost and not request.from_vm:
+        usable = list_usable_vms(state.list_serving_vms())
+        if usable:
+            return choose_serving_vm(request, usable, now_ms)
     if state.is_suspect(request, now_ms):
         group = _filter_suspect_free(state, request, group, now_ms)
     return state.router.choose(request, group, now_ms)
@@ -107,9 +116,11 @@
     load.unstarted_attempts += 1
     pool.running[request.id] = request
     state.running_by_upstream.setdefault(load.name, {})[request.id] = request
-    source = state.router.find_kv_source(request)
-    state.router.record_dispatch(request, load, now_ms)
-    state.hints.record(request.prefix, load.name, now_ms)
+    source = ""
+    if not is_serving_vm(load):
+        source = state.router.find_kv_source(request)
+        state.router.record_dispatch(request, load, now_ms)
+        state.hints.record(request.prefix, load.name, now_ms)
     state.counters.charge(request.customer, REQUEST_CHARGE_TOKENS)
     decisions.append(
         ev.Dispatch(request.id, request.attempt, load.name, request.priority, source)
--- /dev/null
+++ b/plantainwood/core/servingvms.py
@@ -0,0 +1,43 @@
+"""Choice of the VM that serves a request for a node without a path to the upstreams."""
+
+from plantainwood.core.catalogue import ServingVm
+from plantainwood.core.hashing import compute_weighted_score
+from plantainwood.core.loads import UpstreamLoad
+from plantainwood.core.requests import Request
+
+VM_PREFIX = "vm/"
+
+
+def make_load_name(node: str) -> str:
+    """Return the name under which a VM stands among the upstreams' loads."""
+    return VM_PREFIX + node
+
+
+def is_serving_vm(load: UpstreamLoad) -> bool:
+    """Tell whether a load is that of another VM and not of an upstream."""
+    return isinstance(load.entry, ServingVm)
+
+
+def list_usable_vms(loads: list[UpstreamLoad]) -> list[UpstreamLoad]:
+    """Return the VMs that have a path to the upstreams."""
+    return [load for load in loads if not load.leaving and not load.entry.path_lost]
+
+
+def choose_serving_vm(
+    request: Request, usable: list[UpstreamLoad], now_ms: int
+) -> UpstreamLoad | None:
+    """Return the VM for a request, each in proportion to its weight; None to wait.
+
+    A VM that has just failed is left out, and the last one that failed this request
+    unless it is the only one.
+    """
+    allowed = [load for load in usable if now_ms >= load.paused_until_ms]
+    others = [load for load in allowed if load.name != request.avoid_upstream]
+    best = None
+    best_score = 0.0
+    for load in others or allowed:
+        score = compute_weighted_score(request.id, load.name, load.entry.weight)
+        if best is None or score > best_score:
+            best = load
+            best_score = score
+    return best
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -186,6 +186,10 @@
             sent_parts=self.router.engine_states.take_sent_parts(),
             limits=state.upstream_limits.list_reports(now_ms),
             begun_streams=state.stream_versions.take_untold(now_ms),
+            calls_port=(
+                int(addresses.calls.rpartition(":")[2]) if addresses.calls else 0
+            ),
+            path_lost=state.path_lost,
         )
 
     def find_weights(self) -> dict[str, int]:
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -32,6 +32,8 @@
     directory: Address
     links: Address
     metrics_port: Port
+    calls: Address | None = None
+    """Where other nodes send the calls that they can't serve; null: they can't."""
 
 
 class EdgeStore(Section, frozen=True):
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -5,6 +5,7 @@
 
 from mode import Service
 
+from plantainwood.core.catalogue import ServingVm, UpstreamKind
 from plantainwood.core.fleetmessages import (
     BegunStreamsNotice,
     CountsReport,
@@ -19,8 +20,10 @@
     StoreUpdate,
     VmHeartbeat,
 )
+from plantainwood.core.messages import NodeState
 from plantainwood.core.mirror import Item
 from plantainwood.core.relays import find_targets, is_mesh
+from plantainwood.core.servingvms import make_load_name
 from plantainwood.core.vms import (
     HeartbeatStatus,
     compute_heartbeat_interval_ms,
@@ -36,6 +39,26 @@
 MIRROR_REQUEST_PAUSE_MS = 400
 
 
+def find_serving_vms(heartbeats: list[VmHeartbeat]) -> dict[str, ServingVm]:
+    """Return the VMs that take calls from others, by the names of their loads."""
+    found: dict[str, ServingVm] = {}
+    for heartbeat in heartbeats:
+        if heartbeat.state is not NodeState.LIVE or not heartbeat.caller_address:
+            continue
+        if not heartbeat.calls_port:
+            continue
+        host = heartbeat.link_address.removeprefix("tcp://").rpartition(":")[0]
+        found[make_load_name(heartbeat.sender)] = ServingVm(
+            owner="",
+            kind=UpstreamKind.PLAIN,
+            address=f"{host}:{heartbeat.calls_port}",
+            domain=heartbeat.domain,
+            weight=heartbeat.weight,
+            path_lost=heartbeat.path_lost,
+        )
+    return found
+
+
 class FleetLinks(Service, MirrorPublisher):
     """Exchange soft state with all other VMs."""
 
@@ -134,6 +157,7 @@
         edge.broker.dispatcher.set_nodes(
             {heartbeat.sender for heartbeat in live}, now_ms
         )
+        self._update_serving_vms(now_ms)
         edge.broker.dispatcher.set_connection_share(
             compute_share(edge.settings.capacity_percent, live)
         )
@@ -141,6 +165,11 @@
         if self._messenger is not None:
             self._messenger.close_idle(set(edge.vms.list_addresses().values()))
 
+    def _update_serving_vms(self, now_ms: int) -> None:
+        """Tell the dispatcher which VMs may serve in this one's place."""
+        fresh = self.edge.vms.list_fresh(now_ms)
+        self.edge.broker.dispatcher.set_serving_vms(find_serving_vms(fresh))
+
     def count_unrelayed(self) -> int:
         """Return the number of heartbeats that this VM may have to pass on."""
         return self._relay.count_waiting()
@@ -225,6 +254,7 @@
         status = edge.vms.record(heartbeat, now_ms - age_ms)
         if status is HeartbeatStatus.STALE:
             return
+        self._note_path(heartbeat, now_ms)
         self._relay.record(heartbeat, now_ms - age_ms)
         if status is HeartbeatStatus.NEW:
             log_event("vm_heard", vm=heartbeat.sender, domain=heartbeat.domain)
@@ -243,6 +273,14 @@
         if heartbeat.revision > edge.mirror.revision and edge.mirror.revision == 0:
             self._request_mirror(heartbeat.sender)
 
+    def _note_path(self, heartbeat: VmHeartbeat, now_ms: int) -> None:
+        """Apply at once that a VM has lost its path to the upstreams, or is back."""
+        serving_vms = self.edge.broker.dispatcher.state.serving_vms
+        known = serving_vms.get(make_load_name(heartbeat.sender))
+        if known is not None and known.path_lost == heartbeat.path_lost:
+            return
+        self._update_serving_vms(now_ms)
+
     def _request_mirror(self, name: str) -> None:
         """Request a VM's whole mirror, at most once in MIRROR_REQUEST_PAUSE_MS."""
         edge = self.edge
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Awaitable, TypeVar
 
+import msgspec
+
 from plantainwood.attempts import AttemptRunner
 from plantainwood.broker import ActiveRequest, RequestBroker
 from plantainwood.calls import (
@@ -25,6 +27,7 @@
 from plantainwood.core.keys import Identity
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.routes import RetrySafety
+from plantainwood.core.servingvms import is_serving_vm
 from plantainwood.core.stalls import (
     NO_STALL_LIMIT_MS,
     compute_first_byte_stall_ms,
@@ -37,6 +40,12 @@
 from plantainwood.pathprobe import PathProber
 from plantainwood.spans import Spans
 from plantainwood.upstreamreports import ReportRecorder
+from plantainwood.vmcalls import (
+    TRY_ANOTHER_VM,
+    decode_refusal,
+    encode_call,
+    take_served_upstream,
+)
 
 BUSY_PAUSE_MS = 150
 """How long this node sends no attempt to an upstream that was at capacity."""
@@ -50,6 +59,9 @@
 """The size of an answer that is collected in memory before it is relayed."""
 MAX_LOGGED_PARTS = 8
 """How many parts of a prompt a log line names at most."""
+VM_STALL_FACTOR = 2
+"""How much longer the answer of another VM may take than that of an upstream."""
+MAX_REFUSAL_BYTES = 16_384
 
 Result = TypeVar("Result")
 
@@ -65,8 +77,13 @@
         codec: Codec,
         start_observer: StartObserver,
         spans: Spans,
+        node: str,
+        secret: str,
     ) -> None:
         self.spans = spans
+        self.node = node
+        self.secret = secret
+        """Authenticates calls between the VMs of the fleet."""
         self.broker = broker
         self.connection_pool = connection_pool
         self.path_prober = path_prober
@@ -100,6 +117,8 @@
         self.splitter = EventSplitter()
         self._may_have_run = False
         """Whether an attempt was sent that is not proved not to have run."""
+        self._via_vm = False
+        """Whether another VM serves the running attempt."""
 
     async def serve(self) -> CallSummary:
         """Register the call, follow the decisions on it, end before its deadline."""
@@ -133,6 +152,7 @@
         if load is None:
             raise make_unreached_error("the upstream is no longer known")
         self._log_dispatch(dispatch, load)
+        self._via_vm = is_serving_vm(load)
         with self.forwarder.spans.open("attempt", upstream=dispatch.upstream):
             await self._perform_on_connection(dispatch, load.entry)
 
@@ -186,36 +206,111 @@
         succeeded = False
         may_have_run_before = self._may_have_run
         try:
-            outgoing = OutgoingAttempt(
-                entry,
-                self.call.deadline_ms - self.clock.now_ms(),
-                self.splitter.last_id or self.call.last_event_id,
-                self._get_address(dispatch.source),
-            )
-            data = self.forwarder.codec.encode(self.call, outgoing)
+            data = self._encode(dispatch, entry)
             self._may_have_run = True
             connection.send(
                 data, self.call.request_id.encode(), self.forwarder.codec.id_header
             )
-            response = await self._read_head(connection, dispatch)
+            if self._via_vm:
+                response = await self._read_head_from_vm(connection)
+            else:
+                response = await self._read_head(connection, dispatch)
+                self.sink.upstream = dispatch.upstream
             await self._relay(connection, response, dispatch)
             succeeded = True
         except AttemptError as error:
             if error.proved_not_run:
                 self._may_have_run = may_have_run_before
             raise
+        except RequestError as error:
+            if error.outcome is Outcome.NOT_RUN and may_have_run_before:
+                error.outcome = Outcome.UNKNOWN
+                error.code = ErrorCode.UPSTREAM_FAILED
+            raise
         finally:
             if succeeded:
                 self.forwarder.connection_pool.release(connection)
             else:
                 connection.close()
 
+    def _encode(self, dispatch: ev.Dispatch, entry: DiscoveredUpstream) -> bytes:
+        """Return the attempt's request, to an upstream or to another VM."""
+        if self._via_vm:
+            return self._encode_for_vm(dispatch)
+        outgoing = OutgoingAttempt(
+            entry,
+            self.call.deadline_ms - self.clock.now_ms(),
+            self.splitter.last_id or self.call.last_event_id,
+            self._get_address(dispatch.source),
+        )
+        return self.forwarder.codec.encode(self.call, outgoing)
+
+    def _encode_for_vm(self, dispatch: ev.Dispatch) -> bytes:
+        """Return the request to another VM; a stream that has begun is resumed."""
+        call = self.call
+        if self.splitter.last_id:
+            call = msgspec.structs.replace(
+                call,
+                last_event_id=self.splitter.last_id,
+                resumes=call.resumes or call.request_id,
+            )
+        state = self.broker.dispatcher.state
+        request = state.find_running(dispatch.request_id, dispatch.attempt)
+        made_before = request.attempts_made - 1 if request is not None else 0
+        return encode_call(
+            call,
+            self.forwarder.node,
+            dispatch.attempt,
+            call.route.attempts - made_before,
+            self.clock.now_ms(),
+            self.forwarder.secret,
+        )
+
+    async def _read_head_from_vm(self, connection: Connection) -> ResponseHead:
+        """Return the head of the answer that another VM got; raise if it refused.
+
+        Raise AttemptError if a further VM may serve the call, else RequestError.
+        """
+        stall_ms = compute_first_byte_stall_ms(self.call.route, self.summary.attempts)
+        response = await self._read_within(
+            connection.read_head(),
+            connection,
+            VM_STALL_FACTOR * stall_ms,
+            "no answer of the other VM",
+        )
+        upstream = take_served_upstream(response)
+        if not upstream:
+            raise await self._read_refusal(connection)
+        self.summary.upstream = upstream
+        self.sink.upstream = upstream
+        self.forwarder.report_recorder.record_elsewhere(
+            upstream, self.call.request_id, response
+        )
+        return response
+
+    async def _read_refusal(self, connection: Connection) -> Exception:
+        body = bytearray()
+        while True:
+            chunk = await connection.read_chunk()
+            if not chunk or len(body) > MAX_REFUSAL_BYTES:
+                break
+            body += chunk
+        try:
+            error = decode_refusal(bytes(body))
+        except msgspec.DecodeError as decode_error:
+            return AttemptError(f"unreadable refusal: {decode_error}", False, False)
+        if error.outcome is Outcome.NOT_RUN and error.code in TRY_ANOTHER_VM:
+            reason = f"the other VM refused: {error.code.value}"
+            return make_unreached_error(reason)
+        return error
+
     async def _connect(self, address: str) -> Connection:
         """Return a connection; if none opens, find out whether the path is lost."""
         try:
             return await self.forwarder.connection_pool.acquire(address)
         except AttemptError:
-            await self.forwarder.path_prober.has_path(address)
+            if not self._via_vm:
+                await self.forwarder.path_prober.has_path(address)
             raise
 
     def _get_address(self, upstream: str) -> str:
@@ -262,15 +357,24 @@
                 return await reading
         except TimeoutError as error:
             reason = f"{timeout_reason} within {stall_ms} ms"
-            await self.forwarder.path_prober.has_path(connection.address)
+            if not self._via_vm:
+                await self.forwarder.path_prober.has_path(connection.address)
             raise AttemptError(reason, False, proved_not_run=False) from error
         except AttemptError as error:
-            error.crashed = await self.forwarder.connection_pool.probe_refused(
-                connection.address
-            )
-            await self.forwarder.path_prober.has_path(connection.address)
+            error.crashed = await self._has_crashed(connection.address)
             raise
 
+    async def _has_crashed(self, address: str) -> bool:
+        """Return whether an upstream that broke its connection has crashed.
+
+        If no other upstream can be reached either, this node's path is at fault.
+        """
+        if self._via_vm:
+            return False
+        forwarder = self.forwarder
+        refused = await forwarder.connection_pool.probe_refused(address)
+        return refused and await forwarder.path_prober.has_path(address)
+
     async def _relay(
         self, connection: Connection, response: ResponseHead, dispatch: ev.Dispatch
     ) -> None:
@@ -324,7 +428,8 @@
         if is_first:
             if self.summary.first_byte_ms < 0:
                 self.summary.first_byte_ms = self.clock.now_ms() - self.call.arrived_ms
-                self.forwarder.start_observer.record_start(self.call)
+                if not self._via_vm:
+                    self.forwarder.start_observer.record_start(self.call)
             broker.feed(ev.AttemptStarted(dispatch.request_id, dispatch.attempt))
         if events:
             self.summary.events += events
--- a/plantainwood/pathprobe.py
+++ b/plantainwood/pathprobe.py
@@ -2,9 +2,13 @@
 
 import asyncio
 import random
+from typing import Callable
+
+from mode import Service
 
 from plantainwood.broker import RequestBroker
 from plantainwood.connectionpool import ConnectionPool
+from plantainwood.core import events as ev
 from plantainwood.core.clock import Clock
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.engines import AttemptError
@@ -15,6 +19,10 @@
 MAX_WITNESSES = 4
 RESULT_LIFETIME_MS = 200
 """How long a result holds for further failures."""
+POLL_INTERVAL_MS = 25
+CHECK_INTERVAL_MS = 400
+CHECKS_TO_REGAIN = 2
+"""How many probes in a row must find the path before it is used again."""
 
 
 class PathProber:
@@ -46,6 +54,16 @@
             self._probe = asyncio.create_task(self._run_probe(failed_address))
         return await asyncio.shield(self._probe)
 
+    async def probe_again(self) -> bool:
+        """Return whether one upstream, drawn at random, accepts a connection."""
+        witnesses = self._choose_witnesses("")
+        if not witnesses:
+            return True
+        address = self._random.choice(witnesses).entry.address
+        self._has_path = await self._accepts_connection(address)
+        self._probed_ms = self._clock.now_ms()
+        return self._has_path
+
     async def _run_probe(self, failed_address: str) -> bool:
         try:
             witnesses = self._choose_witnesses(failed_address)
@@ -60,6 +78,8 @@
                 witnesses=",".join(load.name for load in witnesses) or "-",
                 accepted=sum(results),
             )
+            if not self._has_path:
+                self._broker.feed(ev.PathProbed(lost=True))
             return self._has_path
         finally:
             self._probe = None
@@ -87,3 +107,50 @@
             return False
         connection.close()
         return True
+
+
+class PathWatch(Service):
+    """Tell the fleet when the path is lost, and probe a lost path until it is back."""
+
+    def __init__(
+        self,
+        broker: RequestBroker,
+        prober: PathProber,
+        on_change: Callable[[], None],
+        **kwargs,
+    ) -> None:
+        self._broker = broker
+        self._prober = prober
+        self._on_change = on_change
+        self._told_lost = False
+        self._found_in_a_row = 0
+        super().__init__(**kwargs)
+
+    @Service.task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(POLL_INTERVAL_MS / 1_000)
+            if not self._broker.dispatcher.state.path_lost:
+                continue
+            self._tell(lost=True)
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1_000)
+            await self._check()
+
+    async def _check(self) -> None:
+        """Probe a lost path once."""
+        if not await self._prober.probe_again():
+            self._found_in_a_row = 0
+            return
+        self._found_in_a_row += 1
+        if self._found_in_a_row < CHECKS_TO_REGAIN:
+            return
+        self._broker.feed(ev.PathProbed(lost=False))
+        self._tell(lost=False)
+
+    def _tell(self, lost: bool) -> None:
+        if lost == self._told_lost:
+            return
+        self._told_lost = lost
+        self._found_in_a_row = 0
+        log_event("path_lost" if lost else "path_regained")
+        self._on_change()
--- a/plantainwood/upstreamreports.py
+++ b/plantainwood/upstreamreports.py
@@ -33,6 +33,18 @@
         self._record_pause(upstream, request_id, response)
         return result
 
+    def record_elsewhere(
+        self, upstream: str, request_id: str, response: ResponseHead
+    ) -> None:
+        """Record what the head of an answer to another VM says of its upstream.
+
+        A pause that it names concerns only that VM.
+        """
+        if upstream not in self._broker.dispatcher.state.loads:
+            return
+        self._record_limit(upstream, request_id, response)
+        self._record_leaving(upstream, request_id, response)
+
     def _record_load(self, upstream: str, response: ResponseHead) -> None:
         load = self._codec.read_load(response)
         if load is None:
--- /dev/null
+++ b/plantainwood/vmcalls.py
@@ -0,0 +1,111 @@
+"""Calls that one VM sends to another, which serves them in its place.
+
+A call goes as one sealed frame in the body of an HTTP request. The other VM sends back
+the upstream's answer, with a header that names the upstream, or its own refusal.
+"""
+
+import msgspec
+
+from plantainwood.calls import Call
+from plantainwood.connections import ResponseHead
+from plantainwood.core.errors import ErrorCode, Outcome, RequestError
+from plantainwood.core.frames import FrameError, seal, unseal
+
+CALLS_PATH = "/calls"
+SERVED_UPSTREAM = b"served-upstream"
+"""The header that names the upstream; a refusal has none."""
+HOP_MARGIN_MS = 20
+"""How long before the sender's deadline the other VM's answer is due."""
+TRY_ANOTHER_VM = (
+    ErrorCode.UPSTREAM_UNAVAILABLE,
+    ErrorCode.DRAINING,
+    ErrorCode.CATALOGUE_MISSING,
+    ErrorCode.NO_UPSTREAM,
+)
+"""The refusals, if not run, after which another VM may serve the call."""
+
+
+class SentCall(msgspec.Struct, frozen=True):
+    """A call as one VM sends it to another."""
+
+    sender: str
+    remaining_ms: int
+    """How long the sender waits for the answer."""
+    call: Call
+
+
+class Refusal(msgspec.Struct, frozen=True):
+    """Why a VM did not serve another's call."""
+
+    code: ErrorCode
+    message: str
+    outcome: Outcome
+    retry_after_ms: int | None
+
+
+_encoder = msgspec.msgpack.Encoder()
+_call_decoder = msgspec.msgpack.Decoder(SentCall)
+
+
+def encode_call(
+    call: Call, sender: str, attempt: int, attempts_left: int, now_ms: int, secret: str
+) -> bytes:
+    """Return the HTTP request that asks another VM to serve a call.
+
+    The other VM may send it to `attempts_left` upstreams at most.
+    """
+    route = msgspec.structs.replace(call.route, attempts=max(1, attempts_left))
+    outgoing = msgspec.structs.replace(
+        call, route=route, local_id=f"{sender}/{call.local_id}.{attempt}"
+    )
+    remaining_ms = call.deadline_ms - now_ms - HOP_MARGIN_MS
+    sent_call = SentCall(sender, max(1, remaining_ms), outgoing)
+    frame = seal(_encoder.encode(sent_call), secret.encode())
+    head = (
+        f"POST {CALLS_PATH} HTTP/1.1\r\nHost: vm\r\n"
+        f"Content-Type: application/octet-stream\r\nContent-Length: {len(frame)}\r\n"
+        "\r\n"
+    )
+    return head.encode("latin-1") + frame
+
+
+def decode_call(frame: bytes, now_ms: int, secret: str) -> Call:
+    """Return the call in a frame, with times by this node's clock.
+
+    Raise FrameError if the frame is malformed or not from this fleet.
+    """
+    try:
+        sent_call = _call_decoder.decode(unseal(frame, secret.encode()))
+    except msgspec.DecodeError as error:
+        raise FrameError(str(error)) from error
+    call = sent_call.call
+    call.arrived_ms = now_ms
+    call.deadline_ms = now_ms + sent_call.remaining_ms
+    call.from_vm = sent_call.sender
+    return call
+
+
+def encode_refusal(error: RequestError) -> bytes:
+    """Return the body of a refusal."""
+    return msgspec.json.encode(
+        Refusal(error.code, error.message, error.outcome, error.retry_after_ms)
+    )
+
+
+def decode_refusal(body: bytes) -> RequestError:
+    """Return the error that a refusal tells of; raise msgspec.DecodeError."""
+    refusal = msgspec.json.decode(body, type=Refusal)
+    return RequestError(
+        refusal.code, refusal.message, refusal.outcome, refusal.retry_after_ms
+    )
+
+
+def take_served_upstream(response: ResponseHead) -> str:
+    """Remove the header that names the upstream; return it, "" from a refusal."""
+    name = response.get_header(SERVED_UPSTREAM)
+    response.headers = [
+        (key, value)
+        for key, value in response.headers
+        if key.lower() != SERVED_UPSTREAM
+    ]
+    return name.decode("latin-1") if name is not None else ""
--- a/tests/fleetsite.py
+++ b/tests/fleetsite.py
@@ -122,7 +122,9 @@
             node=f"vm-{number}",
             domain="ab"[number % 2],
             domains=["a", "b"],
-            addresses=EdgeAddresses(*addresses[:4], metrics_port=ports[4]),
+            addresses=EdgeAddresses(
+                *addresses[:4], metrics_port=ports[4], calls=addresses[5]
+            ),
             store=EdgeStore(self.store.address, "127.0.0.1:1"),
             fleet="0123456789abcdef",
         )
