--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -75,6 +75,7 @@
         .replace("{{node}}", "vm-1")
         .replace("{{zone}}", "a")
         .replace("{{ip}}:{{internalPorts.0}}", "10.0.0.1:83")
+        .replace("{{ip}}:{{internalPorts.1}}", "10.0.0.1:84")
     )
     for name in ("listen.front", "listen.ready", "listen.directory"):
         filled = filled.replace("{{%s}}" % name, "10.0.0.1:80")
