--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -112,10 +112,7 @@
     state: DispatcherState, event: ev.PauseNamed, now_ms: int, decisions: list
 ) -> None:
     """Send an upstream nothing for as long as it asks for."""
-    load = state.loads.get(event.upstream)
-    if load is not None:
-        until_ms = now_ms + event.pause_ms
-        load.unwilling_until_ms = max(load.unwilling_until_ms, until_ms)
+    state.pause_upstream(event.upstream, now_ms + event.pause_ms, now_ms)
 
 
 def handle_upstream_leaving(
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -87,6 +87,7 @@
         "deadlines",
         "last_crash_ms",
         "leaving_addresses",
+        "pauses_until_ms",
         "counters",
         "path_lost",
         "serving_vms",
@@ -118,6 +119,9 @@
         self.deadlines: list[tuple[int, str]] = []
         self.last_crash_ms: dict[str, int] = {}
         self.leaving_addresses: set[tuple[str, str]] = set()
+        self.pauses_until_ms: dict[str, int] = {}
+        """Until when upstreams want no attempts of this node; kept while their entries
+        lapse and return."""
         self.counters = TokenCounters()
         """Shared by all tiers: tokens served in one tier count in the others too."""
         self.path_lost = False
@@ -150,6 +154,7 @@
             load = self.loads.get(name)
             if load is None or load.entry.address != entry.address:
                 load = self.loads[name] = UpstreamLoad(name, entry)
+                load.unwilling_until_ms = self.pauses_until_ms.get(name, 0)
             load.entry = entry
             load.leaving = self._is_leaving(name, entry)
             load.max_own_in_flight = compute_max_own_in_flight(
@@ -188,6 +193,17 @@
         if not self.running_by_upstream.get(load.name):
             self._forget_upstream(load.name)
 
+    def pause_upstream(self, name: str, until_ms: int, now_ms: int) -> None:
+        """Send an upstream nothing until a time, unless it asked for a longer pause."""
+        for paused in list(self.pauses_until_ms):
+            if self.pauses_until_ms[paused] <= now_ms:
+                del self.pauses_until_ms[paused]
+        load = self.loads.get(name)
+        if load is None:
+            return
+        load.unwilling_until_ms = max(load.unwilling_until_ms, until_ms)
+        self.pauses_until_ms[name] = load.unwilling_until_ms
+
     def _is_leaving(self, name: str, entry: Upstream) -> bool:
         """Tell whether an upstream told this node or its registry that it leaves."""
         if isinstance(entry, DiscoveredUpstream) and entry.leaving:
