Keep the rate that an upstream named while its registration lapses and returns (LIMIT)

The same cause as for pauses, found by looking for it elsewhere: a limit was deleted with the entry of its upstream, so that after an outage of the store every VM sent at will until the next answer. Limits without an answer still end by themselves after a minute.

test_a_rate_outlasts_a_lapse_of_the_upstream_that_named_it: red before, green now.

--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -155,6 +155,7 @@
             if load is None or load.entry.address != entry.address:
                 load = self.loads[name] = UpstreamLoad(name, entry)
                 load.unwilling_until_ms = self.pauses_until_ms.get(name, 0)
+                load.rate = self.upstream_limits.find_rate(name)
             load.entry = entry
             load.leaving = self._is_leaving(name, entry)
             load.max_own_in_flight = compute_max_own_in_flight(
@@ -215,7 +216,6 @@
         self.running_by_upstream.pop(name, None)
         self.last_crash_ms.pop(name, None)
         self.router.forget(name)
-        self.upstream_limits.forget(name)
         del self.loads[name]
 
     def get_or_create_limit(
--- a/plantainwood/core/upstreamlimits.py
+++ b/plantainwood/core/upstreamlimits.py
@@ -173,10 +173,6 @@
                 del self._limits[upstream]
         return expired
 
-    def forget(self, upstream: str) -> None:
-        """Delete the limit of an upstream that is gone."""
-        self._limits.pop(upstream, None)
-
 
 def count_senders(per_s: float, node_count: int) -> int:
     """Return how many of the nodes send to an upstream with a limit.
