Send brittle upstreams no more than the fleet's parts of their slots (LIMIT)

Nothing read the header, and every VM sent as if the slots were its own. While any answer of a pool to any VM names it (heartbeats tell), each VM sends an upstream its own part of eight tenths of the slots at most and queues the rest at its own door, by priority; a rejection keeps it away for a second. The bound ends with the answers that name it.

--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -125,6 +125,13 @@
         None if the response names no limit.
         """
 
+    @abstractmethod
+    def read_brittleness(self, response: ResponseHead) -> int | None:
+        """Return the rejections in a second above which the upstream crashes.
+
+        None if the response names no such bound.
+        """
+
     @abstractmethod
     def is_leaving(self, response: ResponseHead) -> bool:
         """Return whether a response says that its upstream is leaving."""
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -60,8 +60,9 @@
         self.state.set_domains(own, domains)
 
     def set_nodes(self, nodes: set[str], now_ms: int) -> None:
-        """Set the live nodes, among which upstreams' request rates are divided."""
+        """Set the live nodes, which divide upstreams' request rates and slots."""
         self.state.upstream_limits.set_nodes(nodes, now_ms)
+        self.state.nodes = sorted(nodes | {self.state.node})
 
     def set_serving_vms(self, vms: dict[str, ServingVm]) -> None:
         """Set the VMs that may serve for this node, by the names of their loads."""
@@ -108,6 +109,27 @@
         state.update_rate(upstream)
 
 
+def handle_brittleness(
+    state: DispatcherState, event: ev.BrittlenessNamed, now_ms: int, decisions: list
+) -> None:
+    """Record whether an answer says that its upstream is brittle."""
+    load = state.loads.get(event.upstream)
+    if load is None or not load.entry.service:
+        return
+    pool = f"service/{load.entry.service}"
+    was_brittle = state.brittle_pools.is_brittle(pool, now_ms)
+    state.brittle_pools.record_answer(pool, event.is_brittle, now_ms)
+    if state.brittle_pools.is_brittle(pool, now_ms) != was_brittle:
+        state.update_rooms(now_ms)
+
+
+def handle_brittleness_report(
+    state: DispatcherState, event: ev.BrittlenessReported, now_ms: int, decisions: list
+) -> None:
+    """Record that an answer to another node named a pool brittle."""
+    state.brittle_pools.record_report(event.pool, event.age_ms, now_ms)
+
+
 def handle_pause(
     state: DispatcherState, event: ev.PauseNamed, now_ms: int, decisions: list
 ) -> None:
@@ -158,6 +180,7 @@
     """Expire waiting requests, eject stragglers, move attempts and dispatch."""
     refuse_unservable(state, now_ms, decisions)
     expire_waiting(state, now_ms, decisions)
+    state.update_rooms(now_ms)
     for upstream in state.upstream_limits.expire(now_ms):
         state.update_rate(upstream)
     for pool in state.pools.values():
@@ -180,6 +203,8 @@
     ev.LoadReported: handle_load_report,
     ev.LimitNamed: handle_limit,
     ev.LimitReported: handle_limit_report,
+    ev.BrittlenessNamed: handle_brittleness,
+    ev.BrittlenessReported: handle_brittleness_report,
     ev.PauseNamed: handle_pause,
     ev.UpstreamLeaving: handle_upstream_leaving,
     ev.CrashMarkReceived: handle_crash_mark,
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -8,6 +8,7 @@
 
 from plantainwood.core import events as ev
 from plantainwood.core.affinity import PrefixHints
+from plantainwood.core.brittleness import BrittlePools, divide_slots
 from plantainwood.core.catalogue import (
     Catalogue,
     Customer,
@@ -76,6 +77,8 @@
         "quarantine",
         "part_quarantine",
         "upstream_limits",
+        "brittle_pools",
+        "nodes",
         "stream_versions",
         "hints",
         "limits",
@@ -108,6 +111,9 @@
             max(options.max_crashes, MIN_CRASHES_OF_PART)
         )
         self.upstream_limits = UpstreamLimits(node)
+        self.brittle_pools = BrittlePools()
+        self.nodes = [node]
+        """The live nodes, this one included, sorted."""
         self.stream_versions = StreamVersions()
         self.hints = PrefixHints()
         self.limits: dict[str, CustomerLimit] = {}
@@ -278,6 +284,20 @@
         if load is not None:
             load.rate = self.upstream_limits.find_rate(upstream)
 
+    def update_rooms(self, now_ms: int) -> None:
+        """Apply which pools are brittle to what this node may send their upstreams."""
+        for pool in self.pools.values():
+            rooms: dict[str, int] = {}
+            if self.brittle_pools.is_brittle(pool.name, now_ms):
+                slots = {
+                    load.name: load.entry.slots
+                    for load in pool.group
+                    if not load.leaving
+                }
+                rooms = divide_slots(self.node, self.nodes, slots)
+            for load in pool.group:
+                load.room = rooms.get(load.name)
+
     def is_blocked(self, fingerprint: str, parts: tuple[str, ...], now_ms: int) -> bool:
         """Tell whether a request is refused for the crashes under it or its parts."""
         if self.quarantine.is_blocked(fingerprint, now_ms):
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -108,6 +108,20 @@
     report: LimitReport
 
 
+class BrittlenessNamed(msgspec.Struct, frozen=True):
+    """An answer said whether its upstream crashes when it turns many requests away."""
+
+    upstream: str
+    is_brittle: bool
+
+
+class BrittlenessReported(msgspec.Struct, frozen=True):
+    """Another node got an answer that named its pool brittle, some time ago."""
+
+    pool: str
+    age_ms: int
+
+
 class PauseNamed(msgspec.Struct, frozen=True):
     """An upstream wants no requests from this node for some time."""
 
@@ -172,6 +186,8 @@
     | LoadReported
     | LimitNamed
     | LimitReported
+    | BrittlenessNamed
+    | BrittlenessReported
     | PauseNamed
     | UpstreamLeaving
     | CrashMarkReceived
--- a/plantainwood/core/fleetmessages.py
+++ b/plantainwood/core/fleetmessages.py
@@ -46,6 +46,9 @@
     VMs can't serve; 0 if it takes none."""
     path_lost: bool = False
     """Whether the sender reaches no upstreams."""
+    brittle_pools: dict[str, int] = {}
+    """Pools whose upstreams crash when they reject many requests, with the age in ms of
+    the newest answer that said so."""
 
 
 class StoreUpdate(msgspec.Struct, tag=31, array_like=True, frozen=True):
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -29,6 +29,7 @@
         "unwilling_until_ms",
         "max_own_in_flight",
         "rate",
+        "room",
         "_reported",
         "_reported_ms",
         "_own_by_tier",
@@ -54,6 +55,8 @@
         """How many attempts of this node may run at once; 0: no bound."""
         self.rate: NodeRate | None = None
         """This node's part of the request rate that the upstream named, if any."""
+        self.room: int | None = None
+        """This node's part of the slots while the pool is brittle; None otherwise."""
         self._reported: list[int] | None = None
         self._reported_ms = 0
         self._own_by_tier = [0] * TIERS
@@ -105,6 +108,10 @@
             and self.count_own_in_flight() >= self.max_own_in_flight
         )
 
+    def has_no_room(self) -> bool:
+        """Tell whether this node uses its whole part of a brittle upstream's slots."""
+        return self.room is not None and self.count_own_in_flight() >= self.room
+
     def count_free_slots(self, tier: int, now_ms: int) -> int:
         """Return the slots that a request of a tier may use; below 0 if overbooked."""
         return self.entry.slots - self.estimate_in_flight(tier, now_ms)
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -17,6 +17,8 @@
 from plantainwood.core.servingvms import is_serving_vm
 
 CRASH_PAUSE_MS = 2_000
+BRITTLE_PAUSE_MS = 1_000
+"""How long a brittle upstream that rejected a request gets none from this node."""
 
 
 def handle_started(
@@ -102,7 +104,10 @@
     if event.proved_not_run:
         request.attempts_made -= 1
         request.attempts_not_run += 1
-        load.paused_until_ms = now_ms + event.pause_ms
+        pause_ms = event.pause_ms
+        if load.room is not None and event.reached:
+            pause_ms = max(pause_ms, BRITTLE_PAUSE_MS)
+        load.paused_until_ms = now_ms + pause_ms
     state.detach_attempt(request, now_ms, decisions)
     error = _find_retry_error(state, request, load, event, now_ms)
     if error is not None:
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -61,11 +61,11 @@
     """Tell whether an upstream may take a request at all.
 
     A leaving, paused or unwilling upstream takes none, nor does one on which this node
-    uses its full share of connections or its part of the rate that the upstream named,
-    nor one of another version than began the request's stream. A retry never goes to
-    the upstream or the failure domain that just failed it.
+    uses its full share of connections, its part of a brittle upstream's slots or of the
+    rate that it named, nor one of another version than began the request's stream. A
+    retry never goes to the upstream or the failure domain that just failed it.
     """
-    if load.leaving or load.is_at_connection_limit():
+    if load.leaving or load.is_at_connection_limit() or load.has_no_room():
         return False
     if now_ms < max(load.paused_until_ms, load.unwilling_until_ms):
         return False
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -190,6 +190,7 @@
                 int(addresses.calls.rpartition(":")[2]) if addresses.calls else 0
             ),
             path_lost=state.path_lost,
+            brittle_pools=state.brittle_pools.list_reports(now_ms),
         )
 
     def find_weights(self) -> dict[str, int]:
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -32,7 +32,12 @@
 from plantainwood.edge import Edge
 from plantainwood.logs import log_event
 from plantainwood.messenger import Messenger, make_messenger
-from plantainwood.notices import apply_limit_reports, apply_notice, list_notices
+from plantainwood.notices import (
+    apply_brittleness_reports,
+    apply_limit_reports,
+    apply_notice,
+    list_notices,
+)
 from plantainwood.reader import MirrorPublisher
 from plantainwood.relaying import HeartbeatRelay
 
@@ -267,6 +272,7 @@
             heartbeat.sender, heartbeat.pending_tokens, heartbeat.sent_parts, now_ms
         )
         apply_limit_reports(edge, heartbeat, age_ms)
+        apply_brittleness_reports(edge, heartbeat, age_ms)
         edge.broker.dispatcher.state.stream_versions.record_remote(
             heartbeat.begun_streams, now_ms
         )
--- a/plantainwood/notices.py
+++ b/plantainwood/notices.py
@@ -68,6 +68,12 @@
     return notices
 
 
+def apply_brittleness_reports(edge: Edge, heartbeat: VmHeartbeat, age_ms: int) -> None:
+    """Record which pools an answer to another VM named brittle."""
+    for pool, said_age_ms in heartbeat.brittle_pools.items():
+        edge.broker.feed(ev.BrittlenessReported(pool, said_age_ms + age_ms))
+
+
 def apply_limit_reports(edge: Edge, heartbeat: VmHeartbeat, age_ms: int) -> None:
     """Record the request rates that upstreams named to another VM; log changes."""
     limits = edge.broker.dispatcher.state.upstream_limits
--- a/plantainwood/upstreamreports.py
+++ b/plantainwood/upstreamreports.py
@@ -29,6 +29,7 @@
             return result
         self._record_load(upstream, response)
         self._record_limit(upstream, request_id, response)
+        self._record_brittleness(upstream, request_id, response)
         self._record_leaving(upstream, request_id, response)
         self._record_pause(upstream, request_id, response)
         return result
@@ -43,6 +44,7 @@
         if upstream not in self._broker.dispatcher.state.loads:
             return
         self._record_limit(upstream, request_id, response)
+        self._record_brittleness(upstream, request_id, response)
         self._record_leaving(upstream, request_id, response)
 
     def _record_load(self, upstream: str, response: ResponseHead) -> None:
@@ -70,6 +72,24 @@
                 before=before,
             )
 
+    def _record_brittleness(
+        self, upstream: str, request_id: str, response: ResponseHead
+    ) -> None:
+        """Record whether an answer says that its upstream is brittle; log a change."""
+        rejections_per_s = self._codec.read_brittleness(response)
+        load = self._broker.dispatcher.state.loads.get(upstream)
+        before = load.room if load is not None else None
+        is_brittle = rejections_per_s is not None
+        self._broker.feed(ev.BrittlenessNamed(upstream, is_brittle))
+        if load is not None and load.room != before:
+            log_event(
+                "upstreams_brittle",
+                upstream=upstream,
+                request=request_id,
+                rejections_per_s=rejections_per_s,
+                room=load.room,
+            )
+
     def _record_leaving(
         self, upstream: str, request_id: str, response: ResponseHead
     ) -> None:
