--- a/plantainwood/connections.py
+++ b/plantainwood/connections.py
@@ -55,6 +55,8 @@
         self.request_written = False
         """Whether a byte of the current request was written."""
         self.request_count = 0
+        self.timed_out = False
+        """Whether the connection was lost because sent bytes were not acknowledged."""
         self._clock = clock
         self._transport: asyncio.Transport
         self._parser = httptools.HttpResponseParser(self)
@@ -112,6 +114,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Record why the connection was lost; a partial response stays incomplete."""
         self.usable = False
+        self.timed_out = isinstance(error, TimeoutError)
         if self._lost_reason is None:
             self._lost_reason = (
                 repr(error) if error is not None else "closed by the upstream"
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -361,19 +361,22 @@
                 await self.forwarder.path_prober.has_path(connection.address)
             raise AttemptError(reason, False, proved_not_run=False) from error
         except AttemptError as error:
-            error.crashed = await self._has_crashed(connection.address)
+            error.crashed = await self._has_crashed(connection)
             raise
 
-    async def _has_crashed(self, address: str) -> bool:
+    async def _has_crashed(self, connection: Connection) -> bool:
         """Return whether an upstream that broke its connection has crashed.
 
-        If no other upstream can be reached either, this node's path is at fault.
+        If no other upstream can be reached either, this node's path is at fault. Of one
+        that fell silent it is not known.
         """
         if self._via_vm:
             return False
         forwarder = self.forwarder
+        address = connection.address
         refused = await forwarder.connection_pool.probe_refused(address)
-        return refused and await forwarder.path_prober.has_path(address)
+        has_path = not refused or await forwarder.path_prober.has_path(address)
+        return refused and has_path and not connection.timed_out
 
     async def _relay(
         self, connection: Connection, response: ResponseHead, dispatch: ev.Dispatch
