--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -65,7 +65,9 @@
     rate that it named, nor one of another version than began the request's stream. A
     retry never goes to the upstream or the failure domain that just failed it.
     """
-    if load.leaving or load.is_at_connection_limit() or load.has_no_room():
+    if load.leaving or load.is_at_connection_limit():
+        return False
+    if load.has_no_room():
         return False
     if now_ms < max(load.paused_until_ms, load.unwilling_until_ms):
         return False
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -283,9 +283,8 @@
         """Apply at once that a VM has lost its path to the upstreams, or is back."""
         serving_vms = self.edge.broker.dispatcher.state.serving_vms
         known = serving_vms.get(make_load_name(heartbeat.sender))
-        if known is not None and known.path_lost == heartbeat.path_lost:
-            return
-        self._update_serving_vms(now_ms)
+        if known is not None and known.path_lost != heartbeat.path_lost:
+            self._update_serving_vms(now_ms)
 
     def _request_mirror(self, name: str) -> None:
         """Request a VM's whole mirror, at most once in MIRROR_REQUEST_PAUSE_MS."""
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -3,8 +3,6 @@
 import asyncio
 from typing import Awaitable, TypeVar
 
-import msgspec
-
 from plantainwood.attempts import AttemptRunner
 from plantainwood.broker import ActiveRequest, RequestBroker
 from plantainwood.calls import (
@@ -41,9 +39,9 @@
 from plantainwood.spans import Spans
 from plantainwood.upstreamreports import ReportRecorder
 from plantainwood.vmcalls import (
-    TRY_ANOTHER_VM,
-    decode_refusal,
     encode_call,
+    read_refusal,
+    resume_call,
     take_served_upstream,
 )
 
@@ -61,7 +59,6 @@
 """How many parts of a prompt a log line names at most."""
 VM_STALL_FACTOR = 2
 """How much longer the answer of another VM may take than that of an upstream."""
-MAX_REFUSAL_BYTES = 16_384
 
 Result = TypeVar("Result")
 
@@ -247,13 +244,7 @@
 
     def _encode_for_vm(self, dispatch: ev.Dispatch) -> bytes:
         """Return the request to another VM; a stream that has begun is resumed."""
-        call = self.call
-        if self.splitter.last_id:
-            call = msgspec.structs.replace(
-                call,
-                last_event_id=self.splitter.last_id,
-                resumes=call.resumes or call.request_id,
-            )
+        call = resume_call(self.call, self.splitter.last_id)
         state = self.broker.dispatcher.state
         request = state.find_running(dispatch.request_id, dispatch.attempt)
         made_before = request.attempts_made - 1 if request is not None else 0
@@ -280,7 +271,7 @@
         )
         upstream = take_served_upstream(response)
         if not upstream:
-            raise await self._read_refusal(connection)
+            raise await read_refusal(connection)
         self.summary.upstream = upstream
         self.sink.upstream = upstream
         self.forwarder.report_recorder.record_elsewhere(
@@ -288,22 +279,6 @@
         )
         return response
 
-    async def _read_refusal(self, connection: Connection) -> Exception:
-        body = bytearray()
-        while True:
-            chunk = await connection.read_chunk()
-            if not chunk or len(body) > MAX_REFUSAL_BYTES:
-                break
-            body += chunk
-        try:
-            error = decode_refusal(bytes(body))
-        except msgspec.DecodeError as decode_error:
-            return AttemptError(f"unreadable refusal: {decode_error}", False, False)
-        if error.outcome is Outcome.NOT_RUN and error.code in TRY_ANOTHER_VM:
-            reason = f"the other VM refused: {error.code.value}"
-            return make_unreached_error(reason)
-        return error
-
     async def _connect(self, address: str) -> Connection:
         """Return a connection; if none opens, find out whether the path is lost."""
         try:
@@ -361,23 +336,10 @@
                 await self.forwarder.path_prober.has_path(connection.address)
             raise AttemptError(reason, False, proved_not_run=False) from error
         except AttemptError as error:
-            error.crashed = await self._has_crashed(connection)
+            prober = self.forwarder.path_prober
+            error.crashed = not self._via_vm and await prober.has_crashed(connection)
             raise
 
-    async def _has_crashed(self, connection: Connection) -> bool:
-        """Return whether an upstream that broke its connection has crashed.
-
-        If no other upstream can be reached either, this node's path is at fault. Of one
-        that fell silent it is not known.
-        """
-        if self._via_vm:
-            return False
-        forwarder = self.forwarder
-        address = connection.address
-        refused = await forwarder.connection_pool.probe_refused(address)
-        has_path = not refused or await forwarder.path_prober.has_path(address)
-        return refused and has_path and not connection.timed_out
-
     async def _relay(
         self, connection: Connection, response: ResponseHead, dispatch: ev.Dispatch
     ) -> None:
--- a/plantainwood/pathprobe.py
+++ b/plantainwood/pathprobe.py
@@ -8,6 +8,7 @@
 
 from plantainwood.broker import RequestBroker
 from plantainwood.connectionpool import ConnectionPool
+from plantainwood.connections import Connection
 from plantainwood.core import events as ev
 from plantainwood.core.clock import Clock
 from plantainwood.core.loads import UpstreamLoad
@@ -54,6 +55,18 @@
             self._probe = asyncio.create_task(self._run_probe(failed_address))
         return await asyncio.shield(self._probe)
 
+    async def has_crashed(self, connection: Connection) -> bool:
+        """Return whether an upstream that broke a connection has crashed.
+
+        If no other upstream can be reached either, this node's path is at fault. Of one
+        that fell silent it is not known.
+        """
+        address = connection.address
+        if not await self._connection_pool.probe_refused(address):
+            return False
+        has_path = await self.has_path(address)
+        return has_path and not connection.timed_out
+
     async def probe_again(self) -> bool:
         """Return whether one upstream, drawn at random, accepts a connection."""
         witnesses = self._choose_witnesses("")
--- a/plantainwood/vmcalls.py
+++ b/plantainwood/vmcalls.py
@@ -7,13 +7,15 @@
 import msgspec
 
 from plantainwood.calls import Call
-from plantainwood.connections import ResponseHead
+from plantainwood.connections import Connection, ResponseHead
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.frames import FrameError, seal, unseal
+from plantainwood.engines import AttemptError, make_unreached_error
 
 CALLS_PATH = "/calls"
 SERVED_UPSTREAM = b"served-upstream"
 """The header that names the upstream; a refusal has none."""
+MAX_REFUSAL_BYTES = 16_384
 HOP_MARGIN_MS = 20
 """How long before the sender's deadline the other VM's answer is due."""
 TRY_ANOTHER_VM = (
@@ -44,6 +46,7 @@
 
 
 _encoder = msgspec.msgpack.Encoder()
+_refusal_decoder = msgspec.json.Decoder(Refusal)
 _call_decoder = msgspec.msgpack.Decoder(SentCall)
 
 
@@ -85,6 +88,18 @@
     return call
 
 
+def resume_call(call: Call, last_event_id: str) -> Call:
+    """Return the call that continues a stream after an event; itself before the first.
+
+    The other VM then sends it only to the software version that began the stream.
+    """
+    if not last_event_id:
+        return call
+    return msgspec.structs.replace(
+        call, last_event_id=last_event_id, resumes=call.resumes or call.request_id
+    )
+
+
 def encode_refusal(error: RequestError) -> bytes:
     """Return the body of a refusal."""
     return msgspec.json.encode(
@@ -92,9 +107,24 @@
     )
 
 
-def decode_refusal(body: bytes) -> RequestError:
-    """Return the error that a refusal tells of; raise msgspec.DecodeError."""
-    refusal = msgspec.json.decode(body, type=Refusal)
+async def read_refusal(connection: Connection) -> AttemptError | RequestError:
+    """Return the error that a refusal tells of.
+
+    It is an AttemptError if another VM may serve the call. Raise AttemptError if the
+    connection is lost.
+    """
+    body = bytearray()
+    while len(body) <= MAX_REFUSAL_BYTES:
+        chunk = await connection.read_chunk()
+        if not chunk:
+            break
+        body += chunk
+    try:
+        refusal = _refusal_decoder.decode(bytes(body))
+    except msgspec.DecodeError as error:
+        return AttemptError(f"unreadable refusal: {error}", False, False)
+    if refusal.outcome is Outcome.NOT_RUN and refusal.code in TRY_ANOTHER_VM:
+        return make_unreached_error(f"the other VM refused: {refusal.code.value}")
     return RequestError(
         refusal.code, refusal.message, refusal.outcome, refusal.retry_after_ms
     )
--- a/tests/test_serving_vms.py
+++ b/tests/test_serving_vms.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from bridge.vmcalls import VmCallServer
 from plantainwood.core import events as ev
 from plantainwood.core.addresses import Candidate, choose_addresses
 from plantainwood.core.catalogue import ServingVm, UpstreamKind
@@ -12,7 +13,7 @@
 from plantainwood.core.retries import RetryBudget
 from plantainwood.core.servingvms import VM_PREFIX
 from tests.catalogues import make_catalogue
-from tests.edgesite import answer_request_line, answer_stream
+from tests.edgesite import STREAM, answer_request_line, answer_stream
 from tests.fleetsite import LostPath, run_fleet
 
 ARRIVAL = ev.Arrival("r1", "norte", "hint", "model/rounds")
@@ -229,3 +230,66 @@
     """Return how many requests a node has counted as started."""
     counter = daemon.edge.start_counter
     return sum(sum(record.counts.values()) for record in counter.list_records())
+
+
+async def answer_until_cut(request, writer) -> None:
+    """Answer a stream slowly, event by event."""
+    last_id = int(request.headers.get(b"last-event-id", b"0"))
+    events = [event + b"\n\n" for event in STREAM.split(b"\n\n") if event][last_id:]
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nRequest-Id: " + request.request_id + b"\r\n"
+        b"Response-Seal: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    for event in events:
+        writer.write(b"%x\r\n%s\r\n" % (len(event), event))
+        await writer.drain()
+        await asyncio.sleep(0.1)
+    writer.write(b"0\r\n\r\n")
+
+
+# Guards against streams that end with the path of the VM that brings them (LOST).
+@pytest.mark.parametrize("how", [LostPath.RESET, LostPath.HANG], ids=lambda h: h.value)
+def test_a_stream_goes_on_through_another_vm_without_a_gap(how):
+    async def scenario(site):
+        call = asyncio.create_task(site.call(0, "POST", "/s/x", b"prompt"))
+        await site.wait_until(lambda: site.count_received()[b"id-1"] == 1)
+        await asyncio.sleep(0.25)
+        site.lose_path(0, how)
+        status, _, body = await call
+        assert (status, body) == (200, STREAM)
+        assert site.count_received()[b"id-1"] == 2
+
+    run_fleet(scenario, answer_until_cut)
+
+
+# Guards against a second run of a call when the VM that serves it dies (TWICE).
+def test_a_call_whose_serving_vm_dies_is_sent_again_only_if_it_may_run_twice():
+    async def scenario(site):
+        site.lose_path(0, LostPath.RESET)
+        assert (await site.call(0, "GET", "/r/x", Request_Id="first"))[0] == 200
+        calls = {
+            name: asyncio.create_task(site.call(0, method, path, b"x", Request_Id=name))
+            for name, method, path in (
+                ("booking", "POST", "/u/x"),
+                ("reading", "POST", "/r/x"),
+            )
+        }
+        await site.wait_until(
+            lambda: site.count_received().keys() >= {b"booking", b"reading"}
+        )
+        for daemon in site.daemons[1:]:
+            await cut_calls(daemon)
+        assert (await calls["booking"])[0] == 502
+        assert site.count_received()[b"booking"] == 1
+        assert (await calls["reading"])[0] == 200
+        assert site.count_received()[b"reading"] == 2
+
+    run_fleet(scenario, answer_slowly)
+
+
+async def cut_calls(daemon) -> None:
+    """Break the connections on which other VMs' calls come, as a crash does."""
+    for service in daemon._services:
+        if isinstance(service, VmCallServer) and service._server is not None:
+            for handler in list(service._server.connections):
+                handler.transport.abort()
