Divide the slots of brittle upstreams anew only when nodes or upstreams change

The division was made on every tick, which costs a node of a large fleet too much processor time while a pool is brittle (74 nodes by 16 upstreams, 40 times a second).

--- a/plantainwood/core/brittleness.py
+++ b/plantainwood/core/brittleness.py
@@ -53,6 +53,27 @@
         return found
 
 
+class SlotDivision:
+    """The newest division of one pool's slots, made anew only if its inputs change."""
+
+    __slots__ = ("_nodes", "_slots", "_rooms")
+
+    def __init__(self) -> None:
+        self._nodes: list[str] = []
+        self._slots: dict[str, int] = {}
+        self._rooms: dict[str, int] = {}
+
+    def update(
+        self, node: str, nodes: list[str], slots_by_upstream: dict[str, int]
+    ) -> dict[str, int]:
+        """Return how many attempts the node may run on each upstream now."""
+        if nodes != self._nodes or slots_by_upstream != self._slots:
+            self._nodes = nodes
+            self._slots = slots_by_upstream
+            self._rooms = divide_slots(node, nodes, slots_by_upstream)
+        return self._rooms
+
+
 def divide_slots(
     node: str, nodes: list[str], slots_by_upstream: dict[str, int]
 ) -> dict[str, int]:
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -8,7 +8,7 @@
 
 from plantainwood.core import events as ev
 from plantainwood.core.affinity import PrefixHints
-from plantainwood.core.brittleness import BrittlePools, divide_slots
+from plantainwood.core.brittleness import BrittlePools, SlotDivision
 from plantainwood.core.catalogue import (
     Catalogue,
     Customer,
@@ -78,6 +78,7 @@
         "part_quarantine",
         "upstream_limits",
         "brittle_pools",
+        "slot_divisions",
         "nodes",
         "stream_versions",
         "hints",
@@ -112,6 +113,8 @@
         )
         self.upstream_limits = UpstreamLimits(node)
         self.brittle_pools = BrittlePools()
+        self.slot_divisions: dict[str, SlotDivision] = {}
+        """By pool, for those that were brittle."""
         self.nodes = [node]
         """The live nodes, this one included, sorted."""
         self.stream_versions = StreamVersions()
@@ -294,7 +297,8 @@
                     for load in pool.group
                     if not load.leaving
                 }
-                rooms = divide_slots(self.node, self.nodes, slots)
+                division = self.slot_divisions.setdefault(pool.name, SlotDivision())
+                rooms = division.update(self.node, self.nodes, slots)
             for load in pool.group:
                 load.room = rooms.get(load.name)
 
