Try another VM if the one that should serve a call does not know its class yet (DENIED)

Found by reading the diff: a VM with an older configuration refused a call from another VM with 403, which went to the caller as final. Not run, it now goes on to another VM, and else back as 503 with a time to come back. test_a_call_that_a_vm_with_an_older_configuration_refuses_may_come_back: 403 before, 503 now.

--- a/plantainwood/vmcalls.py
+++ b/plantainwood/vmcalls.py
@@ -23,8 +23,12 @@
     ErrorCode.DRAINING,
     ErrorCode.CATALOGUE_MISSING,
     ErrorCode.NO_UPSTREAM,
+    ErrorCode.FORBIDDEN_CLASS,
 )
-"""The refusals, if not run, after which another VM may serve the call."""
+"""The refusals, if not run, after which another VM may serve the call.
+
+A VM that doesn't know the call's class or customer has an older configuration.
+"""
 
 
 class SentCall(msgspec.Struct, frozen=True):
--- a/tests/test_serving_vms.py
+++ b/tests/test_serving_vms.py
@@ -293,3 +293,18 @@
         if isinstance(service, VmCallServer) and service._server is not None:
             for handler in list(service._server.connections):
                 handler.transport.abort()
+
+
+# Guards against a 403 for a call whose serving VM has an older configuration (DENIED).
+def test_a_call_that_a_vm_with_an_older_configuration_refuses_may_come_back():
+    async def scenario(site):
+        site.lose_path(0, LostPath.RESET)
+        assert (await site.call(0, "GET", "/r/x"))[0] == 200
+        for daemon in site.daemons[1:]:
+            daemon.edge.broker.dispatcher.state.catalogue.classes.clear()
+        status, headers, _ = await site.call(0, "GET", "/r/x", Request_Id="later")
+        assert status == 503
+        assert headers["Retry-After"]
+        assert site.count_received()[b"later"] == 0
+
+    run_fleet(scenario, answer_request_line)
