--- a/tests/test_lost_paths.py
+++ b/tests/test_lost_paths.py
@@ -52,20 +52,22 @@
 
 # Guards against VMs without a path to the upstreams that fail their callers (RECOVER).
 @pytest.mark.parametrize("how", WAYS, ids=lambda how: how.value)
-@pytest.mark.parametrize("lost", [1, 2], ids=["one", "most"])
+@pytest.mark.parametrize(
+    "lost", [[0], [0, 1], [0, 2]], ids=["one", "most", "failure-domain"]
+)
 def test_callers_of_a_vm_without_a_path_are_served(how, lost):
     async def scenario(site):
         await use_all(site)
-        for vm in range(lost):
+        for vm in lost:
             site.lose_path(vm, how)
         calls = [
             site.call(vm, "GET", "/r/x", Request_Id=f"first-{vm}-{number}")
-            for vm in range(lost)
+            for vm in lost
             for number in range(4)
         ]
         await asyncio.gather(*calls)
         await asyncio.sleep(KNOWN_AFTER_S)
-        for vm in range(lost):
+        for vm in lost:
             served = await count_served(site, vm, f"late-{vm}")
             assert served >= LEAST_SERVED_SHARE * REQUESTS
         assert max(site.count_received().values()) == 1
--- a/tests/test_silent_upstreams.py
+++ b/tests/test_silent_upstreams.py
@@ -8,6 +8,8 @@
 from plantainwood.core.clock import make_clock
 from tests.edgesite import answer_request_line, run
 
+SILENCE_S = 1.2
+
 
 # Guards against marks of requests that ran on an upstream which fell silent (LOST).
 def test_a_connection_that_timed_out_is_no_crash():
@@ -58,3 +60,20 @@
         connection.close()
 
     run(scenario, script=answer_request_line)
+
+
+# Guards against a second run of a call whose upstream is silent for a while (TWICE).
+def test_a_call_on_an_upstream_that_is_silent_for_a_second_is_served_once():
+    async def pause(request, writer) -> None:
+        await asyncio.sleep(SILENCE_S)
+        await answer_request_line(request, writer)
+
+    async def scenario(site):
+        status, _, _ = await site.call("POST", "/u/x", b"booking")
+        assert status == 200
+        assert sum(len(runner.received) for runner in site.runners) == 1
+        state = site.daemon.edge.broker.dispatcher.state
+        assert state.quarantine.list_marks(site.daemon.edge.clock.now_ms()) == []
+        assert not state.path_lost
+
+    run(scenario, script=pause, runners=2)
