--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -9,7 +9,7 @@
 from plantainwood.core.catalogue import DiscoveredUpstream
 from plantainwood.core.events import Arrival
 from plantainwood.core.prompts import Prompt
-from plantainwood.core.routes import RetrySafety, Route
+from plantainwood.core.routes import RetrySafety, Route, make_service_pool
 
 
 class Call(msgspec.Struct):
@@ -49,7 +49,7 @@
         request_id=call.local_id,
         customer=call.customer,
         class_name=call.route.name,
-        pool=f"service/{call.service}",
+        pool=make_service_pool(call.service),
         fingerprint=call.fingerprint,
         repeatable=call.route.repeatable,
         prompt=call.prompt,
--- a/plantainwood/core/confirmation.py
+++ b/plantainwood/core/confirmation.py
@@ -4,6 +4,11 @@
 QUORUM_PERCENT = 50
 
 
+def hears_quorum(heard: int, known: int) -> bool:
+    """Return whether a node hears most of the other nodes that it knows."""
+    return known == 0 or heard * 100 > known * QUORUM_PERCENT
+
+
 class Confirmation:
     """Decide whether a node may still serve requests with its catalogue.
 
@@ -54,6 +59,4 @@
         age_ms = self.compute_age_ms(now_ms)
         if 0 <= age_ms <= MAX_CONFIRM_AGE_MS:
             return True
-        if known == 0:
-            return True
-        return heard * 100 > known * QUORUM_PERCENT
+        return hears_quorum(heard, known)
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -21,6 +21,7 @@
     handle_started,
     handle_tokens,
 )
+from plantainwood.core.routes import make_service_pool
 from plantainwood.core.scheduling import (
     dispatch_waiting,
     handle_reservation_answer,
@@ -116,7 +117,7 @@
     load = state.loads.get(event.upstream)
     if load is None or not load.entry.service:
         return
-    pool = f"service/{load.entry.service}"
+    pool = make_service_pool(load.entry.service)
     was_brittle = state.brittle_pools.is_brittle(pool, now_ms)
     state.brittle_pools.record_answer(pool, event.is_brittle, now_ms)
     if state.brittle_pools.is_brittle(pool, now_ms) != was_brittle:
--- a/plantainwood/core/routes.py
+++ b/plantainwood/core/routes.py
@@ -8,6 +8,13 @@
 from plantainwood.core.hashing import compute_rank
 from plantainwood.core.loads import TIERS
 
+SERVICE_POOL_PREFIX = "service/"
+
+
+def make_service_pool(service: str) -> str:
+    """Return the name of the pool that serves a service's requests."""
+    return SERVICE_POOL_PREFIX + service
+
 
 class RetrySafety(Enum):
     """Whether a request may be sent again after an attempt that may have run."""
--- a/plantainwood/core/streamversions.py
+++ b/plantainwood/core/streamversions.py
@@ -2,7 +2,8 @@
 
 What two versions write does not fit together, so a stream goes on only at the version
 that began it, also if its caller takes it up at another VM. VMs tell each other of the
-streams that they began, but only while a pool has had more than one version lately.
+streams that they began, but only while a pool has had more than one version lately. The
+store records these versions, for VMs that start after all others were lost.
 """
 
 from collections import OrderedDict
@@ -52,9 +53,11 @@
     A stream is named by the id of the caller's request that brought its first event.
     """
 
-    __slots__ = ("_streams", "_untold", "_pools")
+    __slots__ = ("is_registry_current", "_streams", "_untold", "_pools")
 
     def __init__(self) -> None:
+        self.is_registry_current = True
+        """Whether all versions that serve are known; not so on a VM that is cut off."""
         self._streams: OrderedDict[str, BegunStream] = OrderedDict()
         self._untold: OrderedDict[str, BegunStream] = OrderedDict()
         """Streams that this VM began and has told no other VM of."""
@@ -70,6 +73,21 @@
                 known.left_ms[version] = now_ms
             known.current = current
 
+    def add_recorded(self, pool: str, versions: set[str], now_ms: int) -> None:
+        """Add the versions that the store records for a pool.
+
+        One that is not registered counts as having left now, unless it is known since
+        when it has been gone.
+        """
+        known = self._pools.setdefault(pool, PoolVersions())
+        for version in versions - known.current:
+            known.left_ms.setdefault(version, now_ms)
+
+    def list_recent(self, pool: str, now_ms: int) -> set[str]:
+        """Return the versions of a pool whose streams may still be taken up."""
+        known = self._pools.get(pool)
+        return known.list_recent(now_ms) if known is not None else set()
+
     def record_start(self, stream: str, pool: str, version: str, now_ms: int) -> None:
         """Record a stream whose first event came from an upstream of a version."""
         begun = BegunStream(version, pool, now_ms)
@@ -94,20 +112,17 @@
         """Return the version that began a stream; None if nothing tells which.
 
         An unknown stream is of the only version that the pool has had lately, or of
-        any (empty) if upstreams don't register their versions.
+        any (empty) if upstreams don't register their versions. Nothing tells this on a
+        VM whose registry is not current.
         """
         begun = self._streams.get(stream)
         if begun is not None and now_ms - begun.began_ms < STREAM_LIFETIME_MS:
             return begun.version
-        recent = self._list_recent_versions(pool, now_ms)
-        if len(recent) > 1:
+        recent = self.list_recent(pool, now_ms)
+        if len(recent) > 1 or (recent and not self.is_registry_current):
             return None
         return next(iter(recent), "")
 
-    def _list_recent_versions(self, pool: str, now_ms: int) -> set[str]:
-        known = self._pools.get(pool)
-        return known.list_recent(now_ms) if known is not None else set()
-
     def _list_mixed_pools(self, now_ms: int) -> set[str]:
         found: set[str] = set()
         for pool, known in self._pools.items():
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -16,6 +16,7 @@
 from plantainwood.core import events as ev
 from plantainwood.core.catalogue import Catalogue
 from plantainwood.core.clock import Clock, make_clock, make_incarnation
+from plantainwood.core.confirmation import MAX_CONFIRM_AGE_MS, hears_quorum
 from plantainwood.core.dispatcher import Dispatcher
 from plantainwood.core.dispatcherstate import Options
 from plantainwood.core.fleetmessages import (
@@ -31,7 +32,12 @@
 from plantainwood.core.promptrouter import PromptRouter, make_prompt_router
 from plantainwood.core.reports import FrozenReports
 from plantainwood.core.retries import SharedRetryBudget
-from plantainwood.core.routes import RouteTable
+from plantainwood.core.routes import (
+    SERVICE_POOL_PREFIX,
+    RetrySafety,
+    RouteTable,
+    make_service_pool,
+)
 from plantainwood.core.sizing import DemandPeak, EngineCounts, Scaling
 from plantainwood.core.vms import AgreedTime, VmTable
 from plantainwood.core.windows import StartCounter, WindowTotals
@@ -77,6 +83,16 @@
         """By service, then by failure domain."""
         self.limits = CallerLimits()
 
+    def list_stream_pools(self) -> list[str]:
+        """Return the pools that resumable streams are routed to, sorted."""
+        found: set[str] = set()
+        for route in self.routes.list_routes() if self.routes is not None else ():
+            if route.retry_safety is not RetrySafety.STREAM or not route.resumable:
+                continue
+            for weighted_service in route.weighted_services:
+                found.add(make_service_pool(weighted_service.service))
+        return sorted(found)
+
 
 class Edge:
     """Hold the state that the services of an edge node share."""
@@ -167,7 +183,7 @@
         state = self.broker.dispatcher.state
         self._heartbeat_sequence += 1
         sent, self.router.sent_tokens = self.router.sent_tokens, {}
-        demand = {pool.removeprefix("service/"): sent[pool] for pool in sent}
+        demand = {pool.removeprefix(SERVICE_POOL_PREFIX): sent[pool] for pool in sent}
         self.record_demand(demand)
         return VmHeartbeat(
             sender=self.settings.node,
@@ -200,6 +216,19 @@
             weights[heartbeat.sender] = heartbeat.weight
         return weights
 
+    def is_registry_current(self) -> bool:
+        """Return whether no change of the registry can have passed this node by.
+
+        Its mirror is recent, or most other VMs are heard: then the store is down for
+        all of them, and nothing registers.
+        """
+        now_ms = self.clock.now_ms()
+        age_ms = self.mirror.compute_age_ms(now_ms)
+        if age_ms is not None and age_ms <= MAX_CONFIRM_AGE_MS:
+            return True
+        known = len(self.vms.list_addresses())
+        return hears_quorum(len(self.vms.list_live(now_ms)), known)
+
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this node."""
         return self.state is NodeState.LIVE and self.view.routes is not None
@@ -215,7 +244,7 @@
         first_token_targets_ms: dict[str, int] = {}
         for route in view.routes.list_routes() if view.routes else ():
             for weighted_service in route.weighted_services:
-                pool = f"service/{weighted_service.service}"
+                pool = make_service_pool(weighted_service.service)
                 gap_targets_ms.setdefault(pool, set()).add(route.gap_target_ms)
                 target_ms = route.first_byte_target_ms or route.timeout_ms
                 first_token_targets_ms[pool] = min(
@@ -267,7 +296,7 @@
     found: dict[str, set[str]] = {}
     for entry in catalogue.upstreams.values():
         if entry.software_version:
-            pool = f"service/{entry.service}"
+            pool = make_service_pool(entry.service)
             found.setdefault(pool, set()).add(entry.software_version)
     return found
 
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -159,6 +159,8 @@
         self._update_live_names({heartbeat.sender for heartbeat in live})
         edge.agreed_time.correct_offset({heartbeat.sender for heartbeat in live})
         edge.retry_budget.set_nodes(len(live) + 1)
+        stream_versions = edge.broker.dispatcher.state.stream_versions
+        stream_versions.is_registry_current = edge.is_registry_current()
         edge.broker.dispatcher.set_nodes(
             {heartbeat.sender for heartbeat in live}, now_ms
         )
--- a/plantainwood/pipeline/classify.py
+++ b/plantainwood/pipeline/classify.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from plantainwood.core.errors import ErrorCode, RequestError
+from plantainwood.core.routes import make_service_pool
 from plantainwood.pipeline.exchange import ApiKind, Exchange, Filter, Proceed
 
 CLASS_HEADER = "Service-Class"
@@ -38,7 +39,7 @@
     service = exchange.node.catalogue.services.get(name)
     if service is None:
         raise RequestError(ErrorCode.UNKNOWN_SERVICE, f"no service {name!r}")
-    exchange.pool = f"service/{name}"
+    exchange.pool = make_service_pool(name)
     exchange.repeatable = service.repeatable
 
 
--- a/tests/edgesite.py
+++ b/tests/edgesite.py
@@ -112,6 +112,16 @@
         ) as response:
             return response.status, response.headers, await response.read()
 
+    async def lose_vm(self) -> None:
+        """End the node's services without a drain, as a loss of the VM does."""
+        await self.daemon.stop()
+
+    async def start_vm(self) -> None:
+        """Start a new process on the VM; it knows nothing of before."""
+        self.daemon = EdgeDaemon(self.daemon.settings)
+        await self.daemon.start()
+        await self.wait_until(self.daemon.edge.is_ready)
+
     async def wait_until(self, condition) -> None:
         """Poll a condition until it holds."""
         while not condition():
