--- /dev/null
+++ b/tests/test_start.py
@@ -0,0 +1,61 @@
+"""What a start on the hosting platform leaves out, since callers wait for it."""
+
+import asyncio
+import gc
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+
+from bridge import daemon
+from tests.samples import SETTINGS
+
+MAIN = Path(__file__).resolve().parent.parent / "platform" / "main.py"
+
+
+def run_after_imports(code: str) -> str:
+    """Return what code prints in a process that has imported the daemon's modules."""
+    program = f"import runpy; runpy.run_path({str(MAIN)!r}); {code}"
+    # The folder "platform" has to be on the path as it is for a script in it.
+    program = f"import sys; sys.path.insert(0, {str(MAIN.parent)!r}); " + program
+    result = subprocess.run(
+        [sys.executable, "-c", program], capture_output=True, text=True, check=True
+    )
+    return result.stdout.strip()
+
+
+class LeavingDaemon(daemon.EdgeDaemon):
+    """A daemon without services that is told to leave as soon as it has started."""
+
+    async def start(self) -> None:
+        """Send this process the signal to leave."""
+        os.kill(os.getpid(), signal.SIGTERM)
+
+    async def drain(self) -> None:
+        """Do nothing: there are no calls."""
+
+    async def stop(self) -> None:
+        """Do nothing: there are no services."""
+
+
+def test_a_start_loads_no_certificates():
+    code = (
+        "from aiohttp import connector; "
+        "print(connector._SSL_CONTEXT_VERIFIED.cert_store_stats()['x509_ca'])"
+    )
+    assert run_after_imports(code) == "0"
+
+
+def test_imports_run_without_garbage_collection():
+    assert run_after_imports("import gc; print(gc.isenabled())") == "False"
+
+
+def test_a_serving_daemon_collects_garbage(monkeypatch):
+    gc.disable()
+    monkeypatch.setattr(daemon, "EdgeDaemon", LeavingDaemon)
+    try:
+        asyncio.run(daemon.serve(SETTINGS, os.devnull))
+        assert gc.isenabled()
+    finally:
+        gc.enable()
