Let services go on after an unexpected error

Cause: an exception in a task ends its mode service, and the process lives on without it: a VM that sends no heartbeats, reads no store or dispatches nothing, but takes connections.

Change: guardedtask.py, a task that logs the error with its place and starts again; used by all services of both interfaces. The transport refuses an address that is none, logged once. The usage reporter keeps its place when its task starts again.

--- a/plantainwood/autoscaler.py
+++ b/plantainwood/autoscaler.py
@@ -18,6 +18,7 @@
 )
 from plantainwood.edge import Edge
 from plantainwood.edgesettings import Duty
+from plantainwood.guardedtask import guarded_task
 from plantainwood.logs import log_event
 
 SCALING_PAUSE_MS = 250
@@ -36,7 +37,7 @@
         self._scalers: dict[str, EngineScaler] = {}
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _run(self) -> None:
         edge = self.edge
         if Duty.SCALING not in edge.settings.duties.enabled:
--- a/plantainwood/duties.py
+++ b/plantainwood/duties.py
@@ -20,6 +20,7 @@
     StaticPlanner,
     UpstreamState,
 )
+from plantainwood.guardedtask import guarded_task
 from plantainwood.logs import log_event
 from plantainwood.node import BILLING_DUTY, ORDERS_DUTY, Node
 from plantainwood.poller import trim_trailing_zeros
@@ -59,7 +60,7 @@
         self.lease = lease
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _renew(self) -> None:
         interval_ms = self.node.settings.duties.lease_term_ms / 3
         held = False
@@ -99,7 +100,7 @@
         self._sent_ms: dict[tuple[Action, str], int] = {}
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _send_demand(self) -> None:
         node = self.node
         while not self.should_stop:
@@ -108,7 +109,7 @@
                 if name != node.settings.node:
                     self._send_message(name, make_demand(node))
 
-    @Service.task
+    @guarded_task
     async def _run(self) -> None:
         node = self.node
         if node.settings.duties.planner is PlannerKind.NONE:
@@ -210,7 +211,7 @@
         self._reported_windows: dict[str, int] = {}
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _run(self) -> None:
         duties = self.node.settings.duties
         pause_ms = min(5_000, duties.billing_window_ms / 4)
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -15,6 +15,7 @@
 from plantainwood.edge import FLEET_DUTY, Edge
 from plantainwood.edgesettings import Duty
 from plantainwood.fleet import FleetLinks
+from plantainwood.guardedtask import guarded_task
 from plantainwood.logs import log_event
 
 LEASE_CANDIDATES = 3
@@ -41,7 +42,7 @@
         self.edge = edge
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _maintain_lease(self) -> None:
         edge = self.edge
         held = False
@@ -99,7 +100,7 @@
         self._last_holder = ""
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _run(self) -> None:
         waited_ms = 0
         while not self.should_stop:
@@ -156,12 +157,13 @@
         self._last_processed_window = 0
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _run(self) -> None:
         edge = self.edge
         if Duty.USAGE not in edge.settings.duties.enabled:
             return
-        self._last_processed_window = self._compute_current_window() - 1
+        if not self._last_processed_window:
+            self._last_processed_window = self._compute_current_window() - 1
         while not self.should_stop:
             await asyncio.sleep(REPORT_PAUSE_MS / 1_000)
             if not edge.lease.is_held():
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -30,6 +30,7 @@
     compute_share,
 )
 from plantainwood.edge import Edge
+from plantainwood.guardedtask import guarded_task
 from plantainwood.logs import log_event
 from plantainwood.messenger import Messenger, make_messenger
 from plantainwood.notices import (
@@ -130,7 +131,7 @@
             return 0
         return self._messenger.send(addresses, message)
 
-    @Service.task
+    @guarded_task
     async def _run_heartbeats(self) -> None:
         urgent = False
         while not self.should_stop:
@@ -217,12 +218,12 @@
         for notice in list_notices(self.edge, name):
             self.send(name, notice)
 
-    @Service.task
+    @guarded_task
     async def _broadcast_notices(self) -> None:
         while not self.should_stop:
             self.broadcast(await self.edge.notices.get())
 
-    @Service.task
+    @guarded_task
     async def _receive(self) -> None:
         assert self._messenger is not None
         async for message in self._messenger.receive():
--- /dev/null
+++ b/plantainwood/guardedtask.py
@@ -0,0 +1,45 @@
+"""Tasks of services that go on after an unexpected error."""
+
+import asyncio
+import functools
+import logging
+import traceback
+from pathlib import Path
+from typing import Awaitable, Callable
+
+from mode import Service
+
+from plantainwood.logs import log_event
+
+RESTART_PAUSE_MS = 200
+
+
+def guarded_task(method: Callable[[Service], Awaitable[None]]):
+    """Make a task of a service that starts again after an unexpected error.
+
+    mode would end the service, and the process would live on without it.
+    """
+
+    @functools.wraps(method)
+    async def run(service: Service) -> None:
+        while not service.should_stop:
+            try:
+                await method(service)
+                return
+            except Exception as error:
+                log_event(
+                    "task_failed",
+                    logging.ERROR,
+                    task=f"{type(service).__name__}.{method.__name__}",
+                    error=repr(error),
+                    where=_find_place(error),
+                )
+            await asyncio.sleep(RESTART_PAUSE_MS / 1_000)
+
+    return Service.task(run)
+
+
+def _find_place(error: Exception) -> str:
+    """Return the file and the line that raised an error."""
+    frame = traceback.extract_tb(error.__traceback__)[-1]
+    return f"{Path(frame.filename).name}:{frame.lineno}"
--- a/plantainwood/links.py
+++ b/plantainwood/links.py
@@ -18,6 +18,7 @@
     UsageCopy,
     UsageStored,
 )
+from plantainwood.guardedtask import guarded_task
 from plantainwood.messenger import Messenger, make_messenger
 from plantainwood.node import Node
 from plantainwood.shares import apply_grant, grant_shares
@@ -69,7 +70,7 @@
         """Record the address of a node from the platform's list of VMs."""
         self._addresses[name] = address
 
-    @Service.task
+    @guarded_task
     async def _run_rounds(self) -> None:
         node = self.node
         round_s = node.settings.links.round_ms / 1_000
@@ -157,7 +158,7 @@
         data = msgspec.json.encode(document)
         self.send(partner, CatalogueUpdate(self.node.settings.node, data))
 
-    @Service.task
+    @guarded_task
     async def _receive(self) -> None:
         assert self._messenger is not None
         async for message in self._messenger.receive():
--- a/plantainwood/pathprobe.py
+++ b/plantainwood/pathprobe.py
@@ -13,6 +13,7 @@
 from plantainwood.core.clock import Clock
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.engines import AttemptError
+from plantainwood.guardedtask import guarded_task
 from plantainwood.logs import log_event
 
 PROBE_TIMEOUT_MS = 250
@@ -139,7 +140,7 @@
         self._found_in_a_row = 0
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _run(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(POLL_INTERVAL_MS / 1_000)
--- a/plantainwood/poller.py
+++ b/plantainwood/poller.py
@@ -10,6 +10,7 @@
 from plantainwood.core.hashing import hash_poller, rank_members
 from plantainwood.core.membership import select_serving_domains
 from plantainwood.core.messages import LeavingNotice, LoadNotice
+from plantainwood.guardedtask import guarded_task
 from plantainwood.node import Node
 
 POLL_INTERVAL_MS = 1_000
@@ -72,7 +73,7 @@
                 assigned.append(upstream)
         return assigned
 
-    @Service.task
+    @guarded_task
     async def _poll_upstreams(self) -> None:
         while not self.should_stop:
             assigned = self.pick_upstreams()
@@ -106,7 +107,7 @@
         notice = make_load_notice(node, upstream, by_tier)
         node.apply_gossip_record(notice, "")
 
-    @Service.task
+    @guarded_task
     async def _poll_vm_list(self) -> None:
         while not self.should_stop:
             await self.update_vm_list()
@@ -126,7 +127,7 @@
         if vms is not None:
             node.listed_vms = vms
 
-    @Service.task
+    @guarded_task
     async def _tick(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(TICK_INTERVAL_MS / 1_000)
--- a/plantainwood/reader.py
+++ b/plantainwood/reader.py
@@ -18,6 +18,7 @@
 from plantainwood.core.storeeras import get_era
 from plantainwood.core.storereaders import is_reader
 from plantainwood.edge import Edge
+from plantainwood.guardedtask import guarded_task
 from plantainwood.logs import log_event
 
 READ_INTERVAL_MS = 500
@@ -82,7 +83,7 @@
         """When to read everything again, after the store came back from a copy."""
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _run(self) -> None:
         while not self.should_stop:
             pause_ms = CHECK_PAUSE_MS
--- a/plantainwood/settingswatch.py
+++ b/plantainwood/settingswatch.py
@@ -9,6 +9,7 @@
 
 from plantainwood.documents import InvalidYamlError
 from plantainwood.edgesettings import EdgeSettings, parse_edge_settings
+from plantainwood.guardedtask import guarded_task
 from plantainwood.logs import log_event
 from plantainwood.settings import SettingsError
 
@@ -71,7 +72,7 @@
         self._last_error = ""
         self._check_requested.set()
 
-    @Service.task
+    @guarded_task
     async def _run(self) -> None:
         while not self.should_stop:
             try:
--- a/plantainwood/shares.py
+++ b/plantainwood/shares.py
@@ -9,6 +9,7 @@
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.limits import ShareAllocator
 from plantainwood.core.messages import ShareGrant, ShareRequest
+from plantainwood.guardedtask import guarded_task
 from plantainwood.node import Node
 
 SHARE_REQUEST_INTERVAL_MS = 2_500
@@ -85,7 +86,7 @@
         self._send = send
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _run(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(SHARE_REQUEST_INTERVAL_MS / 1_000)
--- a/plantainwood/transport.py
+++ b/plantainwood/transport.py
@@ -1,9 +1,12 @@
 """Transport of frames between nodes: nng over TCP, where a frame may be lost."""
 
+import logging
 from abc import ABC, abstractmethod
 
 import pynng
 
+from plantainwood.logs import log_event
+
 SEND_BUFFER_MESSAGES = 64
 MAX_IDLE_ROUNDS = 30
 
@@ -40,13 +43,15 @@
         self._push_sockets: dict[str, pynng.Push0] = {}
         self._idle_rounds: dict[str, int] = {}
         self._dropped_frames = 0
+        self._refused_addresses: set[str] = set()
 
     def send(self, address: str, frame: bytes) -> None:
         """Send a frame; the first one to an address dials it in the background."""
         push_socket = self._push_sockets.get(address)
         if push_socket is None:
-            push_socket = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
-            push_socket.dial(address, block=False)
+            push_socket = self._dial(address)
+            if push_socket is None:
+                return
             self._push_sockets[address] = push_socket
         self._idle_rounds[address] = 0
         try:
@@ -54,6 +59,25 @@
         except pynng.exceptions.TryAgain:
             self._dropped_frames += 1
 
+    def _dial(self, address: str) -> pynng.Push0 | None:
+        """Return a socket that connects in the background.
+
+        Return None if there is no such address; this is logged once.
+        """
+        if address in self._refused_addresses:
+            return None
+        push_socket = pynng.Push0(send_buffer_size=SEND_BUFFER_MESSAGES)
+        try:
+            push_socket.dial(address, block=False)
+        except pynng.exceptions.NNGException as error:
+            push_socket.close()
+            self._refused_addresses.add(address)
+            log_event(
+                "link_refused", logging.WARNING, address=address, reason=str(error)
+            )
+            return None
+        return push_socket
+
     def take_dropped(self) -> int:
         """Return how many frames full buffers dropped since the last call."""
         dropped, self._dropped_frames = self._dropped_frames, 0
--- a/plantainwood/usageflow.py
+++ b/plantainwood/usageflow.py
@@ -10,6 +10,7 @@
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.messages import UsageCopy, UsageStored
 from plantainwood.core.usage import UsageRecord, flush_record
+from plantainwood.guardedtask import guarded_task
 from plantainwood.logs import log_event
 from plantainwood.node import Node
 
@@ -46,7 +47,7 @@
         self._random = random.Random()
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _run_copies(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(self.node.settings.duties.usage_copy_ms / 1_000)
@@ -62,7 +63,7 @@
                 self._send(holder, UsageCopy(self.node.settings.node, record))
             self._copied_sequences[record.key] = record.sequence
 
-    @Service.task
+    @guarded_task
     async def _run_flushes(self) -> None:
         flush_ms = self.node.settings.duties.usage_flush_ms
         while not self.should_stop:
--- a/plantainwood/versionrecorder.py
+++ b/plantainwood/versionrecorder.py
@@ -16,6 +16,7 @@
     store_versions,
 )
 from plantainwood.edge import Edge
+from plantainwood.guardedtask import guarded_task
 from plantainwood.logs import log_event
 
 CHECK_PAUSE_MS = 100
@@ -33,7 +34,7 @@
         self.edge = edge
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _run(self) -> None:
         while not self.should_stop:
             changed = self._list_changed()
--- a/plantainwood/watcher.py
+++ b/plantainwood/watcher.py
@@ -10,6 +10,7 @@
 from plantainwood.core.editing import CATALOGUE_KEY
 from plantainwood.core.errors import StoreError
 from plantainwood.core.hashing import rank_members
+from plantainwood.guardedtask import guarded_task
 from plantainwood.logs import log_event
 from plantainwood.node import Node
 
@@ -42,7 +43,7 @@
         self._failures = 0
         super().__init__(**kwargs)
 
-    @Service.task
+    @guarded_task
     async def _poll(self) -> None:
         while not self.should_stop:
             if must_read(self.node):
@@ -69,7 +70,7 @@
             log_event("store_back", failures=self._failures)
         self._failures = 0
 
-    @Service.task
+    @guarded_task
     async def _end_requests_if_isolated(self) -> None:
         """End requests with keys while this node may be isolated.
 
