Probe upstreams out of a VM's reach instead of trying them with requests

Cause: a VM that lost the path to some upstreams forgot it after 2 s and tried them again with a caller's request, which waited 350 ms for the connection and up to 250 ms more for a probe of other upstreams; idle connections to them stayed in use until one request after the other had timed out. If all upstreams of one service were out of reach and others were not, nothing served at all.

Change: a failed connection or an answer that stays away marks the upstream out of this VM's reach; ReachWatch probes it each 400 ms and no request goes there before it accepts a connection; its idle connections are closed. A probe of the path ends with the first upstream that accepts. A request whose whole pool (or version) is out of reach goes to another VM by one hop; heartbeats name such pools, so none goes to a VM in the same state. Not done: marks of crashes still rest on one VM's connections.

--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -44,9 +44,6 @@
     if state.draining:
         message = "this VM is leaving; use another"
         raise _make_refusal(ErrorCode.DRAINING, message, RETRY_DRAINING_MS)
-    if event.from_vm and state.path_lost:
-        message = "this VM reaches no upstreams either"
-        raise _make_refusal(ErrorCode.UPSTREAM_UNAVAILABLE, message, RETRY_NOT_RUN_MS)
     service_class = state.catalogue.classes.get(event.class_name)
     customer = state.catalogue.customers.get(event.customer)
     if service_class is None or customer is None:
@@ -59,6 +56,9 @@
         message = "no upstream serves this"
         raise _make_refusal(ErrorCode.NO_UPSTREAM, message, RETRY_NO_UPSTREAM_MS)
     version = _find_version(state, pool, event, now_ms) if event.resumed else ""
+    if event.from_vm and state.lacks_path(pool, version, now_ms):
+        message = "this VM reaches no upstreams either"
+        raise _make_refusal(ErrorCode.UPSTREAM_UNAVAILABLE, message, RETRY_NOT_RUN_MS)
     limit = state.get_or_create_limit(event.customer, customer, now_ms)
     wait_ms = limit.admit(state.limit_floor, now_ms)
     if wait_ms is not None:
@@ -136,6 +136,7 @@
         if not event.lost:
             for load in pool.group:
                 load.paused_until_ms = min(load.paused_until_ms, now_ms)
+                load.unreached_until_ms = 0
         dispatch_waiting(state, pool, now_ms, decisions)
 
 
--- a/plantainwood/core/catalogue.py
+++ b/plantainwood/core/catalogue.py
@@ -117,6 +117,8 @@
     """Its capacity in hundredths of a core."""
     path_lost: bool = False
     """Whether it reaches no upstreams itself."""
+    unreached_pools: tuple[str, ...] = ()
+    """The pools of which it reaches no upstream."""
 
 
 class Key(EntryBase, frozen=True):
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -20,6 +20,7 @@
     handle_failed,
     handle_started,
     handle_tokens,
+    handle_upstream_probed,
 )
 from plantainwood.core.routes import make_service_pool
 from plantainwood.core.scheduling import (
@@ -213,5 +214,6 @@
     ev.PartsClearedReceived: handle_parts_cleared,
     ev.ReservationAnswered: handle_reservation_answer,
     ev.PathProbed: handle_path_probed,
+    ev.UpstreamProbed: handle_upstream_probed,
     ev.Tick: handle_tick,
 }
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -193,6 +193,21 @@
             load.entry = entry
             load.leaving = False
 
+    def list_unreached_pools(self, now_ms: int) -> tuple[str, ...]:
+        """Return the pools of which this node reaches no upstream, sorted."""
+        found: list[str] = []
+        for name, pool in self.pools.items():
+            if pool.is_unreached(now_ms):
+                found.append(name)
+        return tuple(sorted(found))
+
+    def lacks_path(self, pool: Pool, version: str, now_ms: int) -> bool:
+        """Tell whether only other VMs can serve a pool's requests.
+
+        `version` is that of the upstreams which a resumed stream needs, if any.
+        """
+        return self.path_lost or pool.is_unreached(now_ms, version)
+
     def list_serving_vms(self) -> list[UpstreamLoad]:
         """Return the loads of the VMs that may serve for this node."""
         return [self.loads[name] for name in self.serving_vms]
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -171,6 +171,13 @@
     lost: bool
 
 
+class UpstreamProbed(msgspec.Struct, frozen=True):
+    """This node found out, without a request, whether it reaches an upstream."""
+
+    upstream: str
+    reached: bool
+
+
 class Tick(msgspec.Struct, frozen=True):
     """Time passed; queue timeouts and other timed work may be due."""
 
@@ -195,6 +202,7 @@
     | PartsClearedReceived
     | ReservationAnswered
     | PathProbed
+    | UpstreamProbed
     | Tick
 )
 
--- a/plantainwood/core/fleetmessages.py
+++ b/plantainwood/core/fleetmessages.py
@@ -49,6 +49,8 @@
     brittle_pools: dict[str, int] = {}
     """Pools whose upstreams crash when they reject many requests, with the age in ms of
     the newest answer that said so."""
+    unreached_pools: tuple[str, ...] = ()
+    """Pools of which the sender reaches no upstream."""
 
 
 class StoreUpdate(msgspec.Struct, tag=31, array_like=True, frozen=True):
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -27,6 +27,7 @@
         "unstarted_attempts",
         "paused_until_ms",
         "unwilling_until_ms",
+        "unreached_until_ms",
         "max_own_in_flight",
         "rate",
         "room",
@@ -51,6 +52,9 @@
         self.paused_until_ms = 0
         self.unwilling_until_ms = 0
         """Until when the upstream has asked for no attempts of this node."""
+        self.unreached_until_ms = 0
+        """Until when the upstream counts as out of this node's reach, because a
+        connection to it failed to open; other nodes may reach it."""
         self.max_own_in_flight = 0
         """How many attempts of this node may run at once; 0: no bound."""
         self.rate: NodeRate | None = None
@@ -101,6 +105,10 @@
                 total += change
         return max(own, total)
 
+    def is_unreached(self, now_ms: int) -> bool:
+        """Tell whether the upstream counts as out of this node's reach."""
+        return now_ms < self.unreached_until_ms
+
     def is_at_connection_limit(self) -> bool:
         """Tell whether this node uses its full share of the upstream's connections."""
         return (
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -17,6 +17,8 @@
 from plantainwood.core.servingvms import is_serving_vm
 
 CRASH_PAUSE_MS = 2_000
+UNREACHED_MS = 2_000
+"""How long an upstream counts as out of reach after a failed connection or probe."""
 BRITTLE_PAUSE_MS = 1_000
 """How long a brittle upstream that rejected a request gets none from this node."""
 
@@ -108,6 +110,8 @@
         if load.room is not None and event.reached:
             pause_ms = max(pause_ms, BRITTLE_PAUSE_MS)
         load.paused_until_ms = now_ms + pause_ms
+        if not event.reached and not is_serving_vm(load):
+            load.unreached_until_ms = now_ms + UNREACHED_MS
     state.detach_attempt(request, now_ms, decisions)
     error = _find_retry_error(state, request, load, event, now_ms)
     if error is not None:
@@ -119,6 +123,23 @@
     dispatch_waiting(state, state.pools[request.pool], now_ms, decisions)
 
 
+def handle_upstream_probed(
+    state: DispatcherState, event: ev.UpstreamProbed, now_ms: int, decisions: list
+) -> None:
+    """Record whether this node reaches an upstream, and dispatch what waits for it."""
+    load = state.loads.get(event.upstream)
+    if load is None:
+        return
+    if not event.reached:
+        load.unreached_until_ms = now_ms + UNREACHED_MS
+    else:
+        load.unreached_until_ms = 0
+        load.paused_until_ms = min(load.paused_until_ms, now_ms)
+    for pool in state.pools.values():
+        if load in pool.group:
+            dispatch_waiting(state, pool, now_ms, decisions)
+
+
 def _record_crash(
     state: DispatcherState,
     request: Request,
@@ -234,7 +255,8 @@
     outcome = find_outcome(request)
     if state.is_blocked(request.fingerprint, request.shared_parts, now_ms):
         return make_blocked_error(outcome)
-    if request.from_vm and state.path_lost:
+    pool = state.pools[request.pool]
+    if request.from_vm and state.lacks_path(pool, request.version, now_ms):
         return make_failed_error(outcome)
     exhausted = request.attempts_made >= request.max_attempts
     if request.attempt >= MAX_ATTEMPTS or exhausted:
--- a/plantainwood/core/pools.py
+++ b/plantainwood/core/pools.py
@@ -102,6 +102,20 @@
                 return True
         return False
 
+    def is_unreached(self, now_ms: int, version: str = "") -> bool:
+        """Tell whether this node reaches none of the upstreams that could serve.
+
+        Only those count that can continue a version's streams; all if it is empty.
+        """
+        found = False
+        for load in self.group:
+            if load.leaving or version not in ("", load.entry.software_version):
+                continue
+            if not load.is_unreached(now_ms):
+                return False
+            found = True
+        return found
+
     def compute_pause_ms(self, now_ms: int) -> int:
         """Return how long all upstreams that stay want no attempts; 0 if one does."""
         pauses_ms: list[int] = []
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -60,12 +60,12 @@
 def is_allowed(request: Request, load: UpstreamLoad, now_ms: int) -> bool:
     """Tell whether an upstream may take a request at all.
 
-    A leaving, paused or unwilling upstream takes none, nor does one on which this node
-    uses its full share of connections, its part of a brittle upstream's slots or of the
-    rate that it named, nor one of another version than began the request's stream. A
-    retry never goes to the upstream or the failure domain that just failed it.
+    A leaving, paused, unreached or unwilling upstream takes none, nor does one on which
+    this node uses its full share of connections, its part of a brittle upstream's slots
+    or of the rate that it named, nor one of another version than began the request's
+    stream. A retry never goes to the upstream or failure domain that just failed it.
     """
-    if load.leaving or load.is_at_connection_limit():
+    if load.leaving or load.is_unreached(now_ms) or load.is_at_connection_limit():
         return False
     if load.has_no_room():
         return False
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -66,8 +66,10 @@
     """Return the best upstream of a group for a request, or None if it must wait."""
     if now_ms < request.retry_at_ms:
         return None
-    if state.path_lost and not request.from_vm:
-        usable = list_usable_vms(state.list_serving_vms())
+    if not request.from_vm and state.lacks_path(
+        state.pools[request.pool], request.version, now_ms
+    ):
+        usable = list_usable_vms(state.list_serving_vms(), request.pool)
         if usable:
             return choose_serving_vm(request, usable, now_ms)
     if state.is_suspect(request, now_ms):
--- a/plantainwood/core/servingvms.py
+++ b/plantainwood/core/servingvms.py
@@ -18,9 +18,16 @@
     return isinstance(load.entry, ServingVm)
 
 
-def list_usable_vms(loads: list[UpstreamLoad]) -> list[UpstreamLoad]:
-    """Return the VMs that have a path to the upstreams."""
-    return [load for load in loads if not load.leaving and not load.entry.path_lost]
+def list_usable_vms(loads: list[UpstreamLoad], pool: str) -> list[UpstreamLoad]:
+    """Return the VMs that have a path to the upstreams of a pool."""
+    found: list[UpstreamLoad] = []
+    for load in loads:
+        if load.leaving or load.entry.path_lost:
+            continue
+        if pool in load.entry.unreached_pools:
+            continue
+        found.append(load)
+    return found
 
 
 def choose_serving_vm(
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -206,6 +206,7 @@
                 int(addresses.calls.rpartition(":")[2]) if addresses.calls else 0
             ),
             path_lost=state.path_lost,
+            unreached_pools=state.list_unreached_pools(now_ms),
             brittle_pools=state.brittle_pools.list_reports(now_ms),
         )
 
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -61,6 +61,7 @@
             domain=heartbeat.domain,
             weight=heartbeat.weight,
             path_lost=heartbeat.path_lost,
+            unreached_pools=heartbeat.unreached_pools,
         )
     return found
 
@@ -283,10 +284,13 @@
             self._request_mirror(heartbeat.sender)
 
     def _note_path(self, heartbeat: VmHeartbeat, now_ms: int) -> None:
-        """Apply at once that a VM has lost its path to the upstreams, or is back."""
+        """Apply at once that a VM reaches fewer or more of the upstreams."""
         serving_vms = self.edge.broker.dispatcher.state.serving_vms
         known = serving_vms.get(make_load_name(heartbeat.sender))
-        if known is not None and known.path_lost != heartbeat.path_lost:
+        if known is None:
+            return
+        before = (known.path_lost, known.unreached_pools)
+        if before != (heartbeat.path_lost, heartbeat.unreached_pools):
             self._update_serving_vms(now_ms)
 
     def _request_mirror(self, name: str) -> None:
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -333,6 +333,7 @@
         except TimeoutError as error:
             reason = f"{timeout_reason} within {stall_ms} ms"
             if not self._via_vm:
+                self.forwarder.path_prober.check_silent(connection.address)
                 await self.forwarder.path_prober.has_path(connection.address)
             raise AttemptError(reason, False, proved_not_run=False) from error
         except AttemptError as error:
--- a/plantainwood/pathprobe.py
+++ b/plantainwood/pathprobe.py
@@ -44,6 +44,7 @@
         self._probe: asyncio.Task[bool] | None = None
         self._probed_ms = -RESULT_LIFETIME_MS
         self._has_path = True
+        self._checks: set[asyncio.Task[bool]] = set()
 
     async def has_path(self, failed_address: str) -> bool:
         """Return whether this node reaches upstreams other than the failed one.
@@ -81,16 +82,13 @@
     async def _run_probe(self, failed_address: str) -> bool:
         try:
             witnesses = self._choose_witnesses(failed_address)
-            results = await asyncio.gather(
-                *(self._accepts_connection(load.entry.address) for load in witnesses)
-            )
-            self._has_path = any(results) or not witnesses
+            self._has_path = not witnesses or await self._any_accepts(witnesses)
             self._probed_ms = self._clock.now_ms()
             log_event(
                 "path_probed",
                 failed=failed_address,
                 witnesses=",".join(load.name for load in witnesses) or "-",
-                accepted=sum(results),
+                accepted=self._has_path,
             )
             if not self._has_path:
                 self._broker.feed(ev.PathProbed(lost=True))
@@ -98,6 +96,52 @@
         finally:
             self._probe = None
 
+    async def _any_accepts(self, witnesses: list[UpstreamLoad]) -> bool:
+        """Return whether an upstream accepts a connection, as soon as one does."""
+        probes = [
+            asyncio.ensure_future(self._accepts_connection(load.entry.address))
+            for load in witnesses
+        ]
+        try:
+            for probe in asyncio.as_completed(probes):
+                if await probe:
+                    return True
+            return False
+        finally:
+            for probe in probes:
+                probe.cancel()
+
+    async def probe_upstream(self, load: UpstreamLoad) -> bool:
+        """Find out whether an upstream accepts a connection, and tell the dispatcher.
+
+        Idle connections to one that accepts none may be dead without a reset.
+        """
+        address = load.entry.address
+        reached = await self._accepts_connection(address)
+        if not reached:
+            self._connection_pool.drop(address)
+        self._broker.feed(ev.UpstreamProbed(load.name, reached))
+        log_event("upstream_probed", upstream=load.name, reached=reached)
+        return reached
+
+    def check_silent(self, address: str) -> None:
+        """Find out in the background whether a silent upstream accepts connections."""
+        for load in self._broker.dispatcher.state.loads.values():
+            if load.entry.address != address or load.leaving:
+                continue
+            task = asyncio.create_task(self.probe_upstream(load))
+            self._checks.add(task)
+            task.add_done_callback(self._checks.discard)
+
+    def list_unreached(self) -> list[UpstreamLoad]:
+        """Return the upstreams out of this node's reach that stay."""
+        now_ms = self._clock.now_ms()
+        found: list[UpstreamLoad] = []
+        for load in self._broker.dispatcher.state.loads.values():
+            if load.is_unreached(now_ms) and not load.leaving:
+                found.append(load)
+        return found
+
     def _choose_witnesses(self, failed_address: str) -> list[UpstreamLoad]:
         """Return some upstreams of each pool, but not the failed one."""
         chosen: list[UpstreamLoad] = []
@@ -123,6 +167,26 @@
         return True
 
 
+class ReachWatch(Service):
+    """Probe the upstreams out of reach until they accept connections again.
+
+    So no request of a caller is spent on finding out.
+    """
+
+    def __init__(self, prober: PathProber, **kwargs) -> None:
+        self._prober = prober
+        super().__init__(**kwargs)
+
+    @guarded_task
+    async def _run(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(CHECK_INTERVAL_MS / 1_000)
+            unreached = self._prober.list_unreached()
+            await asyncio.gather(
+                *(self._prober.probe_upstream(load) for load in unreached)
+            )
+
+
 class PathWatch(Service):
     """Tell the fleet when the path is lost, and probe a lost path until it is back."""
 
--- a/tests/fleetsite.py
+++ b/tests/fleetsite.py
@@ -77,6 +77,8 @@
         self._runner_addresses = addresses
         self._lost = how
         for connection in self._connections:
+            if connection.address not in addresses:
+                continue
             if how is LostPath.RESET and not connection._transport.is_closing():
                 connection.connection_lost(ConnectionResetError("no path"))
                 connection._transport.abort()
@@ -157,9 +159,14 @@
         while not condition():
             await asyncio.sleep(0.01)
 
-    def lose_path(self, vm: int, how: LostPath) -> None:
-        """Cut a VM off from all runners."""
-        self.paths[vm].lose(how, {runner.address for runner in self.runners})
+    def lose_path(
+        self, vm: int, how: LostPath, runners: list[int] | None = None
+    ) -> None:
+        """Cut a VM off from some runners, or from all."""
+        cut = self.runners
+        if runners is not None:
+            cut = [self.runners[number] for number in runners]
+        self.paths[vm].lose(how, {runner.address for runner in cut})
 
     async def call(self, vm: int, method: str, path: str, body: bytes = b"", **headers):
         """Send a caller's request to a VM; return (status, headers, body)."""
