--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 import msgspec
+from aiohttp import web
 
 from plantainwood.connections import Headers, ResponseHead
 from plantainwood.core.catalogue import DiscoveredUpstream
@@ -173,6 +174,12 @@
         """Cut a stream off so that the caller can't mistake it for a complete one."""
 
 
+class ResponseSink(Sink):
+    """A sink that answers an HTTP request; `response` is None until it has started."""
+
+    response: web.StreamResponse | None
+
+
 class StartObserver(ABC):
     """Be notified of each request that an upstream starts to run."""
 
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -66,9 +66,8 @@
     """Return the best upstream of a group for a request, or None if it must wait."""
     if now_ms < request.retry_at_ms:
         return None
-    if not request.from_vm and state.lacks_path(
-        state.pools[request.pool], request.version, now_ms
-    ):
+    pool = state.pools[request.pool]
+    if not request.from_vm and state.lacks_path(pool, request.version, now_ms):
         usable = list_usable_vms(state.list_serving_vms(), request.pool)
         if usable:
             return choose_serving_vm(request, usable, now_ms)
--- a/platform/bridge/vmcalls.py
+++ b/plantainwood/vmcallserver.py
@@ -2,45 +2,36 @@
 
 import asyncio
 import logging
+from typing import Callable
 
 from aiohttp import web
 from mode import Service
-from multidict import CIMultiDict
 
-from bridge.sink import CallerSink
-from plantainwood.calls import Call
-from plantainwood.connections import ResponseHead
+from plantainwood.calls import Call, ResponseSink
 from plantainwood.core.errors import RequestError
 from plantainwood.core.frames import FrameError
 from plantainwood.edge import Edge
 from plantainwood.forwarding import Forwarder
 from plantainwood.logs import log_event
-from plantainwood.vmcalls import (
-    CALLS_PATH,
-    SERVED_UPSTREAM,
-    decode_call,
-    encode_refusal,
-)
+from plantainwood.vmcalls import CALLS_PATH, decode_call, encode_refusal
 
 REFUSED_STATUS = 503
 IDLE_S = 15.0
 
 
-class VmSink(CallerSink):
-    """Send an answer to the VM that took the call, with the upstream's name."""
-
-    def _make_headers(self, response: ResponseHead) -> CIMultiDict[str]:
-        headers = super()._make_headers(response)
-        headers[SERVED_UPSTREAM.decode()] = self.upstream
-        return headers
-
-
 class VmCallServer(Service):
     """Serve the calls of VMs without a path to the upstreams; never pass them on."""
 
-    def __init__(self, edge: Edge, forwarder: Forwarder, **kwargs) -> None:
+    def __init__(
+        self,
+        edge: Edge,
+        forwarder: Forwarder,
+        make_sink: Callable[[web.BaseRequest, Edge], ResponseSink],
+        **kwargs,
+    ) -> None:
         self.edge = edge
         self._forwarder = forwarder
+        self._make_sink = make_sink
         self._server: web.Server | None = None
         self._listener: asyncio.Server | None = None
         super().__init__(**kwargs)
@@ -84,7 +75,7 @@
             edge.open_call_count -= 1
 
     async def _serve(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
-        sink = VmSink(request, self.edge)
+        sink = self._make_sink(request, self.edge)
         try:
             summary = await self._forwarder.forward(call, sink, self.edge.clock)
         except RequestError as error:
@@ -109,7 +100,7 @@
         assert sink.response is not None
         return sink.response
 
-    def _refuse(self, error: RequestError, sink: VmSink) -> web.StreamResponse:
+    def _refuse(self, error: RequestError, sink: ResponseSink) -> web.StreamResponse:
         """Return a refusal, or cut off an answer that has begun."""
         if sink.started:
             sink.abort()
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,113 @@
+"""A planned stop under load cuts off no request that the VM has read."""
+
+import asyncio
+
+import msgspec
+
+from plantainwood.edgesettings import EdgeDrain
+from tests.edgesite import AUTHORIZATION, HOST, make_response, run
+
+CLIENTS = 24
+ANSWER_S = 0.15
+GRACE_MS = 3_000
+BODY = b"x" * 2_000
+
+
+async def answer_slowly(request, writer) -> None:
+    """Answer after a while, so that requests are in progress at any moment."""
+    await asyncio.sleep(ANSWER_S)
+    writer.write(make_response(request, request.request_id))
+
+
+class Client:
+    """Send requests on open connections until the VM is gone; count what is cut."""
+
+    def __init__(self, address: str, number: int, pipelined: bool) -> None:
+        self.address = address
+        self.number = number
+        self.pipelined = pipelined
+        self.sent = 0
+        self.answered: set[bytes] = set()
+        self.cut: list[str] = []
+
+    def _make_request(self) -> tuple[str, bytes]:
+        self.sent += 1
+        name = f"c{self.number}-{self.sent}"
+        head = (
+            f"POST /u/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {name}\r\n"
+            f"Authorization: {AUTHORIZATION}\r\nDeadline-Remaining: 3000\r\n"
+            f"Content-Length: {len(BODY)}\r\n\r\n"
+        )
+        return name, head.encode() + BODY
+
+    async def run(self, gone: asyncio.Event) -> None:
+        """Open connections and use each until the VM closes it."""
+        while not gone.is_set():
+            host, _, port = self.address.rpartition(":")
+            try:
+                reader, writer = await asyncio.open_connection(host, int(port))
+            except OSError:
+                return
+            try:
+                await self._use(reader, writer, gone)
+            except (ConnectionError, asyncio.IncompleteReadError):
+                pass
+            writer.close()
+
+    async def _use(self, reader, writer, gone: asyncio.Event) -> None:
+        while not gone.is_set():
+            requests = [self._make_request() for _ in range(1 + self.pipelined)]
+            for _, data in requests:
+                writer.write(data[: len(data) // 2])
+                await asyncio.sleep(0.005 * (self.number % 5))
+                writer.write(data[len(data) // 2 :])
+            await writer.drain()
+            for name, _ in requests:
+                closes = await self._read_answer(reader, name)
+                if closes:
+                    return
+            await asyncio.sleep(0.01 * (self.number % 7))
+
+    async def _read_answer(self, reader, name: str) -> bool:
+        """Read one answer; return whether the VM closes the connection after it."""
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.IncompleteReadError as error:
+            if error.partial:
+                self.cut.append(name)
+            raise
+        length = 0
+        for line in head.lower().split(b"\r\n"):
+            if line.startswith(b"content-length:"):
+                length = int(line.partition(b":")[2])
+        try:
+            await reader.readexactly(length)
+        except asyncio.IncompleteReadError:
+            self.cut.append(name)
+            raise
+        self.answered.add(name.encode())
+        return b"connection: close" in head.lower()
+
+
+# Guards against requests that are cut off without an answer in a planned stop (LOST).
+def test_each_request_that_a_stopping_vm_has_read_is_answered():
+    async def scenario(site):
+        edge = site.daemon.edge
+        drain = EdgeDrain(grace_ms=GRACE_MS, address_lifetime_ms=200)
+        edge.settings = msgspec.structs.replace(edge.settings, drain=drain)
+        address = edge.settings.addresses.callers
+        gone = asyncio.Event()
+        clients = [Client(address, n, pipelined=n % 3 == 0) for n in range(CLIENTS)]
+        tasks = [asyncio.create_task(client.run(gone)) for client in clients]
+        await asyncio.sleep(0.5)
+        await site.daemon.drain()
+        await site.daemon.stop()
+        gone.set()
+        await asyncio.gather(*tasks)
+        received = {request.request_id for request in site.runners[0].received}
+        answered = {name for client in clients for name in client.answered}
+        assert len(answered) > 10 * CLIENTS
+        assert [name for client in clients for name in client.cut] == []
+        assert received - answered == set()
+
+    run(scenario, script=answer_slowly)
--- a/tests/test_serving_vms.py
+++ b/tests/test_serving_vms.py
@@ -4,7 +4,6 @@
 
 import pytest
 
-from bridge.vmcalls import VmCallServer
 from plantainwood.core import events as ev
 from plantainwood.core.addresses import Candidate, choose_addresses
 from plantainwood.core.catalogue import ServingVm, UpstreamKind
@@ -12,6 +11,7 @@
 from plantainwood.core.errors import ErrorCode, Outcome
 from plantainwood.core.retries import RetryBudget
 from plantainwood.core.servingvms import VM_PREFIX
+from plantainwood.vmcallserver import VmCallServer
 from tests.catalogues import make_catalogue
 from tests.edgesite import STREAM, answer_request_line, answer_stream
 from tests.fleetsite import LostPath, run_fleet
