--- a/plantainwood/pathprobe.py
+++ b/plantainwood/pathprobe.py
@@ -21,7 +21,6 @@
 MAX_WITNESSES = 4
 RESULT_LIFETIME_MS = 200
 """How long a result holds for further failures."""
-POLL_INTERVAL_MS = 25
 CHECK_INTERVAL_MS = 400
 CHECKS_TO_REGAIN = 2
 """How many probes in a row must find the path before it is used again."""
@@ -45,6 +44,8 @@
         self._probed_ms = -RESULT_LIFETIME_MS
         self._has_path = True
         self._checks: set[asyncio.Task[bool]] = set()
+        self.found_lost = asyncio.Event()
+        """Set when the path is found to be lost."""
 
     async def has_path(self, failed_address: str) -> bool:
         """Return whether this node reaches upstreams other than the failed one.
@@ -92,6 +93,7 @@
             )
             if not self._has_path:
                 self._broker.feed(ev.PathProbed(lost=True))
+                self.found_lost.set()
             return self._has_path
         finally:
             self._probe = None
@@ -207,12 +209,14 @@
     @guarded_task
     async def _run(self) -> None:
         while not self.should_stop:
-            await asyncio.sleep(POLL_INTERVAL_MS / 1_000)
-            if not self._broker.dispatcher.state.path_lost:
-                continue
-            self._tell(lost=True)
-            await asyncio.sleep(CHECK_INTERVAL_MS / 1_000)
-            await self._check()
+            state = self._broker.dispatcher.state
+            if not state.path_lost:
+                await self._prober.found_lost.wait()
+            self._prober.found_lost.clear()
+            while state.path_lost:
+                self._tell(lost=True)
+                await asyncio.sleep(CHECK_INTERVAL_MS / 1_000)
+                await self._check()
 
     async def _check(self) -> None:
         """Probe a lost path once."""
