--- a/plantainwood/eventreader.py
+++ b/plantainwood/answerreader.py
@@ -1,9 +1,25 @@
-"""Reading of complete events from an upstream's connection."""
+"""Reading of answers from an upstream's connection: complete events or a whole body."""
 
 from plantainwood.connections import Connection
 from plantainwood.core.eventstream import EventSplitter, EventTooLong
 from plantainwood.engines import AttemptError
 
+MAX_ANSWER_BYTES = 1_048_576
+"""The size of an answer that is collected in memory before it is relayed."""
+
+
+async def read_whole_answer(connection: Connection) -> bytes:
+    """Return the body of an answer; raise AttemptError if it fails or is too large."""
+    body = bytearray()
+    while True:
+        chunk = await connection.read_chunk()
+        if not chunk:
+            return bytes(body)
+        body += chunk
+        if len(body) > MAX_ANSWER_BYTES:
+            message = f"the answer exceeds {MAX_ANSWER_BYTES} bytes"
+            raise AttemptError(message, False, proved_not_run=False)
+
 
 class EventReader:
     """Read one attempt's event stream; the splitter lives as long as its call."""
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -3,6 +3,8 @@
 import asyncio
 from typing import Awaitable, TypeVar
 
+from plantainwood.answerreader import EventReader, read_whole_answer
+from plantainwood.attemptlogs import log_dispatch, log_failure
 from plantainwood.attempts import AttemptRunner
 from plantainwood.broker import ActiveRequest, RequestBroker
 from plantainwood.calls import (
@@ -23,7 +25,6 @@
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.eventstream import EventSplitter
 from plantainwood.core.keys import Identity
-from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.routes import RetrySafety
 from plantainwood.core.servingvms import is_serving_vm
 from plantainwood.core.stalls import (
@@ -33,8 +34,6 @@
     may_retry,
 )
 from plantainwood.engines import AttemptError, make_not_run_error, make_unreached_error
-from plantainwood.eventreader import EventReader
-from plantainwood.logs import log_event
 from plantainwood.pathprobe import PathProber
 from plantainwood.spans import Spans
 from plantainwood.upstreamreports import ReportRecorder
@@ -53,10 +52,6 @@
 TIMEOUT_MARGIN_MS = 20
 """How long before a call's deadline the timeout error is returned."""
 STREAM_STATUS = 200
-MAX_ANSWER_BYTES = 1_048_576
-"""The size of an answer that is collected in memory before it is relayed."""
-MAX_LOGGED_PARTS = 8
-"""How many parts of a prompt a log line names at most."""
 VM_STALL_FACTOR = 2
 """How much longer the answer of another VM may take than that of an upstream."""
 
@@ -148,44 +143,22 @@
         load = self.broker.dispatcher.state.loads.get(dispatch.upstream)
         if load is None:
             raise make_unreached_error("the upstream is no longer known")
-        self._log_dispatch(dispatch, load)
+        log_dispatch(
+            self.call,
+            dispatch,
+            load,
+            self.broker.dispatcher.state.router,
+            self.splitter.last_id or self.call.last_event_id,
+            self.clock.now_ms(),
+        )
         self._via_vm = is_serving_vm(load)
         with self.forwarder.spans.open("attempt", upstream=dispatch.upstream):
             await self._perform_on_connection(dispatch, load.entry)
 
-    def _log_dispatch(self, dispatch: ev.Dispatch, load: UpstreamLoad) -> None:
-        now_ms = self.clock.now_ms()
-        router = self.broker.dispatcher.state.router
-        log_event(
-            "dispatched",
-            request=self.call.request_id,
-            upstream=dispatch.upstream,
-            attempt=dispatch.attempt,
-            tier=self.call.tier,
-            waited_ms=now_ms - self.call.arrived_ms,
-            left_ms=self.call.deadline_ms - now_ms,
-            source=dispatch.source or "-",
-            version=load.entry.software_version or "-",
-            resumes=self.call.resumes or "-",
-            last_event=self.splitter.last_id or self.call.last_event_id or "-",
-            **router.explain(load, now_ms),
-        )
-
     def record_failure(self, dispatch: ev.Dispatch, error: AttemptError) -> None:
         """Log a failed attempt, and record whether it may have run."""
         self.summary.reasons.append(str(error))
-        log_event(
-            "attempt_failed",
-            request=self.call.request_id,
-            upstream=dispatch.upstream,
-            attempt=dispatch.attempt,
-            reason=str(error),
-            proved_not_run=error.proved_not_run,
-            crashed=error.crashed,
-            began=self._has_begun(dispatch),
-            fingerprint=self.call.fingerprint or "-",
-            parts=self.call.prompt.format_parts(MAX_LOGGED_PARTS),
-        )
+        log_failure(self.call, dispatch, error, self._has_begun(dispatch))
         if not error.proved_not_run:
             self._may_have_run = True
 
@@ -348,18 +321,10 @@
         if is_stream and response.status == STREAM_STATUS:
             await self._relay_stream(connection, response, dispatch)
             return
-        body = bytearray()
-        while True:
-            chunk = await connection.read_chunk()
-            if not chunk:
-                break
-            body += chunk
-            if len(body) > MAX_ANSWER_BYTES:
-                message = f"the answer exceeds {MAX_ANSWER_BYTES} bytes"
-                raise AttemptError(message, False, proved_not_run=False)
+        body = await read_whole_answer(connection)
         self._report_progress(dispatch, 0)
         self.summary.status = response.status
-        await self.sink.send_answer(response, bytes(body))
+        await self.sink.send_answer(response, body)
 
     async def _relay_stream(
         self, connection: Connection, response: ResponseHead, dispatch: ev.Dispatch
