Probe an upstream out of reach ever more rarely, up to 1.2 s

Cause: each VM that failed to connect to a crashed upstream would have probed it every 0.4 s; in a fleet of hundreds that grows with the fleet. Test in tests/test_partly_lost_paths.py, virtual time.

--- a/plantainwood/pathprobe.py
+++ b/plantainwood/pathprobe.py
@@ -22,6 +22,8 @@
 RESULT_LIFETIME_MS = 200
 """How long a result holds for further failures."""
 CHECK_INTERVAL_MS = 400
+MAX_PROBE_PAUSE_MS = 1_200
+"""Below the time for which an upstream counts as out of reach after a probe."""
 CHECKS_TO_REGAIN = 2
 """How many probes in a row must find the path before it is used again."""
 
@@ -169,14 +171,52 @@
         return True
 
 
+class ProbePauses:
+    """When to probe each upstream next; the pause doubles with each failure.
+
+    Many VMs may probe one upstream, so an outage must not bring ever more connections.
+    """
+
+    __slots__ = ("_due_ms", "_pause_ms")
+
+    def __init__(self) -> None:
+        self._due_ms: dict[str, int] = {}
+        self._pause_ms: dict[str, int] = {}
+
+    def is_due(self, name: str, now_ms: int) -> bool:
+        """Tell whether to probe an upstream now."""
+        return now_ms >= self._due_ms.get(name, 0)
+
+    def record(self, name: str, reached: bool, now_ms: int) -> None:
+        """Record the result of a probe."""
+        if reached:
+            self.forget(name)
+            return
+        pause_ms = self._pause_ms.get(name, CHECK_INTERVAL_MS)
+        self._due_ms[name] = now_ms + pause_ms
+        self._pause_ms[name] = min(MAX_PROBE_PAUSE_MS, 2 * pause_ms)
+
+    def keep_only(self, names: set[str]) -> None:
+        """Forget the upstreams that are no longer out of reach."""
+        for name in self._due_ms.keys() - names:
+            self.forget(name)
+
+    def forget(self, name: str) -> None:
+        """Start with the shortest pause when an upstream is out of reach again."""
+        self._due_ms.pop(name, None)
+        self._pause_ms.pop(name, None)
+
+
 class ReachWatch(Service):
     """Probe the upstreams out of reach until they accept connections again.
 
     So no request of a caller is spent on finding out.
     """
 
-    def __init__(self, prober: PathProber, **kwargs) -> None:
+    def __init__(self, prober: PathProber, clock: Clock, **kwargs) -> None:
         self._prober = prober
+        self._clock = clock
+        self._pauses = ProbePauses()
         super().__init__(**kwargs)
 
     @guarded_task
@@ -184,9 +224,14 @@
         while not self.should_stop:
             await asyncio.sleep(CHECK_INTERVAL_MS / 1_000)
             unreached = self._prober.list_unreached()
-            await asyncio.gather(
-                *(self._prober.probe_upstream(load) for load in unreached)
-            )
+            self._pauses.keep_only({load.name for load in unreached})
+            now_ms = self._clock.now_ms()
+            due = [load for load in unreached if self._pauses.is_due(load.name, now_ms)]
+            await asyncio.gather(*(self._probe(load) for load in due))
+
+    async def _probe(self, load: UpstreamLoad) -> None:
+        reached = await self._prober.probe_upstream(load)
+        self._pauses.record(load.name, reached, self._clock.now_ms())
 
 
 class PathWatch(Service):
--- a/tests/test_partly_lost_paths.py
+++ b/tests/test_partly_lost_paths.py
@@ -10,6 +10,7 @@
 from plantainwood.core.dispatcher import Dispatcher, Options
 from plantainwood.core.outcomes import UNREACHED_MS
 from plantainwood.core.servingvms import VM_PREFIX
+from plantainwood.pathprobe import ProbePauses
 from tests.catalogues import ENGINES, make_catalogue
 from tests.fleetsite import LostPath, run_fleet
 from tests.test_lost_paths import WAYS, answer, use_all
@@ -113,6 +114,20 @@
     assert isinstance(refusal, ev.Refuse) and refusal.error.status == 503
 
 
+def test_probes_of_an_upstream_become_rarer_up_to_a_bound():
+    pauses = ProbePauses()
+    probed_ms: list[int] = []
+    for now_ms in range(0, 12_000, 100):
+        if pauses.is_due("e1", now_ms):
+            probed_ms.append(now_ms)
+            pauses.record("e1", reached=False, now_ms=now_ms)
+    gaps_ms = [later - sooner for sooner, later in zip(probed_ms, probed_ms[1:])]
+    assert gaps_ms[:3] == [400, 800, 1_200]
+    assert max(gaps_ms) < UNREACHED_MS
+    pauses.record("e1", reached=True, now_ms=12_000)
+    assert pauses.is_due("e1", 12_000)
+
+
 # Guards against late or failed answers at VMs that lost a part of their paths.
 @pytest.mark.parametrize("how", WAYS, ids=lambda how: how.value)
 def test_callers_of_a_vm_that_lost_half_of_its_paths_are_served_on_time(how):
