--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -6,6 +6,7 @@
 import msgspec
 from mode import Service
 
+from plantainwood.calls import Call, StartObserver
 from plantainwood.core.fleetmessages import CountsReport, FrozenReportNotice
 from plantainwood.core.hashing import rank_by_weight
 from plantainwood.core.leases import LEASE_PREFIX, LeaseRecord
@@ -89,6 +90,22 @@
     return "" if record.released else record.holder
 
 
+class StartRecorder(StartObserver):
+    """Count the requests that upstreams start, for the usage reports."""
+
+    def __init__(self, edge: Edge) -> None:
+        self._edge = edge
+
+    def record_start(self, call: Call) -> None:
+        """Count a request as started now, if its customer is known."""
+        if not call.authenticated:
+            return
+        edge = self._edge
+        edge.start_counter.count(
+            call.customer, edge.agreed_time.now(edge.clock.now_ms())
+        )
+
+
 class CountsSender(Service):
     """Send this node's counts to the lease holder and its possible successors."""
 
--- /dev/null
+++ b/plantainwood/ticker.py
@@ -0,0 +1,35 @@
+"""Timer ticks for the dispatcher, and the closing of idle connections."""
+
+import asyncio
+
+from mode import Service
+
+from plantainwood.core import events as ev
+from plantainwood.edge import Edge
+from plantainwood.guardedtask import guarded_task
+
+TICK_MS = 25
+IDLE_TICK_MS = 100
+"""While the node has no requests, so that idle VMs wake up less often."""
+CLOSE_IDLE_INTERVAL_MS = 500
+
+
+class Ticker(Service):
+    """Send timer ticks to the dispatcher, and close idle connections to upstreams."""
+
+    def __init__(self, edge: Edge, **kwargs) -> None:
+        self.edge = edge
+        super().__init__(**kwargs)
+
+    @guarded_task
+    async def _run(self) -> None:
+        broker = self.edge.broker
+        waited_ms = 0
+        while not self.should_stop:
+            tick_ms = TICK_MS if broker.dispatcher.state.requests else IDLE_TICK_MS
+            await asyncio.sleep(tick_ms / 1_000)
+            broker.feed(ev.Tick())
+            waited_ms += tick_ms
+            if waited_ms >= CLOSE_IDLE_INTERVAL_MS:
+                waited_ms = 0
+                self.edge.connection_pool.close_idle()
