Let a probe end no pause that an upstream asked for; probe the path at upstreams within reach

Cause (read in the diff): a probe that found an upstream reachable also ended its pause, which may be that of a brittle upstream after a rejection, of a full or of a crashed one; and the probe of the path could draw only upstreams already known to be out of reach and call the whole path lost.

Change: being out of reach and being paused are two things; witnesses are those within reach while there are any. Test red before: test_partly_lost_paths.py (another_reason).

--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -109,8 +109,9 @@
         pause_ms = event.pause_ms
         if load.room is not None and event.reached:
             pause_ms = max(pause_ms, BRITTLE_PAUSE_MS)
-        load.paused_until_ms = now_ms + pause_ms
-        if not event.reached and not is_serving_vm(load):
+        if event.reached or is_serving_vm(load):
+            load.paused_until_ms = now_ms + pause_ms
+        else:
             load.unreached_until_ms = now_ms + UNREACHED_MS
     state.detach_attempt(request, now_ms, decisions)
     error = _find_retry_error(state, request, load, event, now_ms)
@@ -130,11 +131,7 @@
     load = state.loads.get(event.upstream)
     if load is None:
         return
-    if not event.reached:
-        load.unreached_until_ms = now_ms + UNREACHED_MS
-    else:
-        load.unreached_until_ms = 0
-        load.paused_until_ms = min(load.paused_until_ms, now_ms)
+    load.unreached_until_ms = 0 if event.reached else now_ms + UNREACHED_MS
     for pool in state.pools.values():
         if load in pool.group:
             dispatch_waiting(state, pool, now_ms, decisions)
--- a/plantainwood/pathprobe.py
+++ b/plantainwood/pathprobe.py
@@ -147,7 +147,11 @@
         return found
 
     def _choose_witnesses(self, failed_address: str) -> list[UpstreamLoad]:
-        """Return some upstreams of each pool, but not the failed one."""
+        """Return some upstreams of each pool, but not the failed one.
+
+        Those known to be out of reach tell nothing new unless all of them are.
+        """
+        now_ms = self._clock.now_ms()
         chosen: list[UpstreamLoad] = []
         pools = list(self._broker.dispatcher.state.pools.values())
         self._random.shuffle(pools)
@@ -157,6 +161,8 @@
                 for load in pool.group
                 if not load.leaving and load.entry.address != failed_address
             ]
+            reached = [load for load in others if not load.is_unreached(now_ms)]
+            others = reached or others
             count = min(WITNESSES_PER_POOL, len(others))
             chosen.extend(self._random.sample(others, count))
         return chosen[:MAX_WITNESSES]
--- a/tests/test_partly_lost_paths.py
+++ b/tests/test_partly_lost_paths.py
@@ -114,6 +114,15 @@
     assert isinstance(refusal, ev.Refuse) and refusal.error.status == 503
 
 
+# Guards against a probe that ends the pause which a brittle upstream asked for (LIMIT).
+def test_a_probe_does_not_end_a_pause_that_has_another_reason():
+    vm = make_vm()
+    for name in ENGINES:
+        vm.state.loads[name].paused_until_ms = 2_000
+        vm.decide(ev.UpstreamProbed(name, reached=True), 1_000)
+    assert send(vm, 0, 1_100) == []
+
+
 def test_probes_of_an_upstream_become_rarer_up_to_a_bound():
     pauses = ProbePauses()
     probed_ms: list[int] = []
