--- a/experiments/capacity.py
+++ b/experiments/capacity.py
@@ -168,6 +168,9 @@
 no figure in the tables is written by hand. Sizes beyond 220 nodes were not run: their
 gossip is extrapolated linearly from the measured sizes.
 
+The tables below are of the product's own interface. On the users' platform the bench's
+sweep shows the load: measurements/sweep.md.
+
 Assumptions: requests spread evenly over the nodes, and the busiest has three times the
 mean; {share:.0%} of the requests are calls that may not be repeated; a customer's
 callers use 3 VMs at a time; every upstream's load changes all the time; names of nodes
