Log and measure how far a VM follows the store

A VM that reads nothing new looked like one that has nothing to read, and the line of a request sent did not say by which state of the registry its upstream was chosen.

- dispatched has registry=, the revision of the view that chose the upstream: below the revision of the upstream's draining line, the VM did not know; above, it knew.
- task_failed has failures=, so a task that ends again and again shows in one line.

No decision has changed.

--- a/plantainwood/attemptlogs.py
+++ b/plantainwood/attemptlogs.py
@@ -2,8 +2,8 @@
 
 from plantainwood.calls import Call
 from plantainwood.core import events as ev
+from plantainwood.core.dispatcherstate import DispatcherState
 from plantainwood.core.loads import UpstreamLoad
-from plantainwood.core.router import Router
 from plantainwood.engines import AttemptError
 from plantainwood.logs import log_event
 
@@ -15,7 +15,7 @@
     call: Call,
     dispatch: ev.Dispatch,
     load: UpstreamLoad,
-    router: Router,
+    state: DispatcherState,
     last_event_id: str,
     now_ms: int,
 ) -> None:
@@ -32,7 +32,8 @@
         version=load.entry.software_version or "-",
         resumes=call.resumes or "-",
         last_event=last_event_id or "-",
-        **router.explain(load, now_ms),
+        registry=state.catalogue.revision,
+        **state.router.explain(load, now_ms),
     )
 
 
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -140,14 +140,15 @@
         """Open a span and run an attempt in it; raise AttemptError if it fails."""
         self.summary.attempts += 1
         self.summary.upstream = dispatch.upstream
-        load = self.broker.dispatcher.state.loads.get(dispatch.upstream)
+        state = self.broker.dispatcher.state
+        load = state.loads.get(dispatch.upstream)
         if load is None:
             raise make_unreached_error("the upstream is no longer known")
         log_dispatch(
             self.call,
             dispatch,
             load,
-            self.broker.dispatcher.state.router,
+            state,
             self.splitter.last_id or self.call.last_event_id,
             self.clock.now_ms(),
         )
--- a/plantainwood/guardedtask.py
+++ b/plantainwood/guardedtask.py
@@ -22,17 +22,20 @@
 
     @functools.wraps(method)
     async def run(service: Service) -> None:
+        failures = 0
         while not service.should_stop:
             try:
                 await method(service)
                 return
             except Exception as error:
+                failures += 1
                 log_event(
                     "task_failed",
                     logging.ERROR,
                     task=f"{type(service).__name__}.{method.__name__}",
                     error=repr(error),
                     where=_find_place(error),
+                    failures=failures,
                 )
             await asyncio.sleep(RESTART_PAUSE_MS / 1_000)
 
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -23,6 +23,7 @@
         "upstream_cost",
         "leases",
         "catalogue_revision",
+        "mirror_revision",
         "confirm_age",
         "store_calls",
         "link_bytes",
@@ -63,6 +64,9 @@
         self.catalogue_revision = self._make_gauge(
             "pw_catalogue_revision", "The catalogue revision in force."
         )
+        self.mirror_revision = self._make_gauge(
+            "pw_mirror_revision", "The newest revision of the store known here."
+        )
         self.confirm_age = self._make_gauge(
             "pw_confirm_age_seconds", "Age of the last confirmation, below 0 if none."
         )
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -52,6 +52,7 @@
     ]
     assert "estimate" in vars(records[0])
     assert (records[0].version, records[0].resumes) == ("v1", "-")
+    assert records[0].registry > 0
     assert records[0].upstream == records[1].upstream
     assert not records[1].proved_not_run
     assert records[1].fingerprint
