--- a/plantainwood/attempts.py
+++ b/plantainwood/attempts.py
@@ -38,6 +38,10 @@
     def record_failure(self, dispatch: ev.Dispatch, error: AttemptError) -> None:
         """Record a failed attempt; the default does nothing."""
 
+    def find_outcome(self) -> Outcome:
+        """Return whether the request may have run; by default nothing is known."""
+        return Outcome.UNKNOWN
+
     async def follow_decisions(self) -> None:
         """Return after the complete answer; raise RequestError if refused."""
         attempt: asyncio.Task | None = None
@@ -95,7 +99,7 @@
         self.active_request.decisions.put_nowait(Finished())
 
     def _refuse(self, dispatch: ev.Dispatch, code: ErrorCode, message: str) -> None:
-        error = RequestError(code, message, Outcome.UNKNOWN)
+        error = RequestError(code, message, self.find_outcome())
         self.active_request.decisions.put_nowait(ev.Refuse(dispatch.request_id, error))
 
 
--- a/plantainwood/connectionpool.py
+++ b/plantainwood/connectionpool.py
@@ -32,6 +32,7 @@
         return await self._connect(address)
 
     async def _connect(self, address: str) -> Connection:
+        """Open a connection; an address that can't be dialled is one not reached."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.opened_count += 1
@@ -40,7 +41,7 @@
                 _, connection = await loop.create_connection(
                     lambda: Connection(address, self._clock), host, int(port)
                 )
-        except (OSError, TimeoutError) as error:
+        except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise make_unreached_error(repr(error)) from error
         return connection
 
--- a/plantainwood/core/decoding.py
+++ b/plantainwood/core/decoding.py
@@ -45,7 +45,6 @@
 
 def parse_count(text: bytes | str) -> int:
     """Return the number that decimal digits spell; raise MalformedError otherwise."""
-    digits = text.strip()
-    if not (digits.isascii() and digits.isdigit()) or len(digits) > MAX_DIGITS:
-        raise MalformedError("not a count of at most 18 digits")
-    return int(digits)
+    if not (text.isascii() and text.isdigit()) or len(text) > MAX_DIGITS:
+        raise MalformedError(f"not a count of at most {MAX_DIGITS} digits")
+    return int(text)
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -163,6 +163,10 @@
         if not error.proved_not_run:
             self._may_have_run = True
 
+    def find_outcome(self) -> Outcome:
+        """Return whether the call may have run: not before an attempt was sent."""
+        return Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
+
     def _has_begun(self, dispatch: ev.Dispatch) -> bool:
         """Tell whether the upstream began to answer the running attempt."""
         state = self.broker.dispatcher.state
