--- a/plantainwood/admin.py
+++ b/plantainwood/admin.py
@@ -18,6 +18,7 @@
     diff_catalogue,
     make_delta,
 )
+from plantainwood.core.decoding import MalformedError, decode_json, decode_record
 from plantainwood.core.editing import (
     HISTORY_PREFIX,
     Edit,
@@ -216,8 +217,7 @@
         """Return the accepted edits, oldest first."""
         stored = await self.node.clients.driver.store.scan(HISTORY_PREFIX)
         items = [
-            msgspec.json.decode(item.value, type=HistoryItem)
-            for _, item in sorted(stored.items())
+            decode_record(item.value, HistoryItem) for _, item in sorted(stored.items())
         ]
         return web.json_response({"history": msgspec.to_builtins(items)})
 
@@ -285,7 +285,7 @@
         stored = await self.node.clients.driver.store.scan(USAGE_PREFIX)
         windows: dict[int, dict[str, UsageLine]] = {}
         for item in stored.values():
-            record = msgspec.json.decode(item.value, type=UsageRecord)
+            record = decode_record(item.value, UsageRecord)
             lines = windows.setdefault(record.window, {})
             for key, line in record.lines.items():
                 total = lines.setdefault(key, UsageLine())
@@ -307,8 +307,8 @@
 
 def _decode(data: bytes, body_type: type):
     try:
-        return msgspec.json.decode(data, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(data, body_type)
+    except MalformedError as error:
         raise RequestError(ErrorCode.BAD_REQUEST, str(error)) from error
 
 
--- a/plantainwood/callers.py
+++ b/plantainwood/callers.py
@@ -9,6 +9,7 @@
 from mode import Service
 
 from plantainwood.answers import JsonSink, StreamSink, make_error_response
+from plantainwood.core.decoding import MalformedError, decode_json
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.keys import check_key
 from plantainwood.core.messages import NodeState
@@ -213,8 +214,8 @@
 def _wants_stream(body: bytes) -> bool:
     """Return whether a body asks for a stream; a malformed one is rejected later."""
     try:
-        return msgspec.json.decode(body, type=StreamFlag).stream
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(body, StreamFlag).stream
+    except MalformedError:
         return False
 
 
--- a/plantainwood/connections.py
+++ b/plantainwood/connections.py
@@ -13,6 +13,7 @@
 import httptools
 
 from plantainwood.core.clock import Clock
+from plantainwood.core.decoding import MalformedError, parse_count
 from plantainwood.engines import AttemptError
 
 DEFAULT_IDLE_MS = 4_000
@@ -263,8 +264,12 @@
             return DEFAULT_IDLE_MS
         for item in keep_alive.split(b","):
             name, _, value = item.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
-                return max(0, int(value) * 1_000 - IDLE_MARGIN_MS)
+            if name.lower() != b"timeout":
+                continue
+            try:
+                return max(0, parse_count(value) * 1_000 - IDLE_MARGIN_MS)
+            except MalformedError:
+                return DEFAULT_IDLE_MS
         return DEFAULT_IDLE_MS
 
     def close(self) -> None:
--- a/plantainwood/core/billing.py
+++ b/plantainwood/core/billing.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from plantainwood.core.decoding import decode_record
 from plantainwood.core.effects import (
     CompareAndSwap,
     Procedure,
@@ -90,7 +91,7 @@
     found = yield Read(make_frozen_key(firm, window))
     if not isinstance(found, StoredValue):
         return None
-    return msgspec.json.decode(found.value, type=FrozenWindow)
+    return decode_record(found.value, FrozenWindow)
 
 
 def _freeze(
@@ -119,7 +120,7 @@
     """Return the usage records that may contain usage not billed yet."""
     found = yield Scan(f"{USAGE_PREFIX}{window}/")
     assert isinstance(found, dict)
-    records = [_decode_record(stored.value) for stored in found.values()]
+    records = [decode_record(stored.value, UsageRecord) for stored in found.values()]
     fully_billed = set(previous.final) if previous is not None else set()
     for back in range(1, HORIZON_WINDOWS):
         keys = yield ScanKeys(f"{USAGE_PREFIX}{window - back * window_ms}/")
@@ -127,14 +128,10 @@
         for key in sorted(keys - fully_billed):
             stored = yield Read(key)
             if isinstance(stored, StoredValue):
-                records.append(_decode_record(stored.value))
+                records.append(decode_record(stored.value, UsageRecord))
     return records
 
 
-def _decode_record(data: bytes) -> UsageRecord:
-    return msgspec.json.decode(data, type=UsageRecord)
-
-
 def compute_totals(
     firm: str,
     window: int,
--- a/plantainwood/core/catalogue.py
+++ b/plantainwood/core/catalogue.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from plantainwood.core.decoding import MalformedError, decode_json
+
 MAX_DOCUMENT_BYTES = 1_000_000
 MAX_TOMBSTONES = 2_000
 MAX_CHANGE_IDS = 64
@@ -271,8 +273,8 @@
 def decode_document(data: bytes) -> Document:
     """Decode a JSON document; raise ValueError if it is malformed."""
     try:
-        return msgspec.json.decode(data, type=Document)
-    except msgspec.DecodeError as error:
+        return decode_json(data, Document)
+    except MalformedError as error:
         raise ValueError(f"malformed catalogue document: {error}") from error
 
 
--- a/plantainwood/core/claims.py
+++ b/plantainwood/core/claims.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from plantainwood.core.decoding import decode_record
 from plantainwood.core.effects import CompareAndSwap, Procedure, Read, StoredValue
 from plantainwood.core.errors import (
     ErrorCode,
@@ -73,7 +74,7 @@
             raise _make_unavailable_error() from error
         expected = 0
         if isinstance(found, StoredValue):
-            claim = msgspec.json.decode(found.value, type=Claim)
+            claim = decode_record(found.value, Claim)
             if claim.nonce == request.nonce and claim.state is ClaimState.CLAIMED:
                 return None
             if claim.state is not ClaimState.RELEASED:
@@ -168,7 +169,7 @@
             found = yield Read(request.key)
             expected = 0
             if isinstance(found, StoredValue):
-                current = msgspec.json.decode(found.value, type=Claim)
+                current = decode_record(found.value, Claim)
                 if current.nonce != request.nonce or current.state is claim.state:
                     return True
                 expected = found.revision
--- a/plantainwood/core/frames.py
+++ b/plantainwood/core/frames.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from plantainwood.core.decoding import MalformedError, decode
 from plantainwood.core.fleetmessages import Message
 from plantainwood.core.messages import WIRE_VERSION
 
@@ -51,8 +52,8 @@
 def decode_frame(frame: bytes, secret: bytes) -> Message:
     """Return the message in a frame; raise FrameError if it must be dropped."""
     try:
-        return _decoder.decode(unseal(frame, secret))
-    except msgspec.DecodeError as error:
+        return decode(_decoder, unseal(frame, secret))
+    except MalformedError as error:
         raise FrameError(str(error)) from error
 
 
--- a/plantainwood/core/leases.py
+++ b/plantainwood/core/leases.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from plantainwood.core.clock import Clock
+from plantainwood.core.decoding import decode_record
 from plantainwood.core.effects import CompareAndSwap, Procedure, Read, StoredValue
 from plantainwood.core.errors import StoreError
 
@@ -153,7 +154,7 @@
         found = yield Read(self.key)
         if not isinstance(found, StoredValue):
             return 0
-        if msgspec.json.decode(found.value, type=LeaseRecord) == record:
+        if decode_record(found.value, LeaseRecord) == record:
             return found.revision
         if found.revision == expected:
             raise StoreError("the write was lost or is still in flight")
@@ -188,7 +189,7 @@
         if not isinstance(found, StoredValue):
             yield from self._acquire(0, 1, None)
             return
-        record = msgspec.json.decode(found.value, type=LeaseRecord)
+        record = decode_record(found.value, LeaseRecord)
         now_ms = self._clock.now_ms()
         if found.revision != self._seen_revision:
             self._seen_revision = found.revision
--- a/plantainwood/core/orders.py
+++ b/plantainwood/core/orders.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from plantainwood.core.clock import Clock
+from plantainwood.core.decoding import decode_record
 from plantainwood.core.effects import (
     CompareAndSwap,
     Procedure,
@@ -72,7 +73,7 @@
         found = yield Read(key)
         expected = 0
         if isinstance(found, StoredValue):
-            existing = msgspec.json.decode(found.value, type=Intent)
+            existing = decode_record(found.value, Intent)
             if existing.fence > lease.fence:
                 return False
             expected = found.revision
--- a/plantainwood/core/reservations.py
+++ b/plantainwood/core/reservations.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from plantainwood.core.decoding import decode_record
 from plantainwood.core.effects import CompareAndSwap, Procedure, Read, StoredValue
 from plantainwood.core.errors import StoreError
 
@@ -28,7 +29,7 @@
         found = yield Read(key)
         expected = 0
         if isinstance(found, StoredValue):
-            current = msgspec.json.decode(found.value, type=Reservation)
+            current = decode_record(found.value, Reservation)
             if current.holder and current.until_wall_ms > wall_ms:
                 return False
             expected = found.revision
@@ -43,7 +44,7 @@
         return False
     if not isinstance(found, StoredValue):
         return False
-    return msgspec.json.decode(found.value, type=Reservation) == wanted
+    return decode_record(found.value, Reservation) == wanted
 
 
 def release_upstream(upstream: str, holder: str) -> Procedure:
@@ -53,7 +54,7 @@
         found = yield Read(key)
         if not isinstance(found, StoredValue):
             return True
-        current = msgspec.json.decode(found.value, type=Reservation)
+        current = decode_record(found.value, Reservation)
         if current.holder != holder:
             return True
         released = msgspec.json.encode(Reservation("", 0))
--- a/plantainwood/core/usage.py
+++ b/plantainwood/core/usage.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from plantainwood.core.decoding import decode_record
 from plantainwood.core.effects import CompareAndSwap, Procedure, Read, StoredValue
 from plantainwood.core.errors import StoreError
 
@@ -180,7 +181,7 @@
             found = yield Read(record.key)
             expected = 0
             if isinstance(found, StoredValue):
-                stored = msgspec.json.decode(found.value, type=UsageRecord)
+                stored = decode_record(found.value, UsageRecord)
                 if stored.sequence >= record.sequence:
                     return True
                 expected = found.revision
--- a/plantainwood/documents.py
+++ b/plantainwood/documents.py
@@ -42,7 +42,7 @@
     try:
         root = yaml.compose(text, Loader=yaml.SafeLoader)
         data = yaml.safe_load(text)
-    except yaml.YAMLError as error:
+    except (yaml.YAMLError, ValueError, RecursionError) as error:
         raise InvalidYamlError(f"not valid YAML: {error}") from error
     if root is not None:
         _record_lines(root, "", lines)
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -3,10 +3,10 @@
 import asyncio
 import logging
 
-import msgspec
 from mode import Service
 
 from plantainwood.calls import Call, StartObserver
+from plantainwood.core.decoding import MalformedError, decode_json
 from plantainwood.core.fleetmessages import CountsReport, FrozenReportNotice
 from plantainwood.core.hashing import rank_by_weight
 from plantainwood.core.leases import LEASE_PREFIX, LeaseRecord
@@ -83,8 +83,8 @@
     if item is None or item.value is None:
         return ""
     try:
-        record = msgspec.json.decode(item.value, type=LeaseRecord)
-    except msgspec.DecodeError as error:
+        record = decode_json(item.value, LeaseRecord)
+    except MalformedError as error:
         log_event("lease_unreadable", logging.WARNING, reason=str(error))
         return ""
     return "" if record.released else record.holder
--- a/plantainwood/engines.py
+++ b/plantainwood/engines.py
@@ -8,6 +8,7 @@
 import aiohttp
 import msgspec
 
+from plantainwood.core.decoding import MalformedError, decode_json
 from plantainwood.core.events import FAILED_PAUSE_MS
 
 CONNECT_TIMEOUT_S = 1.0
@@ -148,8 +149,8 @@
             async with self._session.get(
                 f"{address}/load", timeout=timeout
             ) as response:
-                report = msgspec.json.decode(await response.read(), type=LoadReport)
-        except (aiohttp.ClientError, asyncio.TimeoutError, msgspec.DecodeError):
+                report = decode_json(await response.read(), LoadReport)
+        except (aiohttp.ClientError, asyncio.TimeoutError, MalformedError):
             return None
         return report.by_tier, report.lag_ms
 
@@ -221,8 +222,8 @@
 
 def _decode_chunk(data: bytes) -> Chunk:
     try:
-        return msgspec.json.decode(data, type=Chunk)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(data, Chunk)
+    except MalformedError as error:
         raise _make_malformed_error(str(error)) from error
 
 
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -30,7 +30,7 @@
     compute_share,
 )
 from plantainwood.edge import Edge
-from plantainwood.guardedtask import guarded_task
+from plantainwood.guardedtask import contain_errors, guarded_task
 from plantainwood.logs import log_event
 from plantainwood.messenger import Messenger, make_messenger
 from plantainwood.notices import (
@@ -228,7 +228,8 @@
     async def _receive(self) -> None:
         assert self._messenger is not None
         async for message in self._messenger.receive():
-            self.handle_message(message)
+            with contain_errors(type(message).__name__):
+                self.handle_message(message)
 
     def handle_message(self, message: Message) -> None:
         """Handle one message from another VM."""
--- a/plantainwood/guardedtask.py
+++ b/plantainwood/guardedtask.py
@@ -1,11 +1,12 @@
 """Tasks of services that go on after an unexpected error."""
 
 import asyncio
+import contextlib
 import functools
 import logging
 import traceback
 from pathlib import Path
-from typing import Awaitable, Callable
+from typing import Awaitable, Callable, Iterator
 
 from mode import Service
 
@@ -42,6 +43,21 @@
     return Service.task(run)
 
 
+@contextlib.contextmanager
+def contain_errors(task: str) -> Iterator[None]:
+    """Log an unexpected error in a part of a task, so that the task goes on."""
+    try:
+        yield
+    except Exception as error:
+        log_event(
+            "task_failed",
+            logging.ERROR,
+            task=task,
+            error=repr(error),
+            where=_find_place(error),
+        )
+
+
 def _find_place(error: Exception) -> str:
     """Return the file and the line that raised an error."""
     frame = traceback.extract_tb(error.__traceback__)[-1]
--- a/plantainwood/links.py
+++ b/plantainwood/links.py
@@ -18,7 +18,7 @@
     UsageCopy,
     UsageStored,
 )
-from plantainwood.guardedtask import guarded_task
+from plantainwood.guardedtask import contain_errors, guarded_task
 from plantainwood.messenger import Messenger, make_messenger
 from plantainwood.node import Node
 from plantainwood.shares import apply_grant, grant_shares
@@ -162,7 +162,8 @@
     async def _receive(self) -> None:
         assert self._messenger is not None
         async for message in self._messenger.receive():
-            self.handle_message(message)
+            with contain_errors(type(message).__name__):
+                self.handle_message(message)
 
     def handle_message(self, message: Message) -> None:
         """Handle one message from another node."""
--- a/plantainwood/pipeline/classify.py
+++ b/plantainwood/pipeline/classify.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from plantainwood.core.decoding import MalformedError, decode_json
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.core.routes import make_service_pool
 from plantainwood.pipeline.exchange import ApiKind, Exchange, Filter, Proceed
@@ -45,9 +46,9 @@
 
 def _set_model_pool(exchange: Exchange) -> None:
     try:
-        body = msgspec.json.decode(exchange.body, type=ChatBody)
-        exchange.parsed_body = msgspec.json.decode(exchange.body, type=dict)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        body = decode_json(exchange.body, ChatBody)
+        exchange.parsed_body = decode_json(exchange.body, dict)
+    except MalformedError as error:
         message = f"the body is not as expected: {error}"
         raise RequestError(ErrorCode.BAD_REQUEST, message) from error
     if (body.messages if exchange.kind is ApiKind.CHAT else body.prompt) is None:
--- a/plantainwood/platform.py
+++ b/plantainwood/platform.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from plantainwood.core.clock import Clock
+from plantainwood.core.decoding import MalformedError, decode_json
 from plantainwood.core.effects import SendDesiredCount, SendOrder, SendReport
 from plantainwood.core.errors import NotAppliedError, StoreError
 
@@ -127,6 +128,6 @@
                 self._vms_url, timeout=self._timeout
             ) as response:
                 data = await response.read()
-            return msgspec.json.decode(data, type=dict[str, Vm])
-        except (aiohttp.ClientError, asyncio.TimeoutError, msgspec.DecodeError):
+            return decode_json(data, dict[str, Vm])
+        except (aiohttp.ClientError, asyncio.TimeoutError, MalformedError):
             return None
--- a/plantainwood/store.py
+++ b/plantainwood/store.py
@@ -230,7 +230,12 @@
                     return await response.json(content_type=None)
             except aiohttp.ClientConnectorError:
                 continue
-            except (aiohttp.ClientError, asyncio.TimeoutError, ValueError) as error:
+            except (
+                aiohttp.ClientError,
+                asyncio.TimeoutError,
+                ValueError,
+                RecursionError,
+            ) as error:
                 raise StoreError(repr(error)) from error
         raise NotAppliedError("no endpoint accepts connections")
 
@@ -250,8 +255,11 @@
 
 
 def _decode_item(item: dict) -> StoredValue:
-    value = base64.b64decode(item.get("value", ""))
-    return StoredValue(value, int(item["mod_revision"]))
+    try:
+        value = base64.b64decode(item.get("value", ""))
+        return StoredValue(value, int(item["mod_revision"]))
+    except (KeyError, ValueError) as error:
+        raise StoreError(f"malformed item: {error!r}") from error
 
 
 def _read_written_revision(item: dict) -> int:
--- a/plantainwood/vmcalls.py
+++ b/plantainwood/vmcalls.py
@@ -8,6 +8,7 @@
 
 from plantainwood.calls import Call
 from plantainwood.connections import Connection, ResponseHead
+from plantainwood.core.decoding import MalformedError, decode
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.frames import FrameError, seal, unseal
 from plantainwood.engines import AttemptError, make_unreached_error
@@ -82,8 +83,8 @@
     Raise FrameError if the frame is malformed or not from this fleet.
     """
     try:
-        sent_call = _call_decoder.decode(unseal(frame, secret.encode()))
-    except msgspec.DecodeError as error:
+        sent_call = decode(_call_decoder, unseal(frame, secret.encode()))
+    except MalformedError as error:
         raise FrameError(str(error)) from error
     call = sent_call.call
     call.arrived_ms = now_ms
@@ -124,8 +125,8 @@
             break
         body += chunk
     try:
-        refusal = _refusal_decoder.decode(bytes(body))
-    except msgspec.DecodeError as error:
+        refusal = decode(_refusal_decoder, bytes(body))
+    except MalformedError as error:
         return AttemptError(f"unreadable refusal: {error}", False, False)
     if refusal.outcome is Outcome.NOT_RUN and refusal.code in TRY_ANOTHER_VM:
         return make_unreached_error(f"the other VM refused: {refusal.code.value}")
