Continue an unknown stream only on a word later than the caller's (ORDER, report)

Cause: a VM that knows a single version takes an unknown stream for one of it, and held its list for current while its last confirmation was younger than 4 s. In that time a version can come and begin streams elsewhere. After a standstill the messages that had waited counted by when they were found, not by when they were sent. Change: such a stream waits until a read of the store that began after its request is known, or most other VMs have said since then that they know of no later change (their heartbeats carry the revision and the agreed time). It holds for calls from other VMs too.

--- a/plantainwood/core/fleetmessages.py
+++ b/plantainwood/core/fleetmessages.py
@@ -64,6 +64,8 @@
     revision: int
     age_ms: int
     items: list[Item]
+    sent_ms: int = 0
+    """The agreed time at which it was sent; 0 from VMs of earlier builds."""
 
 
 class MirrorRequest(msgspec.Struct, tag=32, array_like=True, frozen=True):
--- a/plantainwood/core/streamversions.py
+++ b/plantainwood/core/streamversions.py
@@ -115,14 +115,27 @@
         any (empty) if upstreams don't register their versions. Nothing tells this on a
         VM whose registry is not current.
         """
-        begun = self._streams.get(stream)
-        if begun is not None and now_ms - begun.began_ms < STREAM_LIFETIME_MS:
+        begun = self._find_begun(stream, now_ms)
+        if begun is not None:
             return begun.version
         recent = self.list_recent(pool, now_ms)
         if len(recent) > 1 or (recent and not self.is_registry_current):
             return None
         return next(iter(recent), "")
 
+    def _find_begun(self, stream: str, now_ms: int) -> BegunStream | None:
+        """Return what is known of a stream's start; None if it began too long ago."""
+        begun = self._streams.get(stream)
+        if begun is None or now_ms - begun.began_ms >= STREAM_LIFETIME_MS:
+            return None
+        return begun
+
+    def is_guess(self, stream: str, pool: str, now_ms: int) -> bool:
+        """Return whether a stream would be continued as one of the only version."""
+        if self._find_begun(stream, now_ms) is not None:
+            return False
+        return len(self.list_recent(pool, now_ms)) == 1
+
     def _list_mixed_pools(self, now_ms: int) -> set[str]:
         found: set[str] = set()
         for pool, known in self._pools.items():
--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -140,6 +140,19 @@
         """Return how long ago a VM's newest heartbeat was made."""
         return max(0, now_ms - self._vms[name].made_ms)
 
+    def count_in_step(self, since_ms: int, revision: int) -> int:
+        """Return how many VMs have said since a time that they know of no later change.
+
+        The time is the agreed one, so a heartbeat that waited in a buffer, since this
+        VM stood still, counts by when it was sent.
+        """
+        count = 0
+        for vm in self._vms.values():
+            heartbeat = vm.heartbeat
+            if heartbeat.agreed_ms >= since_ms and heartbeat.revision <= revision:
+                count += 1
+        return count
+
     def list_live_names(self, now_ms: int) -> list[str]:
         """Return the names of the other VMs that are live and not leaving."""
         return [heartbeat.sender for heartbeat in self.list_staying(now_ms)]
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -150,6 +150,8 @@
         """Messages to all VMs."""
         self.open_call_count = 0
         self._heartbeat_sequence = 0
+        self._registry_read_ms = 0
+        """The agreed time at which the newest read of the store known here began."""
 
     def apply_settings(self, settings: EdgeSettings) -> None:
         """Apply changed settings to the running node."""
@@ -230,6 +232,23 @@
         known = len(self.vms.list_addresses())
         return hears_quorum(len(self.vms.list_live(now_ms)), known)
 
+    def note_registry_read(self, agreed_ms: int) -> None:
+        """Record that a read of the store that began at an agreed time is applied."""
+        self._registry_read_ms = max(self._registry_read_ms, agreed_ms)
+
+    def is_registry_confirmed(self, since_ms: int) -> bool:
+        """Return whether all changes of the registry before a time are known here.
+
+        The store was read since then, or most other VMs have said since then that they
+        know of no later change. What was sent before counts as of then, also if this VM
+        stood still and finds it only now.
+        """
+        since_agreed_ms = self.agreed_time.now(since_ms)
+        if self._registry_read_ms >= since_agreed_ms:
+            return True
+        in_step = self.vms.count_in_step(since_agreed_ms, self.mirror.revision)
+        return hears_quorum(in_step, len(self.vms.list_addresses()))
+
     def is_ready(self) -> bool:
         """Return whether callers may be sent to this node."""
         return self.state is NodeState.LIVE and self.view.routes is not None
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -317,6 +317,8 @@
             return
         edge.mirror.confirm(update.revision, edge.clock.now_ms() - update.age_ms)
         self._on_items(changed_items)
+        if update.sent_ms:
+            edge.note_registry_read(update.sent_ms - update.age_ms)
 
     def _handle_mirror_request(self, request: MirrorRequest) -> None:
         edge = self.edge
@@ -355,5 +357,12 @@
         """Send the changes that were just read from the store to all VMs."""
         edge = self.edge
         self.broadcast(
-            StoreUpdate(edge.settings.node, base, edge.mirror.revision, age_ms, items)
+            StoreUpdate(
+                edge.settings.node,
+                base,
+                edge.mirror.revision,
+                age_ms,
+                items,
+                edge.agreed_time.now(edge.clock.now_ms()),
+            )
         )
--- a/plantainwood/vmcallserver.py
+++ b/plantainwood/vmcallserver.py
@@ -13,6 +13,7 @@
 from plantainwood.edge import Edge
 from plantainwood.forwarding import Forwarder
 from plantainwood.logs import log_event
+from plantainwood.takeups import confirm_version
 from plantainwood.vmcalls import CALLS_PATH, decode_call, encode_refusal
 
 REFUSED_STATUS = 503
@@ -77,6 +78,7 @@
     async def _serve(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         sink = self._make_sink(request, self.edge)
         try:
+            await confirm_version(self.edge, call)
             summary = await self._forwarder.forward(call, sink, self.edge.clock)
         except RequestError as error:
             log_event(
