Take no refusal for proof that may be an earlier one (REFUSED, TWICE, report)

A request that comes to a runner again, after that has refused it, bears the same id; the earlier refusal, written once more, is then the right one by its id. Change: on a connection whose upstream names requests, an answer that names none is skipped like one to another request, and the request's own is awaited. Where an upstream never names them, such a refusal on a kept connection proves nothing (502, unknown). The second try at an upstream that has refused a request goes on a new connection, on which nothing earlier can come. VMs' refusals of each other's calls name no request and stay as they are.

--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -276,8 +276,8 @@
         8,
         "a response to an earlier request is accepted",
         "plantainwood/connections.py",
-        "given is not None and given != self._request_id",
-        "False",
+        "return given != self._request_id",
+        "return False",
         "tests/test_connections.py",
     ),
     Mutant(
@@ -603,8 +603,8 @@
         12,
         "end a service at its first unexpected error",
         "plantainwood/guardedtask.py",
-        "except Exception as error:",
-        "except ZeroDivisionError as error:",
+        "            except Exception as error:\n                failures",
+        "            except ZeroDivisionError as error:\n                failures",
         "tests/test_unexpected_errors.py",
     ),
 ]
--- a/plantainwood/connections.py
+++ b/plantainwood/connections.py
@@ -32,11 +32,13 @@
 class ResponseHead:
     """The head of a response: its status and headers."""
 
-    __slots__ = ("status", "headers")
+    __slots__ = ("status", "headers", "may_be_earlier")
 
     def __init__(self, status: int, headers: Headers) -> None:
         self.status = status
         self.headers = headers
+        self.may_be_earlier = False
+        """Whether it may answer an earlier request, as it names none."""
 
     def get_header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given in lower case; None if absent."""
@@ -74,6 +76,9 @@
         self._waiter: asyncio.Future | None = None
         self._request_id = b""
         self._id_header = b""
+        self._may_omit_id = False
+        self._echoes_ids = False
+        """Whether a response on this connection has named its request."""
         self._foreign_responses = 0
         self._bytes_before_head = 0
 
@@ -137,15 +142,17 @@
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Finish a head; skip the response if its id is that of another request."""
+        """Finish a head; skip the response if it is that to another request.
+
+        That is so if it names another one, or none where others did.
+        """
         if self._response_complete:
             return
         status = self._parser.get_status_code()
         if status < 200:
             return
         response = ResponseHead(status, self._headers)
-        given = response.get_header(self._id_header) if self._id_header else None
-        self._skipping = given is not None and given != self._request_id
+        self._skipping = self._is_foreign(response)
         if self._skipping:
             self._foreign_responses += 1
             if self._foreign_responses > MAX_FOREIGN_RESPONSES:
@@ -162,6 +169,19 @@
             self.usable = False
         self._heads.append(response)
 
+    def _is_foreign(self, response: ResponseHead) -> bool:
+        """Tell whether a response is not that to the current request."""
+        if not self._id_header:
+            return False
+        given = response.get_header(self._id_header)
+        if given is None and self._may_omit_id:
+            return False
+        if given is None:
+            response.may_be_earlier = self.request_count > 1
+            return self._echoes_ids
+        self._echoes_ids = True
+        return given != self._request_id
+
     def on_body(self, data: bytes) -> None:
         """Buffer a chunk of the body; stop reading above HIGH_WATER_BYTES."""
         if self._skipping or self._response_complete:
@@ -181,8 +201,17 @@
             return
         self._response_complete = True
 
-    def send(self, data: bytes, request_id: bytes, id_header: bytes) -> None:
-        """Write a request; from here on it may have run unless proved otherwise."""
+    def send(
+        self,
+        data: bytes,
+        request_id: bytes,
+        id_header: bytes,
+        may_omit_id: bool = False,
+    ) -> None:
+        """Write a request; from here on it may have run unless proved otherwise.
+
+        With `may_omit_id`, a response without an id always counts as the request's.
+        """
         self._awaiting_response = True
         self._in_message = False
         self._response_complete = False
@@ -195,6 +224,7 @@
         self._buffered_bytes = 0
         self._request_id = request_id
         self._id_header = id_header
+        self._may_omit_id = may_omit_id
         self.request_written = True
         self.request_count += 1
         self._transport.write(data)
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -111,6 +111,8 @@
         """Whether an attempt was sent that is not proved not to have run."""
         self._via_vm = False
         """Whether another VM serves the running attempt."""
+        self._refused_by: set[str] = set()
+        """The upstreams that have said that they did not run this call."""
 
     async def serve(self) -> CallSummary:
         """Register the call, follow the decisions on it, end before its deadline."""
@@ -177,14 +179,18 @@
         self, dispatch: ev.Dispatch, entry: DiscoveredUpstream
     ) -> None:
         """Send an attempt on a connection and relay its answer."""
-        connection = await self._connect(entry.address)
+        connection = await self._connect(dispatch.upstream, entry.address)
         succeeded = False
         may_have_run_before = self._may_have_run
         try:
             data = self._encode(dispatch, entry)
             self._may_have_run = True
+            # The refusals of other VMs name no request.
             connection.send(
-                data, self.call.request_id.encode(), self.forwarder.codec.id_header
+                data,
+                self.call.request_id.encode(),
+                self.forwarder.codec.id_header,
+                may_omit_id=self._via_vm,
             )
             if self._via_vm:
                 response = await self._read_head_from_vm(connection)
@@ -257,10 +263,15 @@
         )
         return response
 
-    async def _connect(self, address: str) -> Connection:
-        """Return a connection; if none opens, find out whether the path is lost."""
+    async def _connect(self, upstream: str, address: str) -> Connection:
+        """Return a connection; if none opens, find out whether the path is lost.
+
+        It is a new one to an upstream that has refused this call: on a kept one that
+        refusal, written once more, could not be told from an answer to the next try.
+        """
+        fresh = upstream in self._refused_by
         try:
-            return await self.forwarder.connection_pool.acquire(address)
+            return await self.forwarder.connection_pool.acquire(address, fresh)
         except AttemptError:
             if not self._via_vm:
                 await self.forwarder.path_prober.has_path(address)
@@ -283,6 +294,10 @@
         result = self.forwarder.report_recorder.record(
             dispatch.upstream, self.call.request_id, response
         )
+        if result in (AttemptResult.BUSY, AttemptResult.WRONG_INSTANCE):
+            if response.may_be_earlier:
+                raise AttemptError("a refusal that names no request", False, False)
+            self._refused_by.add(dispatch.upstream)
         if result is AttemptResult.BUSY:
             raise make_not_run_error("the upstream is at capacity", BUSY_PAUSE_MS)
         if result is AttemptResult.WRONG_INSTANCE:
