--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -42,6 +42,8 @@
 
     request_id: str
     attempt: int
+    served_by: str = ""
+    """The upstream to which another VM sent the attempt, if one serves it."""
 
 
 class TokensRelayed(msgspec.Struct, frozen=True):
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -36,7 +36,7 @@
     took_ms = now_ms - request.dispatched_ms
     load.record_first_token(took_ms, state.router.find_prefill_tokens(request))
     state.router.record_started(request, load)
-    _record_stream(state, request, load, now_ms)
+    _record_stream(state, request, load, event.served_by, now_ms)
     if not request.shared_parts:
         return
     cleared = state.part_quarantine.record_start(request.shared_parts, now_ms)
@@ -45,13 +45,23 @@
 
 
 def _record_stream(
-    state: DispatcherState, request: Request, load: UpstreamLoad, now_ms: int
+    state: DispatcherState,
+    request: Request,
+    load: UpstreamLoad,
+    served_by: str,
+    now_ms: int,
 ) -> None:
     """Record which version began a stream, so that only this one continues it.
 
-    If another VM serves the stream, that VM records it.
+    If another VM serves the stream, that VM tells the others of it.
     """
-    if not request.stream or is_serving_vm(load):
+    if not request.stream:
+        return
+    if is_serving_vm(load):
+        served = state.loads.get(served_by)
+        request.version_unknown = served is None
+        if served is not None:
+            request.version = served.entry.software_version
         return
     request.version = load.entry.software_version
     if request.version:
@@ -258,6 +268,8 @@
     exhausted = request.attempts_made >= request.max_attempts
     if request.attempt >= MAX_ATTEMPTS or exhausted:
         return make_failed_error(outcome)
+    if request.version_unknown and not _learn_version(state, request, now_ms):
+        return make_failed_error(outcome)
     if request.version and not _has_other_upstream(state, request, failed):
         return make_failed_error(outcome)
     if event.reached and not state.budget.spend(request.tier):
@@ -265,6 +277,19 @@
     return None
 
 
+def _learn_version(state: DispatcherState, request: Request, now_ms: int) -> bool:
+    """Set the version of a stream that another VM began; return whether it is known."""
+    versions = state.stream_versions
+    if versions.is_guess(request.stream, request.pool, now_ms):
+        return False
+    version = versions.find(request.stream, request.pool, now_ms)
+    if version is None:
+        return False
+    request.version = version
+    request.version_unknown = False
+    return True
+
+
 def _has_other_upstream(
     state: DispatcherState, request: Request, failed: UpstreamLoad
 ) -> bool:
--- a/plantainwood/core/requests.py
+++ b/plantainwood/core/requests.py
@@ -45,6 +45,7 @@
         "attempts_not_run",
         "stream",
         "version",
+        "version_unknown",
         "from_vm",
         "_tier",
     )
@@ -96,6 +97,8 @@
         self.stream = arrival.stream
         self.version = ""
         """The software version that began the stream; empty before its first event."""
+        self.version_unknown = False
+        """Whether the stream has begun at an upstream that is not known here."""
         self.from_vm = arrival.from_vm
         self._tier = service_class.tier if arrival.tier is None else arrival.tier
 
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -381,7 +381,10 @@
                 self.summary.first_byte_ms = self.clock.now_ms() - self.call.arrived_ms
                 if not self._via_vm:
                     self.forwarder.start_observer.record_start(self.call)
-            broker.feed(ev.AttemptStarted(dispatch.request_id, dispatch.attempt))
+            served_by = self.summary.upstream if self._via_vm else ""
+            broker.feed(
+                ev.AttemptStarted(dispatch.request_id, dispatch.attempt, served_by)
+            )
         if events:
             self.summary.events += events
             broker.feed(ev.TokensRelayed(dispatch.request_id, dispatch.attempt, events))
