--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -140,11 +140,20 @@
         dispatch_waiting(state, pool, now_ms, decisions)
 
 
+def handle_drained(
+    state: DispatcherState, event: ev.Drained, now_ms: int, decisions: list
+) -> None:
+    """Refuse new requests, and at once those that wait; running ones go on."""
+    state.draining = True
+    state.refuses_waiting = True
+    refuse_unservable(state, now_ms, decisions)
+
+
 def refuse_unservable(state: DispatcherState, now_ms: int, decisions: list) -> None:
     """Refuse the waiting requests that no upstream will take in their time.
 
-    These are the streams whose version has left, and the requests that can't outlast
-    the pauses which all upstreams of their pool asked for.
+    These are the streams whose version has left, the requests that can't outlast the
+    pauses which all upstreams of their pool asked for, and all on a node that stops.
     """
     pauses_ms: dict[str, int] = {}
     for name, pool in state.pools.items():
@@ -152,6 +161,9 @@
     for request in list(state.requests.values()):
         if request.is_running:
             continue
+        if state.refuses_waiting:
+            _refuse_unservable(state, request, RETRY_DRAINING_MS, decisions)
+            continue
         pause_ms = pauses_ms[request.pool]
         if pause_ms and pause_ms > request.compute_remaining_wait_ms(now_ms):
             _refuse_unservable(state, request, pause_ms, decisions)
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -6,6 +6,7 @@
 from plantainwood.core.admission import (
     expire_waiting,
     handle_arrival,
+    handle_drained,
     handle_path_probed,
     refuse_unservable,
 )
@@ -214,6 +215,7 @@
     ev.PartsClearedReceived: handle_parts_cleared,
     ev.ReservationAnswered: handle_reservation_answer,
     ev.PathProbed: handle_path_probed,
+    ev.Drained: handle_drained,
     ev.UpstreamProbed: handle_upstream_probed,
     ev.Tick: handle_tick,
 }
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -85,6 +85,7 @@
         "limits",
         "limit_floor",
         "draining",
+        "refuses_waiting",
         "router",
         "budget",
         "running_by_upstream",
@@ -122,6 +123,9 @@
         self.limits: dict[str, CustomerLimit] = {}
         self.limit_floor = options.limit_floor
         self.draining = False
+        """Whether new requests are refused."""
+        self.refuses_waiting = False
+        """Whether those that wait are refused too."""
         self.router = options.make_router(random.Random(seed), self.hints)
         self.budget = options.make_budget()
         self.running_by_upstream: dict[str, dict[str, Request]] = {}
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -180,6 +180,10 @@
     reached: bool
 
 
+class Drained(msgspec.Struct, frozen=True):
+    """This node is about to stop: it takes no request, and none may wait any more."""
+
+
 class Tick(msgspec.Struct, frozen=True):
     """Time passed; queue timeouts and other timed work may be due."""
 
@@ -204,6 +208,7 @@
     | PartsClearedReceived
     | ReservationAnswered
     | PathProbed
+    | Drained
     | UpstreamProbed
     | Tick
 )
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -5,12 +5,14 @@
 import msgspec
 
 from bridge.callers import EdgeCallerServer
+from fakes.runner import make_response
 from plantainwood.edgesettings import EdgeDrain
-from tests.edgesite import AUTHORIZATION, HOST, make_response, run
+from tests.edgesite import AUTHORIZATION, HOST, run
 
 CLIENTS = 24
 ANSWER_S = 0.15
 GRACE_MS = 3_000
+OPEN = 12
 LEFT_OPEN_S = 0.5
 BODY = b"x" * 2_000
 
@@ -54,7 +56,8 @@
                 await self._use(reader, writer, gone)
             except (ConnectionError, asyncio.IncompleteReadError):
                 pass
-            writer.close()
+            finally:
+                writer.close()
 
     async def _use(self, reader, writer, gone: asyncio.Event) -> None:
         while not gone.is_set():
@@ -129,3 +132,37 @@
         assert received - answered == set()
 
     run(scenario, script=answer_slowly)
+
+
+# Guards against requests that wait in a stopping VM and are closed unanswered (LOST).
+def test_a_request_that_waits_in_a_stopping_vm_is_answered_as_not_run():
+    async def never_answer(request, writer):
+        await asyncio.sleep(60)
+
+    async def scenario(site):
+        edge = site.daemon.edge
+        drain = EdgeDrain(grace_ms=GRACE_MS, address_lifetime_ms=200)
+        edge.settings = msgspec.structs.replace(edge.settings, drain=drain)
+        state = edge.broker.dispatcher.state
+        calls = []
+        for number in range(OPEN):
+            name = f"w-{number}"
+            headers = {"Request_Id": name, "Deadline_Remaining": "9000"}
+            calls.append(
+                asyncio.create_task(site.call("POST", "/n/x", b"b", **headers))
+            )
+        await site.wait_until(lambda: len(state.requests) == OPEN)
+        await asyncio.sleep(0.2)
+        received = {r.request_id.decode() for r in site.runners[0].received}
+        assert len(received) < OPEN
+        await site.daemon.drain()
+        await site.daemon.stop()
+        answers = await asyncio.gather(*calls, return_exceptions=True)
+        for number, answer in enumerate(answers):
+            if f"w-{number}" in received:
+                continue
+            assert not isinstance(answer, Exception), answer
+            assert answer[0] == 503 and float(answer[1]["Retry-After"]) > 0
+        assert received == {r.request_id.decode() for r in site.runners[0].received}
+
+    run(scenario, script=never_answer)
