--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -341,6 +341,9 @@
         if is_stream and response.status == STREAM_STATUS:
             await self._relay_stream(connection, response, dispatch)
             return
+        if self.sink.started:
+            reason = f"status {response.status} in place of the rest of a stream"
+            raise AttemptError(reason, False, proved_not_run=False)
         body = await read_whole_answer(connection)
         self._report_progress(dispatch, 0)
         self.summary.status = response.status
--- /dev/null
+++ b/tests/test_failed_continuations.py
@@ -0,0 +1,43 @@
+"""What a caller gets of a stream that no upstream goes on with."""
+
+import asyncio
+
+import pytest
+
+from fakes.runner import make_response
+from tests.edgesite import AUTHORIZATION, HOST, reset_unless_resumed, run
+
+REQUEST = (
+    f"POST /s/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: r-1\r\n"
+    f"Authorization: {AUTHORIZATION}\r\nDeadline-Remaining: 3000\r\n"
+    "Content-Length: 1\r\n\r\nb"
+).encode()
+TIMEOUT_S = 8
+
+
+# Guards against a second answer inside a stream that has begun (MIXED).
+@pytest.mark.parametrize("status", [400, 404, 500, 204])
+def test_a_failure_to_go_on_is_not_written_into_the_stream(status):
+    async def script(request, writer):
+        if b"last-event-id" not in request.headers:
+            await reset_unless_resumed(request, writer)
+            return
+        body = b"" if status == 204 else b"failed"
+        writer.write(make_response(request, body, status))
+
+    async def scenario(site):
+        host, port = site.base_url.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            writer.write(REQUEST)
+            async with asyncio.timeout(TIMEOUT_S):
+                received = await reader.read()
+        finally:
+            writer.close()
+        assert received.startswith(b"HTTP/1.1 200")
+        assert received.count(b"HTTP/1.") == 1
+        assert b"id: 3\n" in received
+        # Without the last chunk the answer does not look complete.
+        assert not received.endswith(b"0\r\n\r\n")
+
+    run(scenario, script=script, runners=2)
