--- a/plantainwood/daemon.py
+++ b/plantainwood/daemon.py
@@ -22,7 +22,7 @@
 from plantainwood.links import PeerLinks
 from plantainwood.logs import log_event, setup_logs
 from plantainwood.node import Clients, Node, make_node
-from plantainwood.platform import HttpPlatform, make_deadline_trace_config
+from plantainwood.platform import HttpPlatform, make_platform_session
 from plantainwood.poller import Poller
 from plantainwood.procedures import Driver
 from plantainwood.settings import Settings, SettingsError, load_settings
@@ -82,8 +82,8 @@
         settings = self.settings
         general = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=UNLIMITED_CONNECTIONS),
-            trace_configs=[make_deadline_trace_config(self.node.clock)],
         )
+        orders = make_platform_session(self.node.clock)
         plain = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=UNLIMITED_CONNECTIONS, force_close=True
@@ -91,7 +91,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             trace_configs=[make_single_connection_config()],
         )
-        self._sessions = [general, plain]
+        self._sessions = [general, plain, orders]
         store = EtcdClient(
             general,
             settings.store.endpoints,
@@ -101,7 +101,7 @@
             self.node.metrics,
         )
         platform = HttpPlatform(
-            general,
+            orders,
             settings.platform.orders_url,
             settings.platform.reports_url,
             settings.platform.vms_url,
--- a/plantainwood/platform.py
+++ b/plantainwood/platform.py
@@ -1,6 +1,8 @@
 """Client of the platform's interfaces for orders, usage reports and the VM list."""
 
 import asyncio
+import socket
+import struct
 from abc import ABC, abstractmethod
 from types import SimpleNamespace
 
@@ -12,6 +14,10 @@
 from plantainwood.core.effects import SendDesiredCount, SendOrder, SendReport
 from plantainwood.core.errors import NotAppliedError, StoreError
 
+KEEPALIVE_S = 20.0
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Linger for no time: the option's two fields, as the kernel reads them."""
+
 
 class Vm(msgspec.Struct, frozen=True):
     """One VM as the platform lists it; the list lags behind the actual state."""
@@ -68,6 +74,33 @@
     return config
 
 
+def make_resetting_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Return a TCP socket whose close drops what is not delivered yet.
+
+    An orderly close lets the kernel go on sending, for many seconds if a link is cut.
+    """
+    family, kind, protocol, _, _ = address
+    sock = socket.socket(family, kind, protocol)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    return sock
+
+
+def make_platform_session(clock: Clock) -> aiohttp.ClientSession:
+    """Return a session for orders and reports: none is sent after its deadline.
+
+    A call that is given up resets its connection, so that it can't arrive later.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(
+            limit=0,
+            keepalive_timeout=KEEPALIVE_S,
+            socket_factory=make_resetting_socket,
+        ),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        trace_configs=[make_deadline_trace_config(clock)],
+    )
+
+
 class HttpPlatform(PlatformClient):
     """Call the platform with JSON over HTTP."""
 
--- /dev/null
+++ b/tests/test_given_up_orders.py
@@ -0,0 +1,47 @@
+"""Orders and reports that are given up don't arrive later."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from bridge.cloud import CloudClient
+from plantainwood.core.clock import make_clock
+from plantainwood.core.effects import SendDesiredCount
+from plantainwood.core.errors import StoreError
+from plantainwood.platform import make_platform_session
+
+TIMEOUT_MS = 200
+BEFORE_DEADLINE_MS = 5_000
+
+
+# Guards against an order that the system goes on sending after it was given up, and
+# that arrives after the next holder's once a cut link has healed (ONE).
+def test_a_call_that_is_given_up_is_reset_not_closed():
+    ended: list[object] = []
+
+    async def serve(reader, writer):
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            ended.append(await reader.read(65_536) and await reader.read())
+        except ConnectionError as error:
+            ended.append(error)
+        writer.close()
+
+    async def main():
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        clock = make_clock()
+        session: aiohttp.ClientSession = make_platform_session(clock)
+        client = CloudClient(session, f"127.0.0.1:{port}", "vm-1", TIMEOUT_MS)
+        order = SendDesiredCount(
+            "pool", "a", 2, False, 1, clock.now_ms() + BEFORE_DEADLINE_MS
+        )
+        with pytest.raises(StoreError):
+            await client.send_count(order)
+        await asyncio.sleep(0.1)
+        await session.close()
+        server.close()
+
+    asyncio.run(main())
+    assert len(ended) == 1 and isinstance(ended[0], ConnectionResetError)
