--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -25,6 +25,26 @@
     return result.stdout.strip()
 
 
+# Guards against a start that a change of the settings ends (SIGHUP's default).
+def test_a_signal_of_changed_settings_during_the_imports_does_not_end_the_process():
+    code = f"""
+import builtins, os, runpy, signal, sys
+sys.path.insert(0, {str(MAIN.parent)!r})
+original = builtins.__import__
+def signal_and_import(name, *arguments, **options):
+    if name == "bridge.daemon":
+        os.kill(os.getpid(), signal.SIGHUP)
+    return original(name, *arguments, **options)
+builtins.__import__ = signal_and_import
+runpy.run_path({str(MAIN)!r})
+print("imported")
+"""
+    result = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True, check=False
+    )
+    assert result.stdout.strip() == "imported"
+
+
 class LeavingDaemon(daemon.EdgeDaemon):
     """A daemon without services that is told to leave as soon as it has started."""
 
