--- a/plantainwood/core/partquarantine.py
+++ b/plantainwood/core/partquarantine.py
@@ -22,6 +22,8 @@
 crashing engines by itself is blocked by its fingerprint."""
 SAME_CAUSE_MS = 100
 """Crashes closer together count as one: an outage stops many engines at once."""
+UNANSWERED_MS = 1_000
+"""Crashes so far apart count, also if no answer began between them."""
 MAX_START_TIMES = 1_024
 MIN_MARKS_TOLD = 2
 MAX_TRUSTED_PARTS = 8_192
@@ -165,12 +167,14 @@
         marks = self._marks.get(part, {})
         trusted_ms = self._trusted.get(part)
         # Only crashes with an answer between them count: the parts that most prompts
-        # share are lost in every crash of an outage of all engines.
+        # share are lost in every crash, and no answer is there yet to clear them. With
+        # a part that was never answered, none may come between.
+        start_times_ms = list(self._start_times_ms)
         if trusted_ms is not None and now_ms - trusted_ms < TRUSTED_MS:
-            count = _count_crashes(marks.values(), list(self._start_times_ms))
+            count = _count_crashes(marks.values(), start_times_ms)
             needed = max(self._max_crashes, MAX_CRASHES_OF_TRUSTED)
         else:
-            count = _count_crashes(marks.values())
+            count = _count_crashes(marks.values(), start_times_ms, UNANSWERED_MS)
             needed = self._max_crashes
         if count < needed:
             return False
@@ -205,19 +209,22 @@
 
 
 def _count_crashes(
-    marks: Iterable[PartMark], start_times_ms: list[int] | None = None
+    marks: Iterable[PartMark],
+    start_times_ms: list[int] | None = None,
+    unanswered_ms: int | None = None,
 ) -> int:
     """Return the number of crashes, those within SAME_CAUSE_MS counted as one.
 
     With the times at which answers began, in order, crashes without one between them
-    count as one too.
+    count as one too, unless they are `unanswered_ms` apart.
     """
     count = 0
     last_ms = 0
     for time_ms in sorted(mark.time_ms for mark in marks):
         if count and time_ms - last_ms < SAME_CAUSE_MS:
             continue
-        if count and start_times_ms is not None:
+        is_apart = unanswered_ms is not None and time_ms - last_ms >= unanswered_ms
+        if count and start_times_ms is not None and not is_apart:
             after = bisect_right(start_times_ms, last_ms)
             if after == len(start_times_ms) or start_times_ms[after] > time_ms:
                 continue
--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -129,6 +129,28 @@
 
 # Guards against an outage of all engines that is noticed engine by engine: it made the
 # parts that most prompts share suspects, and no answer could clear them any more.
+# Guards against DENIED: a part that all prompts share is refused for ten minutes since
+# some engines failed one after the other before its first answer.
+def test_engines_lost_one_by_one_before_the_first_answer_block_no_part():
+    quarantine = PartQuarantine(max_crashes=3)
+    for number in range(4):
+        lost = [LostAttempt(f"request {number}", ("shared", f"own {number}"))]
+        quarantine.record_crash(PartCrash(f"e{number}", lost), 250 * number)
+    assert not quarantine.is_blocked(("shared", "own 9"), 1_000)
+    quarantine.record_start(["shared", "own 9"], 1_100)
+    assert not quarantine.is_blocked(("shared", "own 10"), 1_200)
+
+
+# Guards against BUDGET where nothing but requests with the part comes.
+def test_a_part_that_was_never_answered_is_blocked_without_other_answers():
+    quarantine = PartQuarantine(max_crashes=3)
+    for number in range(CRASHES_BEFORE_BOUND):
+        lost = [LostAttempt(f"request {number}", ("cause", f"own {number}"))]
+        quarantine.record_crash(PartCrash(f"e{number}", lost), 600 * number)
+    late_ms = 600 * CRASHES_BEFORE_BOUND + CONTACT_MS
+    assert quarantine.is_blocked(("cause", "own 9"), late_ms)
+
+
 def test_engines_lost_one_by_one_while_nothing_is_answered_block_no_trusted_part():
     quarantine = PartQuarantine(max_crashes=3)
     quarantine.record_start(["first"], 1_000)
