--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -11,10 +11,9 @@
     refuse_unservable,
 )
 from plantainwood.core.catalogue import Catalogue, ServingVm
+from plantainwood.core.crashes import enforce_mark, enforce_part_marks
 from plantainwood.core.dispatcherstate import DispatcherState, Options
 from plantainwood.core.outcomes import (
-    enforce_mark,
-    enforce_part_marks,
     handle_authorization_lost,
     handle_caller_left,
     handle_done,
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -1,6 +1,7 @@
 """Outcomes of attempts: progress, completion, crashes and retries."""
 
 from plantainwood.core import events as ev
+from plantainwood.core.crashes import record_crash
 from plantainwood.core.dispatcherstate import (
     DispatcherState,
     find_outcome,
@@ -8,15 +9,13 @@
 )
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.loads import UpstreamLoad
-from plantainwood.core.partquarantine import LostAttempt, PartCrash
 from plantainwood.core.quarantine import make_blocked_error
 from plantainwood.core.requests import Request
 from plantainwood.core.retries import MAX_ATTEMPTS
 from plantainwood.core.router import has_version
-from plantainwood.core.scheduling import dispatch_waiting
+from plantainwood.core.scheduling import dispatch_waiting, stop_request
 from plantainwood.core.servingvms import is_serving_vm
 
-CRASH_PAUSE_MS = 2_000
 UNREACHED_MS = 2_000
 """How long an upstream counts as out of reach after a failed connection or probe."""
 BRITTLE_PAUSE_MS = 1_000
@@ -112,7 +111,7 @@
         return
     load = state.loads[request.upstream]
     if event.crashed:
-        _record_crash(state, request, load, now_ms, decisions)
+        record_crash(state, request, load, now_ms, decisions)
     if event.proved_not_run:
         request.attempts_made -= 1
         request.attempts_not_run += 1
@@ -147,107 +146,6 @@
             dispatch_waiting(state, pool, now_ms, decisions)
 
 
-def _record_crash(
-    state: DispatcherState,
-    request: Request,
-    load: UpstreamLoad,
-    now_ms: int,
-    decisions: list,
-) -> None:
-    """Mark the fingerprints that ran on a crashed upstream, once per crash."""
-    if request.dispatched_ms <= state.last_crash_ms.get(load.name, -1):
-        return
-    state.last_crash_ms[load.name] = now_ms
-    load.paused_until_ms = now_ms + CRASH_PAUSE_MS
-    running = state.running_by_upstream.get(load.name, {}).values()
-    fingerprints = [other.fingerprint for other in running]
-    marks = state.quarantine.record_crash(
-        load.name, load.entry.domain, fingerprints, now_ms
-    )
-    state.broadcast_marks(marks, decisions)
-    for mark in marks:
-        enforce_mark(state, mark.fingerprint, now_ms, decisions, crashed=load.name)
-    _record_part_crash(state, load, now_ms, decisions)
-
-
-def _record_part_crash(
-    state: DispatcherState, load: UpstreamLoad, now_ms: int, decisions: list
-) -> None:
-    """Mark the parts of the attempts on a crashed upstream that had not begun."""
-    attempts: list[LostAttempt] = []
-    for request in state.running_by_upstream.get(load.name, {}).values():
-        if request.first_token_ms or not request.shared_parts:
-            continue
-        name = request.fingerprint or request.id
-        attempts.append(LostAttempt(name, request.shared_parts))
-    if not attempts:
-        return
-    crash = PartCrash(load.name, attempts)
-    state.part_quarantine.record_crash(crash, now_ms)
-    decisions.append(ev.BroadcastPartCrash(crash))
-    enforce_part_marks(state, crash, now_ms, decisions, crashed=load.name)
-
-
-def enforce_part_marks(
-    state: DispatcherState,
-    crash: PartCrash,
-    now_ms: int,
-    decisions: list,
-    crashed: str = "",
-) -> None:
-    """Refuse the unbegun requests that a crash's marks block, but not on `crashed`.
-
-    Whole requests that were lost with a blocked part are no suspects any more.
-    """
-    marked = {part for attempt in crash.attempts for part in attempt.parts}
-    crashing = set(state.part_quarantine.find_crashing_parts(marked, now_ms))
-    if not crashing:
-        return
-    explained = state.part_quarantine.list_marked_upstreams(crashing)
-    state.quarantine.lift_explained(explained)
-    for request in list(state.requests.values()):
-        if request.first_token_ms or crashing.isdisjoint(request.shared_parts):
-            continue
-        if crashed and request.upstream == crashed:
-            continue
-        if not state.part_quarantine.is_blocked(request.shared_parts, now_ms):
-            continue
-        _stop_request(state, request.id, now_ms, decisions)
-        error = make_blocked_error(find_outcome(request))
-        decisions.append(ev.Refuse(request.id, error))
-
-
-def enforce_mark(
-    state: DispatcherState,
-    fingerprint: str,
-    now_ms: int,
-    decisions: list,
-    crashed: str = "",
-) -> None:
-    """Apply a new mark to the fingerprint's requests, except on the upstream `crashed`.
-
-    Requests of a blocked fingerprint are refused at once. A repeatable suspect that
-    runs without a reservation is cancelled and waits for one, so that no later crash
-    has two suspects.
-    """
-    blocked = state.quarantine.is_blocked(fingerprint, now_ms)
-    for request in list(state.requests.values()):
-        if request.fingerprint != fingerprint:
-            continue
-        if crashed and request.upstream == crashed:
-            continue
-        if blocked:
-            _stop_request(state, request.id, now_ms, decisions)
-            error = make_blocked_error(find_outcome(request))
-            decisions.append(ev.Refuse(request.id, error))
-            continue
-        if not state.options.isolate_suspects:
-            continue
-        if request.is_running and request.repeatable and not request.reserved_upstream:
-            state.cancel_attempt(request, now_ms, decisions)
-            state.enqueue(request, now_ms, front=True)
-
-
 def _find_retry_error(
     state: DispatcherState,
     request: Request,
@@ -320,31 +218,16 @@
     state: DispatcherState, event: ev.CallerLeft, now_ms: int, decisions: list
 ) -> None:
     """Cancel the request of a caller that closed its connection."""
-    _stop_request(state, event.request_id, now_ms, decisions)
+    stop_request(state, event.request_id, now_ms, decisions)
 
 
 def handle_authorization_lost(
     state: DispatcherState, event: ev.AuthorizationLost, now_ms: int, decisions: list
 ) -> None:
     """End a request whose key is withdrawn or can't be confirmed."""
-    request = _stop_request(state, event.request_id, now_ms, decisions)
+    request = stop_request(state, event.request_id, now_ms, decisions)
     if request is None:
         return
     message = "the key is no longer known to be valid"
     error = RequestError(event.code, message, find_outcome(request))
     decisions.append(ev.Refuse(request.id, error))
-
-
-def _stop_request(
-    state: DispatcherState, request_id: str, now_ms: int, decisions: list
-) -> Request | None:
-    request = state.requests.get(request_id)
-    if request is None:
-        return None
-    if request.is_running:
-        state.cancel_attempt(request, now_ms, decisions)
-    else:
-        state.remove_waiting(request)
-    state.end_request(request)
-    dispatch_waiting(state, state.pools[request.pool], now_ms, decisions)
-    return request
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -206,3 +206,19 @@
         decisions.append(ev.Release(request.id, load.name))
     request.retry_at_ms = now_ms + RESERVATION_RETRY_MS
     state.get_or_create_tier(pool, request.tier).queue.push(request, front=True)
+
+
+def stop_request(
+    state: DispatcherState, request_id: str, now_ms: int, decisions: list
+) -> Request | None:
+    """Delete a request, wherever it is; return it, or None if it has ended."""
+    request = state.requests.get(request_id)
+    if request is None:
+        return None
+    if request.is_running:
+        state.cancel_attempt(request, now_ms, decisions)
+    else:
+        state.remove_waiting(request)
+    state.end_request(request)
+    dispatch_waiting(state, state.pools[request.pool], now_ms, decisions)
+    return request
