Keep the time of the newest read by this VM's own steady clock

The agreed time may be corrected by seconds after a start beside a wrong wall clock; a read noted in it before would have confirmed too much for as long. An update's wait is taken off when it is received. test_out_of_step.py, one test more: what was sent earlier counts from then.

--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -150,8 +150,8 @@
         """Messages to all VMs."""
         self.open_call_count = 0
         self._heartbeat_sequence = 0
-        self._registry_read_ms = 0
-        """The agreed time at which the newest read of the store known here began."""
+        self._registry_read_ms: int | None = None
+        """When the newest read of the store that is known here began; None before."""
 
     def apply_settings(self, settings: EdgeSettings) -> None:
         """Apply changed settings to the running node."""
@@ -232,21 +232,33 @@
         known = len(self.vms.list_addresses())
         return hears_quorum(len(self.vms.list_live(now_ms)), known)
 
-    def note_registry_read(self, agreed_ms: int) -> None:
-        """Record that a read of the store that began at an agreed time is applied."""
-        self._registry_read_ms = max(self._registry_read_ms, agreed_ms)
+    def note_registry_read(self, began_ms: int) -> None:
+        """Record that a read of the store that began at a time is applied here."""
+        if self._registry_read_ms is None or began_ms > self._registry_read_ms:
+            self._registry_read_ms = began_ms
+
+    def note_update(self, sent_ms: int, age_ms: int) -> None:
+        """Record another VM's read, sent at an agreed time, when it was `age_ms` old.
+
+        What was sent earlier than it is found here is older by as much: this VM may
+        have stood still.
+        """
+        now_ms = self.clock.now_ms()
+        waited_ms = max(0, self.agreed_time.now(now_ms) - sent_ms)
+        self.note_registry_read(now_ms - waited_ms - age_ms)
 
     def is_registry_confirmed(self, since_ms: int) -> bool:
         """Return whether all changes of the registry before a time are known here.
 
         The store was read since then, or most other VMs have said since then that they
-        know of no later change. What was sent before counts as of then, also if this VM
-        stood still and finds it only now.
+        know of no later change.
         """
-        since_agreed_ms = self.agreed_time.now(since_ms)
-        if self._registry_read_ms >= since_agreed_ms:
+        read_ms = self._registry_read_ms
+        if read_ms is not None and read_ms >= since_ms:
             return True
-        in_step = self.vms.count_in_step(since_agreed_ms, self.mirror.revision)
+        in_step = self.vms.count_in_step(
+            self.agreed_time.now(since_ms), self.mirror.revision
+        )
         return hears_quorum(in_step, len(self.vms.list_addresses()))
 
     def is_ready(self) -> bool:
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -318,7 +318,7 @@
         edge.mirror.confirm(update.revision, edge.clock.now_ms() - update.age_ms)
         self._on_items(changed_items)
         if update.sent_ms:
-            edge.note_registry_read(update.sent_ms - update.age_ms)
+            edge.note_update(update.sent_ms, update.age_ms)
 
     def _handle_mirror_request(self, request: MirrorRequest) -> None:
         edge = self.edge
--- a/plantainwood/reader.py
+++ b/plantainwood/reader.py
@@ -151,7 +151,7 @@
         mirror.confirm(revision, requested_ms)
         log_event("store_read", revision=revision, items=len(items))
         self._on_items(changed_items)
-        self.edge.note_registry_read(self.edge.agreed_time.now(requested_ms))
+        self.edge.note_registry_read(requested_ms)
 
     async def _read_changes(self, base: int, requested_ms: int) -> None:
         edge = self.edge
@@ -169,4 +169,4 @@
         age_ms = edge.mirror.compute_age_ms(edge.clock.now_ms()) or 0
         self._publisher.publish_update(known_revision, changed_items, age_ms)
         self._on_items(changed_items)
-        edge.note_registry_read(edge.agreed_time.now(requested_ms))
+        edge.note_registry_read(requested_ms)
--- a/tests/test_out_of_step.py
+++ b/tests/test_out_of_step.py
@@ -7,9 +7,11 @@
 import pytest
 
 from plantainwood.core.errors import StoreError
+from plantainwood.edge import make_edge
 from tests.edgesite import make_entry, reset_unless_resumed
 from tests.fleetsite import FleetSite, run_fleet
 from tests.processsite import ProcessSite, run_processes
+from tests.samples import SETTINGS
 
 STREAMS = 6
 STANDSTILL_S = 2.5
@@ -112,6 +114,20 @@
     run_processes(scenario, reset_unless_resumed, tmp_path, runners=1)
 
 
+# Guards against an update that waited while the VM stood still and counts as new.
+def test_an_update_counts_from_when_it_was_sent():
+    edge = make_edge(SETTINGS)
+    edge.vms.learn_address("vm-2", "tcp://127.0.0.1:1")
+    asked_ms = edge.clock.now_ms()
+    agreed_ms = edge.agreed_time.now(asked_ms)
+    edge.note_update(agreed_ms - 2_000, 100)
+    assert not edge.is_registry_confirmed(asked_ms)
+    edge.note_update(agreed_ms, 100)
+    assert not edge.is_registry_confirmed(asked_ms)
+    edge.note_update(agreed_ms + 200, 100)
+    assert edge.is_registry_confirmed(asked_ms - 100)
+
+
 # Guards against refusing the streams of the only version, or holding them (LOST).
 def test_a_vm_in_step_continues_unknown_streams_of_the_only_version():
     async def scenario(site: FleetSite) -> None:
