--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,12 @@
 PYTHON = .venv/bin/python
-SOURCES = plantainwood plantainctl platform standins experiments tests
+SOURCES = plantainwood plantainctl platform standins experiments soak tests
+SEEDS ?= 1
+SECONDS ?= 30
+VMS ?= 4
 SEED ?= 1
 STEPS ?= 200
 
-.PHONY: demo test lint fuzz mutants bench capacity experiment reference clean
+.PHONY: demo test lint fuzz soak mutants bench capacity experiment reference clean
 
 .venv/ready: requirements.txt
 	python3 -m venv .venv
@@ -24,6 +27,9 @@
 fuzz: .venv/ready
 	FUZZ_SEED=$(SEED) FUZZ_STEPS=$(STEPS) $(PYTHON) -m pytest tests/proofs
 
+soak: .venv/ready
+	PYTHONPATH=platform $(PYTHON) -m soak.main $(SEED) $(SEEDS) $(SECONDS) $(VMS)
+
 mutants: .venv/ready
 	$(PYTHON) -m experiments.mutants
 
--- /dev/null
+++ b/soak/clients.py
@@ -0,0 +1,108 @@
+"""Clients of the soak: they keep their connections, and take up broken streams."""
+
+import asyncio
+import random
+import re
+
+import aiohttp
+
+from soak.runners import EVENTS
+from tests.edgesite import HOST
+from tests.processsite import ProcessSite, VmProcess
+
+RETRY_LATER = (429, 503)
+EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\w+)\n\n")
+TIMEOUT_S = 8.0
+PAUSE_S = 0.05
+
+
+class Call:
+    """One client attempt: what was sent where, and what came back."""
+
+    __slots__ = ("request_id", "kind", "key", "vm", "sent_s", "status", "body")
+
+    def __init__(
+        self, request_id: str, kind: str, key: str, vm: VmProcess, sent_s: float
+    ) -> None:
+        self.request_id = request_id
+        self.kind = kind
+        self.key = key
+        self.vm = vm
+        self.sent_s = sent_s
+        self.status = 0
+        """0 without a whole answer."""
+        self.body = b""
+
+
+class Client:
+    """Send requests of all kinds to any VM until told to stop."""
+
+    def __init__(
+        self, site: ProcessSite, number: int, source: random.Random, keys: list[str]
+    ) -> None:
+        self.site = site
+        self.calls: list[Call] = []
+        self.mixed_streams: list[str] = []
+        self._number = number
+        self._source = source
+        self._keys = keys
+        """The keys in use; withdrawn ones stay in it for a while."""
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Send one request after the other."""
+        while not stop.is_set():
+            kind = self._source.choice(["r", "u", "s", "s"])
+            if kind == "s":
+                await self._read_stream()
+            else:
+                await self._send(kind, {})
+            await asyncio.sleep(PAUSE_S)
+
+    async def _send(self, kind: str, extra: dict[str, str]) -> Call:
+        """Send a request to a VM drawn at random; return the call with its answer."""
+        loop = asyncio.get_running_loop()
+        vm = self._source.choice(self.site.vms)
+        key = self._source.choice(self._keys)
+        name = f"c{self._number}-{len(self.calls)}"
+        call = Call(name, kind, key, vm, loop.time())
+        self.calls.append(call)
+        headers = {
+            "Host": HOST,
+            "Request-Id": name,
+            "Authorization": f"Token {key}",
+            "Deadline-Remaining": "4000",
+            **extra,
+        }
+        method = "GET" if kind == "r" else "POST"
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                async with self.site.session.request(
+                    method, f"{vm.caller_url}/{kind}/x", headers=headers
+                ) as response:
+                    async for chunk in response.content.iter_any():
+                        call.body += chunk
+                    call.status = response.status
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            pass
+        return call
+
+    async def _read_stream(self) -> None:
+        """Read a stream; take it up twice at most if it breaks off."""
+        versions: set[bytes] = set()
+        last_id = 0
+        extra: dict[str, str] = {}
+        begun = ""
+        for _ in range(3):
+            call = await self._send("s", extra)
+            for number, version in EVENT_PATTERN.findall(call.body):
+                if int(number) != last_id + 1:
+                    self.mixed_streams.append(f"{call.request_id}: event {number!r}")
+                last_id = int(number)
+                versions.add(version)
+                begun = begun or call.request_id
+            if last_id >= EVENTS or call.status not in (0, *RETRY_LATER):
+                break
+            if begun:
+                extra = {"Resumes": begun, "Last-Event-Id": str(last_id)}
+        if len(versions) > 1:
+            self.mixed_streams.append(f"{begun}: {sorted(versions)!r}")
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,231 @@
+"""Faults of the soak: drawn by a seed, in series, overlapping."""
+
+import asyncio
+import json
+import math
+import random
+import signal
+
+from soak.runners import Run, SoakRunner
+from tests.edgesite import make_config, make_entry
+from tests.processsite import ProcessSite, VmProcess
+from tests.test_odd_entries import ENTRY, ODD_ENTRIES, nest
+
+CONTACT_S = 3.0
+FAULT_GAP_S = (0.2, 1.2)
+MAX_ODD_ENTRIES = 6
+GRACE_S = 8.0
+SLOW_S = 0.4
+KEYS_IN_USE = 3
+"""The keys that clients use, the withdrawn ones included."""
+STORE = "store"
+
+
+class Disturbances:
+    """When each VM and the store were disturbed; the timed rules rest then."""
+
+    def __init__(self) -> None:
+        self._spans: dict[str, list[list[float]]] = {}
+
+    def begin(self, name: str) -> None:
+        """Record that a disturbance begins, and lasts until its end is recorded."""
+        now_s = asyncio.get_running_loop().time()
+        self._spans.setdefault(name, []).append([now_s, math.inf])
+
+    def end(self, name: str) -> None:
+        """Record that the last disturbance that began has ended."""
+        self._spans[name][-1][1] = asyncio.get_running_loop().time()
+
+    def was_calm(self, name: str, at_s: float) -> bool:
+        """Return whether a VM and the store were calm for CONTACT_S before a time."""
+        for began_s, ended_s in self._spans.get(name, []) + self._spans.get(STORE, []):
+            if began_s <= at_s and ended_s > at_s - CONTACT_S:
+                return False
+        return True
+
+
+class Operator:
+    """Change runners, keys and versions, and disturb VMs and the store."""
+
+    def __init__(self, site: ProcessSite, source: random.Random) -> None:
+        self.site = site
+        self.runs: list[Run] = []
+        self.runners: dict[str, SoakRunner] = {}
+        self.left_s: dict[str, float] = {}
+        """When the store acknowledged that a runner drains or is gone."""
+        self.withdrawn_s: dict[str, float] = {}
+        self.added_s: dict[str, float] = {}
+        self.keys = ["key-0", "key-1"]
+        self.disturbances = Disturbances()
+        self.busy: set[str] = set()
+        """VMs under a fault that have yet to come back."""
+        self._source = source
+        self._version = 0
+        self._runner_count = 0
+        self._software = 1
+        self._tasks: set[asyncio.Task] = set()
+        self._is_store_disturbed = False
+
+    async def set_up(self, runners: int) -> None:
+        """Write the first configuration, and start runners."""
+        self._write_config()
+        for _ in range(runners):
+            await self.add_runner()
+
+    def _write_config(self) -> None:
+        self._version += 1
+        live = [key for key in self.keys if key not in self.withdrawn_s]
+        tenants = [{"name": key, "apiKeys": [key]} for key in live]
+        config = make_config(version=self._version, tenants=tenants)
+        self.site.store.put("op/config", config)
+
+    async def add_runner(self) -> None:
+        """Start a runner of the newest software version."""
+        self._runner_count += 1
+        name = f"i-{self._runner_count}"
+        runner = SoakRunner(
+            name,
+            f"v{self._software}",
+            random.Random(self._source.random()),
+            self.runs,
+        )
+        await runner.start()
+        self.runners[name] = runner
+        self.site.runners.append(runner)
+        self._register(name, "ready")
+
+    def _register(self, name: str, state: str) -> None:
+        runner = self.runners[name]
+        zone = "ab"[int(name.removeprefix("i-")) % 2]
+        entry = make_entry(runner, version=runner.version, state=state, zone=zone)
+        self.site.store.put(f"servers/{name}", entry)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Cause one fault after the other; they overlap."""
+        faults = [
+            self._drain_a_runner,
+            self._write_an_odd_entry,
+            self._write_an_odd_entry,
+            self._change_keys,
+            self._freeze_a_vm,
+            self._kill_a_vm,
+            self._stop_a_vm,
+            self._disturb_the_store,
+            self._signal_settings,
+        ]
+        while not stop.is_set():
+            task = asyncio.create_task(self._source.choice(faults)())
+            self._tasks.add(task)
+            await asyncio.sleep(self._source.uniform(*FAULT_GAP_S))
+        await asyncio.gather(*self._tasks)
+
+    async def _drain_a_runner(self) -> None:
+        """Start a runner, of a later version at times, and let another one leave."""
+        if self._source.random() < 0.3:
+            self._software += 1
+        await self.add_runner()
+        ready = [name for name in self.runners if name not in self.left_s]
+        if len(ready) < 4 or self.site.store.faults.down:
+            return
+        name = self._source.choice(ready[:-1])
+        self._register(name, "draining")
+        self.left_s[name] = asyncio.get_running_loop().time()
+
+    async def _write_an_odd_entry(self) -> None:
+        number = self._source.randrange(MAX_ODD_ENTRIES)
+        self.site.store.put(f"servers/odd-{number}", self._make_odd_entry())
+
+    def _make_odd_entry(self) -> bytes:
+        if self._source.random() < 0.5:
+            return self._source.choice(self._source.choice(list(ODD_ENTRIES.values())))
+        text = bytearray(json.dumps(ENTRY).encode())
+        for _ in range(self._source.randint(1, 5)):
+            piece = self._source.choice(
+                [nest(2_000).encode(), b"9" * 400, b"\xff", b'"', b"-", b"1e400", b""]
+            )
+            at = self._source.randrange(len(text))
+            text[at : at + self._source.randint(0, 9)] = piece
+        return bytes(text)
+
+    async def _change_keys(self) -> None:
+        """Withdraw the older key, and add one."""
+        now_s = asyncio.get_running_loop().time()
+        live = [key for key in self.keys if key not in self.withdrawn_s]
+        if self.site.store.faults.down:
+            return
+        self.withdrawn_s[live[0]] = now_s
+        added = f"key-{self._version + 1}"
+        self.keys.append(added)
+        self.added_s[added] = now_s
+        self._write_config()
+        del self.keys[:-KEYS_IN_USE]
+
+    def _take_vm(self) -> VmProcess | None:
+        """Return a VM to disturb; None while half of them are disturbed."""
+        if 2 * len(self.busy) >= len(self.site.vms) - 1:
+            return None
+        free = [vm for vm in self.site.vms if vm.name not in self.busy]
+        vm = self._source.choice(free)
+        self.busy.add(vm.name)
+        self.disturbances.begin(vm.name)
+        return vm
+
+    def _give_back(self, vm: VmProcess) -> None:
+        self.disturbances.end(vm.name)
+        self.busy.discard(vm.name)
+
+    async def _freeze_a_vm(self) -> None:
+        vm = self._take_vm()
+        if vm is None:
+            return
+        vm.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._source.uniform(0.3, 4.0))
+        vm.signal(signal.SIGCONT)
+        self._give_back(vm)
+
+    async def _kill_a_vm(self) -> None:
+        vm = self._take_vm()
+        if vm is None:
+            return
+        await vm.kill()
+        await asyncio.sleep(self._source.uniform(0.0, 1.0))
+        await vm.start()
+        self._give_back(vm)
+
+    async def _stop_a_vm(self) -> None:
+        vm = self._take_vm()
+        if vm is None:
+            return
+        vm.signal(signal.SIGTERM)
+        try:
+            async with asyncio.timeout(GRACE_S):
+                await vm.process.wait()
+        except TimeoutError:
+            await vm.kill()
+        await vm.start()
+        self._give_back(vm)
+
+    async def _signal_settings(self) -> None:
+        vm = self._take_vm()
+        if vm is None:
+            return
+        vm.signal(signal.SIGHUP)
+        self._give_back(vm)
+
+    async def _disturb_the_store(self) -> None:
+        """Let the store be down or slow, or forget its history, one at a time."""
+        if self._is_store_disturbed:
+            return
+        self._is_store_disturbed = True
+        faults = self.site.store.faults
+        kind = self._source.choice(["down", "slow", "compact"])
+        self.disturbances.begin(STORE)
+        if kind == "compact":
+            self.site.store.compact()
+        faults.down = kind == "down"
+        faults.slow_s = SLOW_S if kind == "slow" else 0.0
+        await asyncio.sleep(self._source.uniform(0.3, 1.5))
+        faults.down = False
+        faults.slow_s = 0.0
+        self.disturbances.end(STORE)
+        self._is_store_disturbed = False
