--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -235,3 +235,28 @@
         writer.close()
 
     run(scenario)
+
+
+# Guards against 403 for a request whose route or customer goes while it is read.
+@pytest.mark.parametrize("change", [{"routes": []}, {"tenants": []}])
+def test_a_request_that_a_new_configuration_overtakes_may_come_back(change):
+    async def scenario(site):
+        host, port = site.base_url.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            writer.write(
+                b"POST /u/x HTTP/1.1\r\nHost: front.example\r\nRequest-Id: z\r\n"
+                b"Authorization: Token secret-key\r\nContent-Length: 2\r\n\r\na"
+            )
+            await asyncio.sleep(0.1)
+            site.store.put("op/config", make_config(2, **change))
+            await wait_for_version(site, 2)
+            writer.write(b"b")
+            head = await reader.readuntil(b"\r\n\r\n")
+        finally:
+            writer.close()
+        assert head.split()[1] == b"503"
+        assert b"retry-after" in head.lower()
+        assert not site.runners[0].received
+
+    run(scenario)
