Take the tests' ports from below the ephemeral range; the soak prints its traces

Twice the same job: edgesite.find_free_ports let the kernel choose, from the range in which open connections get theirs, standins.fleet.find_ports does not. Findings of the soak print the log lines of their request.

--- a/soak/main.py
+++ b/soak/main.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import re
 import sys
 import tempfile
 from collections import Counter
@@ -11,7 +12,7 @@
 
 from soak.clients import RETRY_LATER, Call, Client
 from soak.faults import Operator
-from tests.edgesite import find_free_ports
+from standins.fleet import find_ports
 from tests.processsite import PORTS_PER_VM, ProcessSite, VmProcess
 
 DRAIN_S = 2.0
@@ -24,6 +25,8 @@
 ERROR_EVENTS = ("task_failed", "attempt_error")
 DEFAULT_SECONDS = 30
 DEFAULT_VMS = 4
+MAX_PRINTED = 20
+CALL_PATTERN = re.compile(r"c\d+-\d+")
 
 
 class Soak:
@@ -51,7 +54,7 @@
         site = self.site
         await site.store.start()
         await self.operator.set_up(RUNNERS)
-        ports = find_free_ports(PORTS_PER_VM * vms)
+        ports = find_ports(PORTS_PER_VM * vms)
         for number in range(vms):
             first = PORTS_PER_VM * number
             site.vms.append(VmProcess(site, number, ports[first:][:PORTS_PER_VM]))
@@ -147,6 +150,16 @@
                 found.append(f"DENIED: {call.request_id} got 401")
         return found
 
+    def trace(self, finding: str) -> list[str]:
+        """Return the log lines of the request that a finding names, if it names one."""
+        lines: list[str] = []
+        for word in finding.replace(":", " ").split():
+            if not CALL_PATTERN.fullmatch(word):
+                continue
+            for vm in self.site.vms:
+                lines += [f"{vm.name}: {line}" for line in vm.list_lines(word)]
+        return lines
+
     def summarize(self) -> str:
         """Return how much was sent, and what came of it."""
         statuses = Counter(call.status for c in self.clients for call in c.calls)
@@ -159,9 +172,11 @@
     with tempfile.TemporaryDirectory(prefix="plantainwood-soak-") as folder:
         soak = Soak(seed, Path(folder))
         found = asyncio.run(soak.run(seconds, vms))
-    print(f"seed {seed}: {soak.summarize()}, {len(found)} findings", flush=True)
-    for text in found[:20]:
-        print(f"  {text}", flush=True)
+        print(f"seed {seed}: {soak.summarize()}, {len(found)} findings", flush=True)
+        for text in found[:MAX_PRINTED]:
+            print(f"  {text}", flush=True)
+            for line in soak.trace(text):
+                print(f"    {line}", flush=True)
     return found
 
 
--- a/tests/edgesite.py
+++ b/tests/edgesite.py
@@ -14,6 +14,7 @@
     EdgeSettings,
     EdgeStore,
 )
+from standins.fleet import find_ports
 
 AUTHORIZATION = "Token secret-key"
 HOST = "front.example"
@@ -70,19 +71,6 @@
     return msgspec.json.encode(entry)
 
 
-def find_free_ports(count: int) -> list[int]:
-    """Return ports that were free at the time of the call."""
-    import socket
-
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in sockets]
-    for sock in sockets:
-        sock.close()
-    return ports
-
-
 class Site:
     """A node with its store and runners, and a session that sends callers' requests."""
 
@@ -150,7 +138,7 @@
         site.store.put(f"servers/i-{number}", make_entry(runner))
     if configured:
         site.store.put("op/config", make_config())
-    ports = find_free_ports(5)
+    ports = find_ports(5)
     addresses = [f"127.0.0.1:{port}" for port in ports]
     settings = EdgeSettings(
         node="vm-1",
--- a/tests/fleetsite.py
+++ b/tests/fleetsite.py
@@ -15,7 +15,8 @@
 from plantainwood.connections import Connection
 from plantainwood.edgesettings import EdgeAddresses, EdgeSettings, EdgeStore
 from plantainwood.engines import make_unreached_error
-from tests.edgesite import AUTHORIZATION, HOST, find_free_ports, make_config, make_entry
+from standins.fleet import find_ports
+from tests.edgesite import AUTHORIZATION, HOST, make_config, make_entry
 
 HANG_S = 0.35
 PORTS_PER_VM = 6
@@ -111,7 +112,7 @@
             entry = make_entry(runner, zone="ab"[number % 2])
             self.store.put(f"servers/i-{number}", entry)
         self.store.put("op/config", make_config())
-        ports = find_free_ports(PORTS_PER_VM * vms)
+        ports = find_ports(PORTS_PER_VM * vms)
         for number in range(vms):
             first = PORTS_PER_VM * number
             self._add_daemon(number, ports[first : first + PORTS_PER_VM])
--- a/tests/processsite.py
+++ b/tests/processsite.py
@@ -10,7 +10,8 @@
 
 from fakes.runner import FakeRunner
 from fakes.store import FakeKvStore
-from tests.edgesite import AUTHORIZATION, HOST, find_free_ports, make_config, make_entry
+from standins.fleet import find_ports
+from tests.edgesite import AUTHORIZATION, HOST, make_config, make_entry
 
 ROOT = Path(__file__).resolve().parent.parent
 PORTS_PER_VM = 6
@@ -74,6 +75,10 @@
             )
         async with asyncio.timeout(START_TIMEOUT_S):
             while not await self._is_ready():
+                if self.process.returncode is not None:
+                    raise RuntimeError(
+                        f"{self.name} ended: {self._read_log()[-2_000:]}"
+                    )
                 await asyncio.sleep(0.05)
 
     async def _is_ready(self) -> bool:
@@ -96,9 +101,17 @@
 
     def list_events(self, event: str) -> list[str]:
         """Return the log lines of an event."""
-        lines = self._log_path.read_text(errors="replace").splitlines()
+        lines = self._read_log().splitlines()
         return [line for line in lines if f" event={event} " in f"{line} "]
 
+    def list_lines(self, request_id: str) -> list[str]:
+        """Return the log lines of a caller's request."""
+        lines = self._read_log().splitlines()
+        return [line for line in lines if f" request={request_id} " in line]
+
+    def _read_log(self) -> str:
+        return self._log_path.read_text(errors="replace")
+
 
 class ProcessSite:
     """VMs that share one fake store and the fake runners."""
@@ -126,7 +139,7 @@
         for _ in range(runners):
             await self.add_runner(script)
         self.store.put("op/config", make_config())
-        ports = find_free_ports(PORTS_PER_VM * vms)
+        ports = find_ports(PORTS_PER_VM * vms)
         for number in range(vms):
             first = PORTS_PER_VM * number
             vm = VmProcess(self, number, ports[first : first + PORTS_PER_VM])
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -20,7 +20,8 @@
     EdgeSettings,
     EdgeStore,
 )
-from tests.edgesite import find_free_ports, make_config
+from standins.fleet import find_ports
+from tests.edgesite import make_config
 
 TIMEOUT_S = 20
 
@@ -45,7 +46,7 @@
     store = FakeKvStore()
     await store.start()
     store.put("op/config", make_config())
-    ports = find_free_ports(5 * count)
+    ports = find_ports(5 * count)
     daemons: list[EdgeDaemon] = []
     for number in range(count):
         own_ports = ports[5 * number : 5 * number + 5]
--- a/tests/test_transport_drops.py
+++ b/tests/test_transport_drops.py
@@ -6,13 +6,13 @@
 from plantainwood.messenger import make_messenger
 from plantainwood.metrics import Metrics
 from plantainwood.transport import SEND_BUFFER_MESSAGES
-from tests.edgesite import find_free_ports
+from standins.fleet import find_ports
 
 
 # Guards against a full link that no log line tells of.
 def test_dropped_frames_are_logged_once_with_their_count(caplog):
     caplog.set_level(logging.INFO, logger="plantainwood")
-    own_port, dead_port = find_free_ports(2)
+    own_port, dead_port = find_ports(2)
     messenger = make_messenger("127.0.0.1", own_port, "0" * 16, Metrics())
     address = f"tcp://127.0.0.1:{dead_port}"
     try:
