--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -658,9 +658,25 @@
     Mutant(
         12,
         "requests that wait in a stopping VM are held",
-        CORE + "admission.py",
+        CORE + "shutdown.py",
         "    state.refuses_waiting = True\n",
         "    state.refuses_waiting = False\n",
         "tests/test_planned_stop.py",
     ),
+    Mutant(
+        12,
+        "a stopping VM takes requests that may outlast it",
+        CORE + "admission.py",
+        "    return not 0 < event.queue_deadline_ms <= state.stops_at_ms\n",
+        "    return False\n",
+        "tests/test_late_requests.py",
+    ),
+    Mutant(
+        12,
+        "a request that a stop ends counts as not run",
+        CORE + "shutdown.py",
+        "RequestError(ErrorCode.UPSTREAM_TIMEOUT, message, Outcome.UNKNOWN)",
+        "RequestError(ErrorCode.UPSTREAM_TIMEOUT, message, Outcome.NOT_RUN)",
+        "tests/test_late_requests.py",
+    ),
 ]
--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -41,7 +41,7 @@
     state: DispatcherState, event: ev.Arrival, now_ms: int, decisions: list
 ) -> Request:
     """Return the admitted request; raise RequestError if it is refused."""
-    if state.draining:
+    if state.draining or _outlasts_stop(state, event):
         message = "this VM is leaving; use another"
         raise _make_refusal(ErrorCode.DRAINING, message, RETRY_DRAINING_MS)
     service_class = state.catalogue.classes.get(event.class_name)
@@ -75,6 +75,13 @@
     return request
 
 
+def _outlasts_stop(state: DispatcherState, event: ev.Arrival) -> bool:
+    """Tell whether a request may still run when this node stops."""
+    if state.stops_at_ms is None:
+        return False
+    return not 0 < event.queue_deadline_ms <= state.stops_at_ms
+
+
 def _find_version(
     state: DispatcherState, pool: Pool, event: ev.Arrival, now_ms: int
 ) -> str:
@@ -140,15 +147,6 @@
         dispatch_waiting(state, pool, now_ms, decisions)
 
 
-def handle_drained(
-    state: DispatcherState, event: ev.Drained, now_ms: int, decisions: list
-) -> None:
-    """Refuse new requests, and at once those that wait; running ones go on."""
-    state.draining = True
-    state.refuses_waiting = True
-    refuse_unservable(state, now_ms, decisions)
-
-
 def refuse_unservable(state: DispatcherState, now_ms: int, decisions: list) -> None:
     """Refuse the waiting requests that no upstream will take in their time.
 
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -6,7 +6,6 @@
 from plantainwood.core.admission import (
     expire_waiting,
     handle_arrival,
-    handle_drained,
     handle_path_probed,
     refuse_unservable,
 )
@@ -28,6 +27,11 @@
     handle_reservation_answer,
     move_unstarted,
 )
+from plantainwood.core.shutdown import (
+    handle_drained,
+    handle_stop_planned,
+    handle_stopping,
+)
 from plantainwood.core.stragglers import update_ejections
 
 __all__ = ["Dispatcher", "Options"]
@@ -214,7 +218,9 @@
     ev.PartsClearedReceived: handle_parts_cleared,
     ev.ReservationAnswered: handle_reservation_answer,
     ev.PathProbed: handle_path_probed,
+    ev.StopPlanned: handle_stop_planned,
     ev.Drained: handle_drained,
+    ev.Stopping: handle_stopping,
     ev.UpstreamProbed: handle_upstream_probed,
     ev.Tick: handle_tick,
 }
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -84,6 +84,7 @@
         "hints",
         "limits",
         "limit_floor",
+        "stops_at_ms",
         "draining",
         "refuses_waiting",
         "router",
@@ -122,6 +123,8 @@
         self.hints = PrefixHints()
         self.limits: dict[str, CustomerLimit] = {}
         self.limit_floor = options.limit_floor
+        self.stops_at_ms: int | None = None
+        """From when on requests get no answer of this node; None if it goes on."""
         self.draining = False
         """Whether new requests are refused."""
         self.refuses_waiting = False
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -180,10 +180,20 @@
     reached: bool
 
 
+class StopPlanned(msgspec.Struct, frozen=True):
+    """This node will stop at a time: it takes only what ends before that."""
+
+    stops_at_ms: int
+
+
 class Drained(msgspec.Struct, frozen=True):
     """This node is about to stop: it takes no request, and none may wait any more."""
 
 
+class Stopping(msgspec.Struct, frozen=True):
+    """This node stops now: whatever still waits or runs ends with an error."""
+
+
 class Tick(msgspec.Struct, frozen=True):
     """Time passed; queue timeouts and other timed work may be due."""
 
@@ -208,7 +218,9 @@
     | PartsClearedReceived
     | ReservationAnswered
     | PathProbed
+    | StopPlanned
     | Drained
+    | Stopping
     | UpstreamProbed
     | Tick
 )
--- a/plantainwood/takeups.py
+++ b/plantainwood/takeups.py
@@ -27,8 +27,9 @@
     if not call.resumes or not _is_guess(edge, call):
         return
     until_ms = min(call.arrived_ms + MAX_WAIT_MS, call.deadline_ms)
+    state = edge.broker.dispatcher.state
     while not edge.is_registry_confirmed(call.arrived_ms):
-        if edge.clock.now_ms() >= until_ms:
+        if state.draining or edge.clock.now_ms() >= until_ms:
             log_event("take_up_unconfirmed", request=call.request_id)
             message = "it is not known whether another version began the stream"
             raise RequestError(
--- /dev/null
+++ b/tests/test_late_requests.py
@@ -0,0 +1,178 @@
+"""Requests that come late in a planned stop get an answer, or are not taken."""
+
+import asyncio
+import signal
+
+import pytest
+
+from fakes.runner import make_response
+from plantainwood.core import events as ev
+from plantainwood.core.dispatcher import Dispatcher
+from plantainwood.core.errors import Outcome
+from tests.catalogues import make_catalogue
+from tests.edgesite import AUTHORIZATION, HOST, make_config, make_entry
+from tests.processsite import ProcessSite, run_processes
+
+TIMEOUT_MS = 15_000
+RUN_S = 5.0
+"""How long an upstream works on a request: less than the VM's grace period."""
+GRACE_S = 8.0
+SENDING_S = 4.0
+GAP_S = 0.1
+EXCUSED_S = 3.0
+"""Only of requests sent earlier may the upstream outlast the grace period."""
+SLOTS = 64
+CLOSED = 0
+STOPS_AT_MS = 9_000
+
+
+async def answer_late(request, writer) -> None:
+    """Answer as soon as the path says so, or after RUN_S."""
+    if b"/quick" not in request.line:
+        await asyncio.sleep(RUN_S)
+    writer.write(make_response(request, request.request_id))
+
+
+def make_long_config() -> bytes:
+    """Return a configuration whose routes leave upstreams much time."""
+    base = {
+        "host": HOST,
+        "timeoutMs": TIMEOUT_MS,
+        "targetLatencyMs": 6_000,
+        "priority": 1,
+        "service": "pool",
+        "attempts": 1,
+    }
+    routes = [
+        {**base, "name": "r1", "prefix": "/u/", "kind": "unsafe"},
+        {**base, "name": "r2", "prefix": "/r/", "kind": "safe"},
+    ]
+    return make_config(version=2, routes=routes)
+
+
+async def give_room(site: ProcessSite) -> None:
+    """Let long routes be in force, and enough slots that no request waits."""
+    for number, runner in enumerate(site.runners):
+        site.store.put(f"servers/i-{number}", make_entry(runner, slots=SLOTS))
+    site.store.put("op/config", make_long_config())
+    await asyncio.sleep(1.0)
+
+
+class LateCall:
+    """A request sent during the stop: how long after its begin, and its status."""
+
+    __slots__ = ("name", "sent_s", "status")
+
+    def __init__(self, name: str, sent_s: float) -> None:
+        self.name = name
+        self.sent_s = sent_s
+        self.status: int | None = None
+        """CLOSED if the VM closed the connection; None if it was refused."""
+
+
+async def send_late(vm, call: LateCall, path: str, remaining_ms: int) -> None:
+    """Send a request on a connection of its own and record what comes back."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", vm.ports[0])
+    except OSError:
+        return
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {call.name}\r\n"
+        f"Authorization: {AUTHORIZATION}\r\nDeadline-Remaining: {remaining_ms}\r\n"
+        "Content-Length: 1\r\n\r\nb"
+    )
+    try:
+        writer.write(head.encode())
+        received = await reader.read(65_536)
+    except ConnectionError:
+        received = b""
+    finally:
+        writer.close()
+    call.status = int(received.split()[1]) if received else CLOSED
+
+
+async def send_during_stop(site, path: str, remaining_ms: int) -> list[LateCall]:
+    """Stop the first VM as planned; return the requests sent to it meanwhile."""
+    vm = site.vms[0]
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    vm.signal(signal.SIGTERM)
+    calls: list[LateCall] = []
+    async with asyncio.TaskGroup() as group:
+        while loop.time() - began_s < SENDING_S:
+            call = LateCall(f"l-{len(calls)}", loop.time() - began_s)
+            calls.append(call)
+            group.create_task(send_late(vm, call, path, remaining_ms))
+            await asyncio.sleep(GAP_S)
+    await vm.process.wait()
+    assert loop.time() - began_s < GRACE_S
+    assert vm.process.returncode == 0
+    return calls
+
+
+# Guards against requests that are taken late in a planned stop, passed on, and cut with
+# no answer at its end (LOST).
+@pytest.mark.parametrize("path", ["/u/x", "/r/x"])
+def test_a_request_that_comes_late_in_a_planned_stop_is_answered(path, tmp_path):
+    async def scenario(site: ProcessSite) -> None:
+        await give_room(site)
+        calls = await send_during_stop(site, path, TIMEOUT_MS)
+        ran = {r.request_id.decode() for u in site.runners for r in u.received}
+        served = [call for call in calls if call.status == 200]
+        assert served, "nothing was served"
+        # What was passed on gets a whole answer, and late requests the upstream's own.
+        for call in calls:
+            if call.name not in ran:
+                assert call.status in (503, None), (call.name, call.sent_s)
+                continue
+            assert call.status in (200, 502, 504), (call.name, call.sent_s)
+            if call.sent_s > EXCUSED_S:
+                assert call.status == 200, (call.name, call.sent_s)
+
+    run_processes(scenario, answer_late, tmp_path, vms=2)
+
+
+# Guards against a request that a node takes though it may outlast the node (LOST).
+def test_a_node_that_stops_takes_only_what_ends_before():
+    dispatcher = Dispatcher("vm-1", 7)
+    dispatcher.apply_catalogue(make_catalogue())
+    dispatcher.decide(ev.StopPlanned(STOPS_AT_MS), 5_000)
+    for deadline_ms, expected in (
+        (STOPS_AT_MS, ev.Dispatch),
+        (STOPS_AT_MS + 1, ev.Refuse),
+    ):
+        arrival = ev.Arrival(
+            f"r-{deadline_ms}",
+            "norte",
+            "hint",
+            "model/rounds",
+            queue_deadline_ms=deadline_ms,
+        )
+        assert isinstance(dispatcher.decide(arrival, 5_000)[0], expected)
+
+
+# Guards against a stop that leaves a running request without a word, or that says of it
+# that it has not run (LOST, REFUSED).
+def test_a_node_that_stops_ends_what_runs_as_unknown():
+    dispatcher = Dispatcher("vm-1", 7)
+    dispatcher.apply_catalogue(make_catalogue())
+    arrival = ev.Arrival("r-1", "norte", "hint", "model/rounds")
+    dispatcher.decide(arrival, 5_000)
+    refusals = [
+        decision
+        for decision in dispatcher.decide(ev.Stopping(), 9_000)
+        if isinstance(decision, ev.Refuse)
+    ]
+    assert [refusal.error.outcome for refusal in refusals] == [Outcome.UNKNOWN]
+    assert not dispatcher.state.requests
+
+
+# Guards against a stop that turns requests away which it could still answer.
+def test_a_request_that_ends_within_the_grace_is_taken(tmp_path):
+    async def scenario(site: ProcessSite) -> None:
+        await give_room(site)
+        calls = await send_during_stop(site, "/u/quick", remaining_ms=2_000)
+        early = [call for call in calls if call.sent_s < EXCUSED_S]
+        assert {call.status for call in early} == {200}
+
+    run_processes(scenario, answer_late, tmp_path, vms=2)
