--- a/plantainwood/answerreader.py
+++ b/plantainwood/answerreader.py
@@ -1,7 +1,7 @@
 """Reading of answers from an upstream's connection: complete events or a whole body."""
 
 from plantainwood.connections import Connection
-from plantainwood.core.eventstream import EventSplitter, EventTooLong
+from plantainwood.core.eventstream import EventSplitter, EventTooLong, NoContinuation
 from plantainwood.engines import AttemptError
 
 MAX_ANSWER_BYTES = 1_048_576
@@ -30,14 +30,15 @@
         self._connection = connection
         self._splitter = splitter
         self._has_read = False
-        splitter.discard_partial()
+        splitter.begin_attempt()
 
     async def read(self) -> bytes:
         """Return the next complete events, empty at the end of a complete stream.
 
         Bytes that complete no event don't count as progress. Raises AttemptError for a
         stream that was broken off: one that ends inside an event, or with its
-        connection before its first event.
+        connection before its first event; and for one that does not continue the
+        events relayed so far.
         """
         while True:
             chunk = await self._connection.read_chunk()
@@ -46,7 +47,7 @@
                 return b""
             try:
                 complete_events = self._splitter.feed(chunk)
-            except EventTooLong as error:
+            except (EventTooLong, NoContinuation) as error:
                 raise AttemptError(str(error), False, False) from error
             if complete_events:
                 self._has_read = True
--- a/tests/test_event_stream.py
+++ b/tests/test_event_stream.py
@@ -26,7 +26,7 @@
     splitter = EventSplitter()
     assert splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda") == b"id: 1\ndata: a\n\n"
     assert splitter.last_id == "1"
-    splitter.discard_partial()
+    splitter.begin_attempt()
     assert splitter.feed(b"id: 2\ndata: b\n\n") == b"id: 2\ndata: b\n\n"
 
 
--- a/tests/test_failed_continuations.py
+++ b/tests/test_failed_continuations.py
@@ -13,17 +13,25 @@
     "Content-Length: 1\r\n\r\nb"
 ).encode()
 TIMEOUT_S = 8
+FAILURES = [
+    b"failed",
+    b'{"error": "failed"}\n\n',
+    b"event: error\ndata: failed\n\n",
+    b"id: 3\ndata: failed to go on after it\n\n",
+]
+"""Bodies in place of the events after the third: an error, or the wrong events."""
 
 
 # Guards against a second answer inside a stream that has begun (MIXED).
-@pytest.mark.parametrize("status", [400, 404, 500, 204])
-def test_a_failure_to_go_on_is_not_written_into_the_stream(status):
+@pytest.mark.parametrize("body", FAILURES)
+@pytest.mark.parametrize("status", [400, 404, 500, 204, 206, 302, 200])
+def test_a_failure_to_go_on_is_not_written_into_the_stream(status, body):
     async def script(request, writer):
         if b"last-event-id" not in request.headers:
             await reset_unless_resumed(request, writer)
             return
-        body = b"" if status == 204 else b"failed"
-        writer.write(make_response(request, body, status))
+        content = b"" if status == 204 else body
+        writer.write(make_response(request, content, status))
 
     async def scenario(site):
         host, port = site.base_url.removeprefix("http://").split(":")
@@ -36,7 +44,8 @@
             writer.close()
         assert received.startswith(b"HTTP/1.1 200")
         assert received.count(b"HTTP/1.") == 1
-        assert b"id: 3\n" in received
+        assert received.count(b"id: 3\n") == 1
+        assert b"failed" not in received
         # Without the last chunk the answer does not look complete.
         assert not received.endswith(b"0\r\n\r\n")
 
