--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -403,8 +403,8 @@
         0,
         "block a part without what explains the same crashes",
         CORE + "partquarantine.py",
-        "            if all(peer in parts for peer in self._list_peers(part)):",
-        "            if self._list_peers(part) is not None:",
+        "            if not all(peer in parts for peer in self._list_peers(part)):",
+        "            if self._list_peers(part) is None:",
         "tests/test_crashing_part.py",
     ),
     Mutant(
@@ -679,4 +679,20 @@
         "RequestError(ErrorCode.UPSTREAM_TIMEOUT, message, Outcome.NOT_RUN)",
         "tests/test_late_requests.py",
     ),
+    Mutant(
+        0,
+        "crashes in a row block what all had in common",
+        CORE + "probation.py",
+        "    if suspicion.excess >= len(PROBE_PAUSES_MS):\n",
+        "    if suspicion.excess >= 0:\n",
+        "tests/test_unrelated_crashes.py",
+    ),
+    Mutant(
+        0,
+        "what crashes upstreams is never blocked",
+        CORE + "probation.py",
+        "        return Verdict.BLOCK\n",
+        "        return Verdict.PASS\n",
+        "tests/test_crashing_requests.py",
+    ),
 ]
--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -11,6 +11,7 @@
 )
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.pools import Pool
+from plantainwood.core.probation import Verdict
 from plantainwood.core.quarantine import make_blocked_error
 from plantainwood.core.requests import Request, make_part_names
 from plantainwood.core.router import is_allowed
@@ -19,6 +20,8 @@
 RETRY_DRAINING_MS = 1_000
 RETRY_NO_UPSTREAM_MS = 5_000
 RETRY_NO_VERSION_MS = 500
+RETRY_HELD_MS = 500
+"""When to come back with a request that was held for the crashes under it."""
 
 
 def handle_arrival(
@@ -49,8 +52,7 @@
     if service_class is None or customer is None:
         raise _make_refusal(ErrorCode.FORBIDDEN_CLASS, "no such class or customer")
     parts = make_part_names(event)
-    if state.is_blocked(event.fingerprint, parts, now_ms):
-        raise make_blocked_error(Outcome.NOT_RUN)
+    _check_suspicion(state, event, parts, now_ms)
     pool = state.get_or_create_pool(event.pool)
     if not any(not load.leaving for load in pool.group):
         message = "no upstream serves this"
@@ -75,6 +77,20 @@
     return request
 
 
+def _check_suspicion(
+    state: DispatcherState, event: ev.Arrival, parts: tuple[str, ...], now_ms: int
+) -> None:
+    """Raise RequestError if a request may not run for the crashes under it.
+
+    On probation, the VM that took a request from its caller decides.
+    """
+    verdict = state.judge(event.fingerprint, parts, now_ms)
+    if verdict is Verdict.BLOCK:
+        raise make_blocked_error(Outcome.NOT_RUN)
+    if verdict is Verdict.HOLD and not event.from_vm:
+        raise make_failed_error(Outcome.NOT_RUN, RETRY_HELD_MS)
+
+
 def _outlasts_stop(state: DispatcherState, event: ev.Arrival) -> bool:
     """Tell whether a request may still run when this node stops."""
     if state.stops_at_ms is None:
--- a/plantainwood/core/crashes.py
+++ b/plantainwood/core/crashes.py
@@ -1,9 +1,14 @@
 """Crashes of upstreams: what was lost in them is marked, and marked work refused."""
 
 from plantainwood.core import events as ev
-from plantainwood.core.dispatcherstate import DispatcherState, find_outcome
+from plantainwood.core.dispatcherstate import (
+    DispatcherState,
+    find_outcome,
+    make_failed_error,
+)
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.partquarantine import LostAttempt, PartCrash
+from plantainwood.core.probation import Verdict
 from plantainwood.core.quarantine import make_blocked_error
 from plantainwood.core.requests import Request
 from plantainwood.core.scheduling import stop_request
@@ -59,7 +64,7 @@
     decisions: list,
     crashed: str = "",
 ) -> None:
-    """Refuse the unbegun requests that a crash's marks block, but not on `crashed`.
+    """Apply a crash's marks to the unbegun requests, but not to those on `crashed`.
 
     Whole requests that were lost with a blocked part are no suspects any more.
     """
@@ -74,11 +79,27 @@
             continue
         if crashed and request.upstream == crashed:
             continue
-        if not state.part_quarantine.is_blocked(request.shared_parts, now_ms):
-            continue
-        stop_request(state, request.id, now_ms, decisions)
-        error = make_blocked_error(find_outcome(request))
-        decisions.append(ev.Refuse(request.id, error))
+        if state.part_quarantine.is_blocked(request.shared_parts, now_ms):
+            _stop_suspect(state, request, now_ms, decisions)
+
+
+def _stop_suspect(
+    state: DispatcherState, request: Request, now_ms: int, decisions: list
+) -> None:
+    """Refuse a request that is blocked, or one that waits while its like is held.
+
+    On probation, those that run go on: their answers clear the others.
+    """
+    verdict = state.judge(request.fingerprint, request.shared_parts, now_ms, request.id)
+    outcome = find_outcome(request)
+    if verdict is Verdict.BLOCK:
+        error = make_blocked_error(outcome)
+    elif verdict is Verdict.HOLD and not request.is_running:
+        error = make_failed_error(outcome)
+    else:
+        return
+    stop_request(state, request.id, now_ms, decisions)
+    decisions.append(ev.Refuse(request.id, error))
 
 
 def enforce_mark(
@@ -90,9 +111,9 @@
 ) -> None:
     """Apply a new mark to the fingerprint's requests, except on the upstream `crashed`.
 
-    Requests of a blocked fingerprint are refused at once. A repeatable suspect that
-    runs without a reservation is cancelled and waits for one, so that no later crash
-    has two suspects.
+    Requests of a blocked fingerprint are refused at once, or held. A repeatable
+    suspect that runs without a reservation is cancelled and waits for one, so that no
+    later crash has two suspects.
     """
     blocked = state.quarantine.is_blocked(fingerprint, now_ms)
     for request in list(state.requests.values()):
@@ -101,9 +122,7 @@
         if crashed and request.upstream == crashed:
             continue
         if blocked:
-            stop_request(state, request.id, now_ms, decisions)
-            error = make_blocked_error(find_outcome(request))
-            decisions.append(ev.Refuse(request.id, error))
+            _stop_suspect(state, request, now_ms, decisions)
             continue
         if not state.options.isolate_suspects:
             continue
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -9,6 +9,7 @@
 )
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.loads import UpstreamLoad
+from plantainwood.core.probation import Verdict
 from plantainwood.core.quarantine import make_blocked_error
 from plantainwood.core.requests import Request
 from plantainwood.core.retries import MAX_ATTEMPTS
@@ -158,8 +159,11 @@
         message = "the upstream failed; the call may have run"
         return RequestError(ErrorCode.UPSTREAM_FAILED, message, Outcome.UNKNOWN)
     outcome = find_outcome(request)
-    if state.is_blocked(request.fingerprint, request.shared_parts, now_ms):
+    verdict = state.judge(request.fingerprint, request.shared_parts, now_ms, request.id)
+    if verdict is Verdict.BLOCK:
         return make_blocked_error(outcome)
+    if verdict is Verdict.HOLD:
+        return make_failed_error(outcome)
     pool = state.pools[request.pool]
     if request.from_vm and state.lacks_path(pool, request.version, now_ms):
         return make_failed_error(outcome)
--- a/plantainwood/core/partquarantine.py
+++ b/plantainwood/core/partquarantine.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from plantainwood.core.probation import Suspicion
 from plantainwood.core.quarantine import (
     MARK_LIFETIME_MS,
     MAX_CRASHES_OF_TRUSTED,
@@ -112,19 +113,30 @@
         return cleared
 
     def is_blocked(self, parts: tuple[str, ...], now_ms: int) -> bool:
-        """Tell whether a request with these parts must be refused."""
+        """Tell whether one of these parts has as many marks as it takes to block it."""
+        return self.find_suspicion(parts, now_ms) is not None
+
+    def find_suspicion(self, parts: tuple[str, ...], now_ms: int) -> Suspicion | None:
+        """Return what speaks most against a request with these parts; None if nothing.
+
+        A part counts only if each part that explains its crashes as well is among them.
+        """
+        found: Suspicion | None = None
         for part in parts:
-            if part not in self._marks or not self._has_enough_marks(part, now_ms):
+            suspicion = self._find_suspicion_of(part, now_ms)
+            if suspicion is None:
                 continue
-            if all(peer in parts for peer in self._list_peers(part)):
-                return True
-        return False
+            if not all(peer in parts for peer in self._list_peers(part)):
+                continue
+            if found is None or suspicion.excess > found.excess:
+                found = suspicion
+        return found
 
     def find_crashing_parts(self, parts: Iterable[str], now_ms: int) -> list[str]:
         """Return those of some parts whose own marks suffice to block them."""
         found: list[str] = []
         for part in parts:
-            if part in self._marks and self._has_enough_marks(part, now_ms):
+            if self._find_suspicion_of(part, now_ms) is not None:
                 found.append(part)
         return found
 
@@ -161,8 +173,10 @@
             crashes.append(PartCrash(upstream, lost_attempts, age_ms))
         return crashes
 
-    def _has_enough_marks(self, part: str, now_ms: int) -> bool:
-        """Tell whether a part has enough marks, of enough requests."""
+    def _find_suspicion_of(self, part: str, now_ms: int) -> Suspicion | None:
+        """Return what its own marks say against a part; None without enough of them."""
+        if part not in self._marks:
+            return None
         self._expire(part, now_ms)
         marks = self._marks.get(part, {})
         trusted_ms = self._trusted.get(part)
@@ -177,11 +191,14 @@
             count = _count_crashes(marks.values(), start_times_ms, UNANSWERED_MS)
             needed = self._max_crashes
         if count < needed:
-            return False
+            return None
         requests: set[str] = set()
         for mark in marks.values():
             requests |= mark.requests
-        return len(requests) >= MIN_REQUESTS
+        if len(requests) < MIN_REQUESTS:
+            return None
+        last_crash_ms = max(mark.time_ms for mark in marks.values())
+        return Suspicion(part, count - needed, last_crash_ms)
 
     def _list_peers(self, part: str) -> list[str]:
         """Return the other parts that explain a part's crashes at least as well.
--- a/plantainwood/core/quarantine.py
+++ b/plantainwood/core/quarantine.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
+from plantainwood.core.probation import Suspicion
 
 MAX_CRASHES = 2
 MARK_LIFETIME_MS = 600_000
@@ -17,6 +18,8 @@
 an outage of them all must not block it, since no answer could clear it then."""
 MAX_TRUSTED_FINGERPRINTS = 4_096
 SECOND_CRASH_SUFFIX = "+"
+SAME_CRASH_MS = 500
+"""How far apart nodes notice the same crash; no upstream is back so soon."""
 
 
 def make_blocked_error(outcome: Outcome) -> RequestError:
@@ -58,12 +61,12 @@
 class Quarantine:
     """Count, per fingerprint, the crashes of upstreams while it ran.
 
-    After `max_crashes` a fingerprint is blocked: every node refuses it at once, for
-    MARK_LIFETIME_MS. A suspect (one mark) reserves its upstream fleet-wide, so it
-    never shares one with another suspect and a second crash has only one suspect. A
-    suspect that completes has its marks lifted, and is trusted for TRUSTED_MS. Crashes
-    of several upstreams of one failure domain without a common fingerprint are an
-    eviction and mark nothing.
+    After `max_crashes` a fingerprint is blocked for MARK_LIFETIME_MS, or first put on
+    probation (core/probation.py). A suspect (one mark) reserves its upstream
+    fleet-wide, so it never shares one with another suspect and a second crash has only
+    one suspect. A suspect that completes has its marks lifted, and is trusted for
+    TRUSTED_MS. Crashes of several upstreams of one failure domain without a common
+    fingerprint are an eviction and mark nothing.
     """
 
     __slots__ = ("_max_crashes", "_marks", "_trusted", "_recent_crashes")
@@ -92,15 +95,21 @@
         return bool(fingerprint) and self.count_marks(fingerprint, now_ms) > 0
 
     def is_blocked(self, fingerprint: str, now_ms: int) -> bool:
-        """Tell whether a fingerprint must be refused at once."""
+        """Tell whether a fingerprint has as many marks as it takes to block it."""
+        return self.find_suspicion(fingerprint, now_ms) is not None
+
+    def find_suspicion(self, fingerprint: str, now_ms: int) -> Suspicion | None:
+        """Return what speaks against a fingerprint; None without enough marks."""
         if not fingerprint:
-            return False
+            return None
         count = self.count_marks(fingerprint, now_ms)
-        if count < self._max_crashes:
-            return False
-        return count >= MAX_CRASHES_OF_TRUSTED or not self._is_trusted(
-            fingerprint, now_ms
-        )
+        needed = self._max_crashes
+        if self._is_trusted(fingerprint, now_ms):
+            needed = max(needed, MAX_CRASHES_OF_TRUSTED)
+        if count < needed:
+            return None
+        last_crash_ms = max(self._marks[fingerprint].values()) - MARK_LIFETIME_MS
+        return Suspicion(fingerprint, count - needed, last_crash_ms)
 
     def _is_trusted(self, fingerprint: str, now_ms: int) -> bool:
         trusted_ms = self._trusted.get(fingerprint)
@@ -164,15 +173,22 @@
                 blamed.append(fingerprint)
         marks: list[Mark] = []
         for fingerprint in blamed or fingerprints:
-            mark_name = self._make_mark_name(fingerprint, upstream)
+            mark_name = self._make_mark_name(fingerprint, upstream, now_ms)
             self.add_mark(fingerprint, mark_name, now_ms)
             marks.append(Mark(fingerprint, mark_name, lifted=False))
         return marks
 
-    def _make_mark_name(self, fingerprint: str, upstream: str) -> str:
-        """Return the upstream's name, with suffixes if it has a mark there already."""
+    def _make_mark_name(self, fingerprint: str, upstream: str, now_ms: int) -> str:
+        """Return the upstream's name, with a suffix for each of its earlier crashes.
+
+        All nodes with requests there notice a crash; each tells the others.
+        """
         mark_name = upstream
-        while mark_name in self._marks.get(fingerprint, {}):
+        marks = self._marks.get(fingerprint, {})
+        while mark_name in marks:
+            crashed_ms = marks[mark_name] - MARK_LIFETIME_MS
+            if now_ms - crashed_ms < SAME_CRASH_MS:
+                break
             mark_name += SECOND_CRASH_SUFFIX
         return mark_name
 
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -116,6 +116,7 @@
             make_router=make_prompt_router,
             make_budget=lambda: self.retry_budget,
             isolate_suspects=False,
+            probe_suspects=True,
             preempt=False,
             move_unstarted=False,
             max_crashes=MAX_CRASHES,
--- a/tests/crashingpart.py
+++ b/tests/crashingpart.py
@@ -67,6 +67,7 @@
         options = Options(
             make_router=make_prompt_router,
             isolate_suspects=False,
+            probe_suspects=True,
             preempt=False,
             move_unstarted=False,
             max_crashes=MAX_CRASHES,
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -58,7 +58,10 @@
         self._dispatchers: list[Dispatcher] = []
         for number in range(VMS):
             options = Options(
-                isolate_suspects=False, preempt=False, max_crashes=MAX_CRASHES
+                isolate_suspects=False,
+                probe_suspects=True,
+                preempt=False,
+                max_crashes=MAX_CRASHES,
             )
             dispatcher = Dispatcher(f"vm-{number}", number, options)
             dispatcher.apply_catalogue(make_catalogue())
