--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -13,6 +13,7 @@
     apply_changes,
 )
 from plantainwood.core.dispatcher import Dispatcher, Options
+from plantainwood.core.errors import ErrorCode
 from plantainwood.core.routes import ConfiguredCustomer
 from tests.samples import ROUTE
 
@@ -53,6 +54,7 @@
         self.now_ms = 1_000
         self.crashes = 0
         self.refused: list[str] = []
+        self.codes: list[ErrorCode] = []
         self._requests = 0
         self._marks: list[ev.CrashMarkReceived] = []
         self._dispatchers: list[Dispatcher] = []
@@ -102,6 +104,7 @@
                 found = decision
             elif isinstance(decision, ev.Refuse):
                 self.refused.append(decision.request_id)
+                self.codes.append(decision.error.code)
             elif isinstance(decision, ev.BroadcastCrashMark):
                 self._marks.append(
                     ev.CrashMarkReceived(
@@ -129,6 +132,15 @@
     assert fleet.crashes <= MAX_CRASHES + 1
 
 
+# Guards against a request that is tried without end to find out whether it crashes
+# servers (BUDGET: three more are allowed).
+def test_a_request_that_crashes_the_servers_which_find_out_is_blocked():
+    fleet = Fleet()
+    send_crashing_requests(fleet, 40)
+    assert fleet.crashes <= MAX_CRASHES + 3
+    assert fleet.codes[-1] is ErrorCode.CRASH_SUSPECT
+
+
 def test_requests_without_a_body_for_other_things_are_served():
     fleet = Fleet()
     send_crashing_requests(fleet, 4)
