Write no second answer after an unexpected error (MIXED)

Callers would see: a head of status 500 inside a stream in chunks, with the word not_run, when the handler of a request failed unexpectedly after the answer had begun. Cause: handle_error replaced aiohttp's method without its check of what was sent.

--- a/tests/test_failed_continuations.py
+++ b/tests/test_failed_continuations.py
@@ -5,6 +5,8 @@
 import pytest
 
 from fakes.runner import make_response
+from plantainwood.connections import ResponseHead
+from plantainwood.forwarding import Forwarder
 from tests.edgesite import AUTHORIZATION, HOST, reset_unless_resumed, run
 
 REQUEST = (
@@ -50,3 +52,33 @@
         assert not received.endswith(b"0\r\n\r\n")
 
     run(scenario, script=script, runners=2)
+
+
+# Guards against a second answer inside a stream, or behind it, when the handler of its
+# request fails in a way that nobody expected (MIXED).
+@pytest.mark.parametrize("ends", [False, True])
+def test_an_unexpected_error_writes_no_second_answer(ends, monkeypatch):
+    async def fail_late(forwarder, call, sink, clock):
+        headers = [(b"Response-Seal", b"s")]
+        await sink.start_stream(ResponseHead(200, headers))
+        await sink.write(b"id: 1\ndata: x\n\n")
+        if ends:
+            await sink.finish()
+        raise LookupError("unexpected")
+
+    monkeypatch.setattr(Forwarder, "forward", fail_late)
+
+    async def scenario(site):
+        host, port = site.base_url.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            writer.write(REQUEST)
+            async with asyncio.timeout(TIMEOUT_S):
+                received = await reader.read()
+        finally:
+            writer.close()
+        assert received.startswith(b"HTTP/1.1 200")
+        assert received.count(b"HTTP/1.") == 1
+        assert received.endswith(b"0\r\n\r\n") == ends
+
+    run(scenario)
