--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,7 @@
 FAULT_GAP_S = (0.2, 1.2)
 MAX_ODD_ENTRIES = 6
 GRACE_S = 8.0
+RESTART_S = (0.5, 3.0)
 SLOW_S = 0.4
 KEYS_IN_USE = 3
 """The keys that clients use, the withdrawn ones included."""
@@ -26,6 +27,8 @@
 
     def __init__(self) -> None:
         self._spans: dict[str, list[list[float]]] = {}
+        self.stops: dict[str, list[tuple[float, float]]] = {}
+        """By VM, from SIGTERM to the end of its process, if that came in the grace."""
 
     def begin(self, name: str) -> None:
         """Record that a disturbance begins, and lasts until its end is recorded."""
@@ -36,6 +39,13 @@
         """Record that the last disturbance that began has ended."""
         self._spans[name][-1][1] = asyncio.get_running_loop().time()
 
+    def find_stop(self, name: str, at_s: float) -> tuple[float, float] | None:
+        """Return the span of the planned stop that a VM was in at a time, if any."""
+        for began_s, ended_s in self.stops.get(name, []):
+            if began_s <= at_s <= ended_s:
+                return began_s, ended_s
+        return None
+
     def was_calm(self, name: str, at_s: float) -> bool:
         """Return whether a VM and the store were calm for CONTACT_S before a time."""
         for began_s, ended_s in self._spans.get(name, []) + self._spans.get(STORE, []):
@@ -104,6 +114,7 @@
         """Cause one fault after the other; they overlap."""
         faults = [
             self._drain_a_runner,
+            self._crash_a_runner,
             self._write_an_odd_entry,
             self._write_an_odd_entry,
             self._change_keys,
@@ -131,6 +142,18 @@
         self._register(name, "draining")
         self.left_s[name] = asyncio.get_running_loop().time()
 
+    async def _crash_a_runner(self) -> None:
+        """Let a runner end for no reason of a request's; another one comes for it."""
+        ready = [name for name in self.runners if name not in self.left_s]
+        if len(ready) < 4 or self.site.store.faults.down:
+            return
+        name = self._source.choice(ready)
+        self.left_s[name] = math.inf
+        await self.runners[name].stop()
+        await asyncio.sleep(self._source.uniform(*RESTART_S))
+        self.site.store.remove(f"servers/{name}")
+        await self.add_runner()
+
     async def _write_an_odd_entry(self) -> None:
         number = self._source.randrange(MAX_ODD_ENTRIES)
         self.site.store.put(f"servers/odd-{number}", self._make_odd_entry())
@@ -196,10 +219,14 @@
         vm = self._take_vm()
         if vm is None:
             return
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
         vm.signal(signal.SIGTERM)
         try:
             async with asyncio.timeout(GRACE_S):
                 await vm.process.wait()
+            stops = self.disturbances.stops.setdefault(vm.name, [])
+            stops.append((began_s, loop.time()))
         except TimeoutError:
             await vm.kill()
         await vm.start()
--- a/soak/main.py
+++ b/soak/main.py
@@ -96,6 +96,7 @@
         found += [f"ended by itself: {name}" for name in sorted(self.ended)]
         found += self._check_runs(by_id)
         found += self._check_answers(calls)
+        found += self._check_stops(calls)
         for vm in self.site.vms:
             for event in ERROR_EVENTS:
                 found += [f"{vm.name}: {line}" for line in vm.list_events(event)]
@@ -132,6 +133,19 @@
                 found.append(f"CONFIG: {run.request_id} with a withdrawn key")
         return found
 
+    def _check_stops(self, calls: list[Call]) -> list[str]:
+        """Check that planned stops cut off no request that an upstream has run."""
+        found: list[str] = []
+        disturbances = self.operator.disturbances
+        ran = {run.request_id for run in self.operator.runs}
+        for call in calls:
+            if call.kind not in "ru" or call.status or call.request_id not in ran:
+                continue
+            stop = disturbances.find_stop(call.vm.name, call.sent_s)
+            if stop is not None:
+                found.append(f"LOST: {call.request_id}, {call.sent_s - stop[0]:.2f} s")
+        return found
+
     def _check_answers(self, calls: list[Call]) -> list[str]:
         """Check what callers got: their own answers, and no denial without reason."""
         found: list[str] = []
