--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -97,6 +97,8 @@
     """Not run: the upstream is at capacity or temporarily rejects requests."""
     WRONG_INSTANCE = "wrong_instance"
     """Not run: a different process now listens at the address."""
+    FOREIGN = "foreign"
+    """It is no upstream's: a process of another kind listens at the address."""
     FAILED = "failed"
     """Failed, and has or may have run."""
 
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -298,6 +298,8 @@
             if response.may_be_earlier:
                 raise AttemptError("a refusal that names no request", False, False)
             self._refused_by.add(dispatch.upstream)
+        if result is AttemptResult.FOREIGN:
+            raise AttemptError("the answer is no upstream's", False, False)
         if result is AttemptResult.BUSY:
             raise make_not_run_error("the upstream is at capacity", BUSY_PAUSE_MS)
         if result is AttemptResult.WRONG_INSTANCE:
--- a/plantainwood/upstreamreports.py
+++ b/plantainwood/upstreamreports.py
@@ -7,6 +7,9 @@
 from plantainwood.core.loads import TIERS
 from plantainwood.logs import log_event
 
+FOREIGN_PAUSE_MS = 5_000
+"""How long this node sends nothing to an address where no upstream answered."""
+
 
 class ReportRecorder:
     """Tell the dispatcher, and the log, what answers say of their upstreams."""
@@ -27,6 +30,9 @@
         result = self._codec.classify_response(response)
         if result is AttemptResult.WRONG_INSTANCE:
             return result
+        if result is AttemptResult.FOREIGN:
+            self._broker.feed(ev.PauseNamed(upstream, FOREIGN_PAUSE_MS))
+            return result
         self._record_load(upstream, response)
         self._record_limit(upstream, request_id, response)
         self._record_brittleness(upstream, request_id, response)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+from collections import Counter
 
 import pytest
 
@@ -125,3 +126,32 @@
         assert status == 200
 
     run_processes(scenario, answer, tmp_path)
+
+
+# Guards against the answer of a process that is no upstream, whose address an odd entry
+# names, in place of an upstream's (DENIED, MIXED).
+@pytest.mark.parametrize("named", ["a VM for callers", "a VM's directory", "the store"])
+def test_an_entry_that_names_another_process_denies_nobody(named, tmp_path):
+    async def scenario(site: ProcessSite) -> None:
+        ports = site.vms[0].ports
+        addresses = {
+            "a VM for callers": f"127.0.0.1:{ports[0]}",
+            "a VM's directory": f"127.0.0.1:{ports[2]}",
+            "the store": site.store.address,
+        }
+        entry = {**ENTRY, "address": addresses[named], "slots": 64}
+        site.store.put("servers/i-odd", json.dumps(entry))
+        await asyncio.sleep(1.0)
+        statuses: Counter[tuple[str, int]] = Counter()
+        for number in range(3 * ROUNDS):
+            for vm in site.vms:
+                for path in ("/r/x", "/o/x", "/u/x"):
+                    name = f"{path}-{vm.name}-{number}"
+                    status, headers, _ = await site.call(vm, path, name)
+                    statuses[path, status] += 1
+                    assert status != 200 or "Response-Seal" in headers
+        denied = [key for key in statuses if 400 <= key[1] < 500]
+        assert denied == [], statuses
+        assert {key[1] for key in statuses if key[0] == "/r/x"} == {200}, statuses
+
+    run_processes(scenario, answer, tmp_path)
