--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -23,15 +23,23 @@
 DOMAINS = ["ba-norte", "ba-oeste", "ba-sur"]
 START_TIMEOUT_S = 20.0
 PORTS = range(15_000, 32_000)
+PORT_BLOCKS = 40
 ROOT = Path(__file__).resolve().parent.parent
 
 
 def find_ports(count: int) -> list[int]:
-    """Return free loopback ports below the range of ephemeral ports."""
+    """Return free loopback ports below the range of ephemeral ports.
+
+    They come from a block of this process, so that another one which looks for ports
+    at the same time does not find the same ones free.
+    """
     ports: list[int] = []
-    candidates = list(PORTS)
-    random.shuffle(candidates)
-    for port in candidates:
+    first = os.getpid() % PORT_BLOCKS * (len(PORTS) // PORT_BLOCKS)
+    own = list(PORTS[first : first + len(PORTS) // PORT_BLOCKS])
+    others = [*PORTS[:first], *PORTS[first + len(own) :]]
+    random.shuffle(own)
+    random.shuffle(others)
+    for port in own + others:
         with socket.socket() as probe:
             probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             try:
