--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -88,7 +88,8 @@
     if verdict is Verdict.BLOCK:
         raise make_blocked_error(Outcome.NOT_RUN)
     if verdict is Verdict.HOLD and not event.from_vm:
-        raise make_failed_error(Outcome.NOT_RUN, RETRY_HELD_MS)
+        message = "it is not known yet whether requests like it crash upstreams"
+        raise _make_refusal(ErrorCode.UPSTREAM_UNAVAILABLE, message, RETRY_HELD_MS)
 
 
 def _outlasts_stop(state: DispatcherState, event: ev.Arrival) -> bool:
