Leave running calls of other VMs to these when a VM stops

With an error for them, a request that another VM could still serve would end as unknown; the end of the connection lets the VM that took it go on, where that is safe. Found in reading, before any landing; test_a_node_that_stops_leaves_running_calls_to_the_vm_that_sent_them.

--- a/plantainwood/core/shutdown.py
+++ b/plantainwood/core/shutdown.py
@@ -27,8 +27,14 @@
 def handle_stopping(
     state: DispatcherState, event: ev.Stopping, now_ms: int, decisions: list
 ) -> None:
-    """End every request with an error, which callers get in place of an answer."""
+    """End every request with an error, which callers get in place of an answer.
+
+    A VM that sent a running one here for its caller gets none: it goes on elsewhere, if
+    that is safe, once its connection ends.
+    """
     for request in list(state.requests.values()):
+        if request.from_vm and request.is_running:
+            continue
         error = _make_stop_error(request)
         stop_request(state, request.id, now_ms, decisions)
         decisions.append(ev.Refuse(request.id, error))
--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -167,6 +167,15 @@
     assert not dispatcher.state.requests
 
 
+# Guards against an error for a caller whose request another VM can still serve.
+def test_a_node_that_stops_leaves_running_calls_to_the_vm_that_sent_them():
+    dispatcher = Dispatcher("vm-1", 7)
+    dispatcher.apply_catalogue(make_catalogue())
+    arrival = ev.Arrival("r-1", "norte", "hint", "model/rounds", from_vm=True)
+    dispatcher.decide(arrival, 5_000)
+    assert dispatcher.decide(ev.Stopping(), 9_000) == []
+
+
 # Guards against a stop that turns requests away which it could still answer.
 def test_a_request_that_ends_within_the_grace_is_taken(tmp_path):
     async def scenario(site: ProcessSite) -> None:
