--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from plantainwood.bodyroom import BodyRoom
 from plantainwood.broker import RequestBroker
 from plantainwood.connectionpool import ConnectionPool
 from plantainwood.core import events as ev
@@ -149,6 +150,7 @@
         self.driver: Driver
         self.notices: asyncio.Queue[Message] = asyncio.Queue()
         """Messages to all VMs."""
+        self.body_room = BodyRoom()
         self.open_call_count = 0
         self._heartbeat_sequence = 0
         self._registry_read_ms: int | None = None
--- /dev/null
+++ b/tests/test_body_memory.py
@@ -0,0 +1,106 @@
+"""Large bodies that come at once are served within the memory of a small VM."""
+
+import asyncio
+import re
+from pathlib import Path
+
+from fakes.runner import make_response
+from plantainwood.bodyroom import (
+    FREE_BYTES,
+    MAX_BODY_BYTES,
+    BodyReservation,
+    BodyRoom,
+)
+from tests.edgesite import HOST, make_config
+from tests.processsite import ProcessSite, run_processes
+
+BODY_BYTES = 4_194_304
+BODIES = 30
+WORK_S = 0.3
+MAX_MEMORY_MB = 150
+"""The memory of the users' smallest VM."""
+
+
+async def answer(request, writer) -> None:
+    """Answer after some work with the size of the body."""
+    await asyncio.sleep(WORK_S)
+    writer.write(make_response(request, b"%d" % len(request.body)))
+
+
+def read_peak_mb(vm) -> float:
+    """Return the most memory that a VM's process has had resident."""
+    status = Path(f"/proc/{vm.process.pid}/status").read_text()
+    found = re.search(r"VmHWM:\s+(\d+) kB", status)
+    assert found is not None
+    return int(found.group(1)) / 1_024
+
+
+async def send_chunks(size: int):
+    """Yield a body in chunks, so that its length is not known beforehand."""
+    for _ in range(size // 65_536):
+        yield b"x" * 65_536
+
+
+# Guards against a process that is ended for its memory, with all its requests, when
+# callers send large bodies at the same time (LOST).
+def test_large_bodies_at_once_stay_within_the_memory_of_a_vm(tmp_path):
+    async def scenario(site: ProcessSite) -> None:
+        vm = site.vms[0]
+        route = {
+            "host": HOST,
+            "timeoutMs": 30_000,
+            "targetLatencyMs": 400,
+            "priority": 1,
+            "service": "pool",
+            "public": True,
+        }
+        routes = [{**route, "name": "r2", "prefix": "/u/", "kind": "unsafe"}]
+        limits = {"headerBytes": 16_384, "bodyBytes": BODY_BYTES}
+        site.store.put("op/config", make_config(2, routes=routes, limits=limits))
+        await asyncio.sleep(1.0)
+
+        async def send(number: int) -> tuple[int, bytes]:
+            headers = {"Host": HOST, "Request-Id": f"b-{number}"}
+            headers["Deadline-Remaining"] = "30000"
+            body = b"x" * BODY_BYTES if number % 2 else send_chunks(BODY_BYTES)
+            async with site.session.post(
+                vm.caller_url + "/u/x", data=body, headers=headers
+            ) as response:
+                return response.status, await response.read()
+
+        answers = await asyncio.gather(*(send(number) for number in range(BODIES)))
+        assert read_peak_mb(vm) < MAX_MEMORY_MB
+        assert set(answers) == {(200, b"%d" % BODY_BYTES)}
+
+    run_processes(scenario, answer, tmp_path, runners=4, vms=1)
+
+
+# Guards against room that is lost with a caller who leaves while a body waits for it.
+def test_a_caller_that_leaves_gives_its_room_to_the_next():
+    async def scenario() -> None:
+        room = BodyRoom()
+
+        async def hold(size: int, entered: asyncio.Event, leave: asyncio.Event) -> None:
+            with BodyReservation(room) as reservation:
+                await reservation.reserve(size)
+                entered.set()
+                await leave.wait()
+
+        events = [asyncio.Event() for _ in range(4)]
+        leave = asyncio.Event()
+        first = asyncio.create_task(hold(MAX_BODY_BYTES, events[0], leave))
+        await events[0].wait()
+        waiting = asyncio.create_task(hold(MAX_BODY_BYTES, events[1], leave))
+        last = asyncio.create_task(hold(BODY_BYTES, events[2], leave))
+        small = asyncio.create_task(hold(FREE_BYTES, events[3], leave))
+        await events[3].wait()
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+        assert not events[2].is_set()
+        first.cancel()
+        await asyncio.wait_for(events[2].wait(), 1)
+        leave.set()
+        await asyncio.gather(last, small)
+        await asyncio.wait_for(room.take(MAX_BODY_BYTES), 1)
+
+    asyncio.run(scenario())
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -99,8 +99,8 @@
     read: set[bytes] = set()
     read_body = EdgeCallerServer._read_body
 
-    async def read_and_record(server, request, until_ms):
-        body = await read_body(server, request, until_ms)
+    async def read_and_record(server, request, until_ms, reservation):
+        body = await read_body(server, request, until_ms, reservation)
         read.add(request.headers["Request-Id"].encode())
         return body
 
