--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -16,6 +16,7 @@
 from plantainwood.core.requests import Request, make_part_names
 from plantainwood.core.router import is_allowed
 from plantainwood.core.scheduling import dispatch, dispatch_waiting
+from plantainwood.core.suspects import judge_request
 
 RETRY_DRAINING_MS = 1_000
 RETRY_NO_UPSTREAM_MS = 5_000
@@ -84,7 +85,7 @@
 
     On probation, the VM that took a request from its caller decides.
     """
-    verdict = state.judge(event.fingerprint, parts, now_ms)
+    verdict = judge_request(state, event.fingerprint, parts, now_ms)
     if verdict is Verdict.BLOCK:
         raise make_blocked_error(Outcome.NOT_RUN)
     if verdict is Verdict.HOLD and not event.from_vm:
--- a/plantainwood/core/crashes.py
+++ b/plantainwood/core/crashes.py
@@ -12,6 +12,7 @@
 from plantainwood.core.quarantine import make_blocked_error
 from plantainwood.core.requests import Request
 from plantainwood.core.scheduling import stop_request
+from plantainwood.core.suspects import judge_request
 
 CRASH_PAUSE_MS = 2_000
 
@@ -90,7 +91,9 @@
 
     On probation, those that run go on: their answers clear the others.
     """
-    verdict = state.judge(request.fingerprint, request.shared_parts, now_ms, request.id)
+    verdict = judge_request(
+        state, request.fingerprint, request.shared_parts, now_ms, request.id
+    )
     outcome = find_outcome(request)
     if verdict is Verdict.BLOCK:
         error = make_blocked_error(outcome)
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -19,13 +19,12 @@
 )
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.fairness import FairQueue, TokenCounters, WaitingQueue
-from plantainwood.core.hashing import pick_subset, rank_members
+from plantainwood.core.hashing import pick_subset
 from plantainwood.core.limits import CustomerLimit
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.membership import select_serving_domains
 from plantainwood.core.partquarantine import PartQuarantine
 from plantainwood.core.pools import Pool, TierQueue
-from plantainwood.core.probation import Suspicion, Verdict, judge
 from plantainwood.core.quarantine import MAX_CRASHES, Mark, Quarantine
 from plantainwood.core.requests import Request
 from plantainwood.core.retries import RetryBudget
@@ -329,43 +328,9 @@
 
     def is_blocked(self, fingerprint: str, parts: tuple[str, ...], now_ms: int) -> bool:
         """Tell whether a request is suspected for crashes under it or its parts."""
-        return bool(self._list_suspicions(fingerprint, parts, now_ms))
-
-    def judge(
-        self, fingerprint: str, parts: tuple[str, ...], now_ms: int, own_id: str = ""
-    ) -> Verdict:
-        """Return what becomes of a request for the crashes under it or its parts.
-
-        `own_id` is its id if it was admitted before.
-        """
-        verdict = Verdict.PASS
-        for suspicion in self._list_suspicions(fingerprint, parts, now_ms):
-            if not self.options.probe_suspects:
-                return Verdict.BLOCK
-            ranked = rank_members(suspicion.name, self.nodes)
-            is_prober = ranked[0] == self.node
-            is_open = self._has_open(suspicion.name, own_id)
-            judged = judge(suspicion, is_prober, is_open, now_ms)
-            verdict = max(verdict, judged, key=lambda item: item.value)
-        return verdict
-
-    def _list_suspicions(
-        self, fingerprint: str, parts: tuple[str, ...], now_ms: int
-    ) -> list[Suspicion]:
-        found = (
-            self.quarantine.find_suspicion(fingerprint, now_ms),
-            self.part_quarantine.find_suspicion(parts, now_ms),
-        )
-        return [suspicion for suspicion in found if suspicion is not None]
-
-    def _has_open(self, name: str, own_id: str) -> bool:
-        """Tell whether another request has a fingerprint or part of this name."""
-        for request in self.requests.values():
-            if request.id == own_id:
-                continue
-            if request.fingerprint == name or name in request.shared_parts:
-                return True
-        return False
+        if self.quarantine.is_blocked(fingerprint, now_ms):
+            return True
+        return self.part_quarantine.is_blocked(parts, now_ms)
 
     def find_running(self, request_id: str, attempt: int) -> Request | None:
         """Return the request if this is its running attempt; None if it is stale."""
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -16,6 +16,7 @@
 from plantainwood.core.router import has_version
 from plantainwood.core.scheduling import dispatch_waiting, stop_request
 from plantainwood.core.servingvms import is_serving_vm
+from plantainwood.core.suspects import judge_request
 
 UNREACHED_MS = 2_000
 """How long an upstream counts as out of reach after a failed connection or probe."""
@@ -159,7 +160,9 @@
         message = "the upstream failed; the call may have run"
         return RequestError(ErrorCode.UPSTREAM_FAILED, message, Outcome.UNKNOWN)
     outcome = find_outcome(request)
-    verdict = state.judge(request.fingerprint, request.shared_parts, now_ms, request.id)
+    verdict = judge_request(
+        state, request.fingerprint, request.shared_parts, now_ms, request.id
+    )
     if verdict is Verdict.BLOCK:
         return make_blocked_error(outcome)
     if verdict is Verdict.HOLD:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -69,6 +69,12 @@
             dispatcher.apply_catalogue(make_catalogue())
             self._dispatchers.append(dispatcher)
 
+    def introduce(self) -> None:
+        """Tell the VMs of each other."""
+        names = {f"vm-{number}" for number in range(VMS)}
+        for number, dispatcher in enumerate(self._dispatchers):
+            dispatcher.set_nodes(names - {f"vm-{number}"}, self.now_ms)
+
     def advance(self, step_ms: int = STEP_MS) -> None:
         """Let time pass, and deliver the marks to all VMs."""
         self.now_ms += step_ms
@@ -141,6 +147,22 @@
     assert fleet.codes[-1] is ErrorCode.CRASH_SUSPECT
 
 
+# Guards against VMs that all find out at once what one of them can (BUDGET), and against
+# a request that stays refused though it was answered (DENIED).
+def test_one_vm_finds_out_and_its_answer_clears_the_request_everywhere():
+    fleet = Fleet()
+    fleet.introduce()
+    send_crashing_requests(fleet, 2)
+    assert fleet.crashes == MAX_CRASHES
+    probes = [(vm, fleet.send(vm, CRASHING_PATH)) for vm in range(VMS)]
+    sent = [(vm, probe) for vm, probe in probes if probe is not None]
+    assert len(sent) == 1
+    fleet.finish(*sent[0])
+    fleet.advance()
+    for vm in range(VMS):
+        assert fleet.send(vm, CRASHING_PATH) is not None
+
+
 def test_requests_without_a_body_for_other_things_are_served():
     fleet = Fleet()
     send_crashing_requests(fleet, 4)
--- a/tests/test_failed_continuations.py
+++ b/tests/test_failed_continuations.py
@@ -24,6 +24,18 @@
 """Bodies in place of the events after the third: an error, or the wrong events."""
 
 
+async def read_all(site) -> bytes:
+    """Send REQUEST; return all that comes back until the connection ends."""
+    host, port = site.base_url.removeprefix("http://").split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(REQUEST)
+        async with asyncio.timeout(TIMEOUT_S):
+            return await reader.read()
+    finally:
+        writer.close()
+
+
 # Guards against a second answer inside a stream that has begun (MIXED).
 @pytest.mark.parametrize("body", FAILURES)
 @pytest.mark.parametrize("status", [400, 404, 500, 204, 206, 302, 200])
@@ -36,14 +48,7 @@
         writer.write(make_response(request, content, status))
 
     async def scenario(site):
-        host, port = site.base_url.removeprefix("http://").split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            writer.write(REQUEST)
-            async with asyncio.timeout(TIMEOUT_S):
-                received = await reader.read()
-        finally:
-            writer.close()
+        received = await read_all(site)
         assert received.startswith(b"HTTP/1.1 200")
         assert received.count(b"HTTP/1.") == 1
         assert received.count(b"id: 3\n") == 1
@@ -69,14 +74,7 @@
     monkeypatch.setattr(Forwarder, "forward", fail_late)
 
     async def scenario(site):
-        host, port = site.base_url.removeprefix("http://").split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
-        try:
-            writer.write(REQUEST)
-            async with asyncio.timeout(TIMEOUT_S):
-                received = await reader.read()
-        finally:
-            writer.close()
+        received = await read_all(site)
         assert received.startswith(b"HTTP/1.1 200")
         assert received.count(b"HTTP/1.") == 1
         assert received.endswith(b"0\r\n\r\n") == ends
