--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -147,13 +147,14 @@
     assert fleet.codes[-1] is ErrorCode.CRASH_SUSPECT
 
 
-# Guards against VMs that all find out at once what one of them can (BUDGET), and against
-# a request that stays refused though it was answered (DENIED).
+# Guards against VMs that all find out at once what one of them can (BUDGET), and
+# against a request that stays refused though it was answered (DENIED).
 def test_one_vm_finds_out_and_its_answer_clears_the_request_everywhere():
     fleet = Fleet()
     fleet.introduce()
     send_crashing_requests(fleet, 2)
     assert fleet.crashes == MAX_CRASHES
+    fleet.advance(RESTART_MS)
     probes = [(vm, fleet.send(vm, CRASHING_PATH)) for vm in range(VMS)]
     sent = [(vm, probe) for vm, probe in probes if probe is not None]
     assert len(sent) == 1
