Let only crashes that come apart end a probation, and probe at most once a minute (DENIED, BUDGET)

Change: crashes after the suspicion count only at the distance of a probe (1 s, 60 s), and a node sends none within 60 s of its last.

--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -16,7 +16,7 @@
 from plantainwood.core.requests import Request, make_part_names
 from plantainwood.core.router import is_allowed
 from plantainwood.core.scheduling import dispatch, dispatch_waiting
-from plantainwood.core.suspects import judge_request
+from plantainwood.core.suspects import judge_request, record_probe
 
 RETRY_DRAINING_MS = 1_000
 RETRY_NO_UPSTREAM_MS = 5_000
@@ -91,6 +91,7 @@
     if verdict is Verdict.HOLD and not event.from_vm:
         message = "it is not known yet whether requests like it crash upstreams"
         raise _make_refusal(ErrorCode.UPSTREAM_UNAVAILABLE, message, RETRY_HELD_MS)
+    record_probe(state, event.fingerprint, parts, now_ms)
 
 
 def _outlasts_stop(state: DispatcherState, event: ev.Arrival) -> bool:
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -78,6 +78,7 @@
         "requests",
         "quarantine",
         "part_quarantine",
+        "probed_ms",
         "upstream_limits",
         "brittle_pools",
         "slot_divisions",
@@ -115,6 +116,9 @@
         self.part_quarantine = PartQuarantine(
             max(options.max_crashes, MIN_CRASHES_OF_PART)
         )
+        self.probed_ms: dict[str, int] = {}
+        """When this node last sent a request to find out whether what it has in common
+        with others crashes upstreams, by fingerprint or part."""
         self.upstream_limits = UpstreamLimits(node)
         self.brittle_pools = BrittlePools()
         self.slot_divisions: dict[str, SlotDivision] = {}
--- a/plantainwood/core/partquarantine.py
+++ b/plantainwood/core/partquarantine.py
@@ -11,7 +11,7 @@
 
 import msgspec
 
-from plantainwood.core.probation import Suspicion
+from plantainwood.core.probation import Suspicion, make_suspicion
 from plantainwood.core.quarantine import (
     MARK_LIFETIME_MS,
     MAX_CRASHES_OF_TRUSTED,
@@ -184,21 +184,21 @@
         # share are lost in every crash, and no answer is there yet to clear them. With
         # a part that was never answered, none may come between.
         start_times_ms = list(self._start_times_ms)
+        unanswered_ms: int | None = UNANSWERED_MS
+        needed = self._max_crashes
         if trusted_ms is not None and now_ms - trusted_ms < TRUSTED_MS:
-            count = _count_crashes(marks.values(), start_times_ms)
-            needed = max(self._max_crashes, MAX_CRASHES_OF_TRUSTED)
-        else:
-            count = _count_crashes(marks.values(), start_times_ms, UNANSWERED_MS)
-            needed = self._max_crashes
-        if count < needed:
-            return None
+            unanswered_ms = None
+            needed = max(needed, MAX_CRASHES_OF_TRUSTED)
+        ordered = sorted(marks.values(), key=lambda mark: mark.time_ms)
         requests: set[str] = set()
-        for mark in marks.values():
+        for number, mark in enumerate(ordered, 1):
             requests |= mark.requests
-        if len(requests) < MIN_REQUESTS:
-            return None
-        last_crash_ms = max(mark.time_ms for mark in marks.values())
-        return Suspicion(part, count - needed, last_crash_ms)
+            if len(requests) < MIN_REQUESTS:
+                continue
+            if _count_crashes(ordered[:number], start_times_ms, unanswered_ms) < needed:
+                continue
+            return make_suspicion(part, [item.time_ms for item in ordered], number)
+        return None
 
     def _list_peers(self, part: str) -> list[str]:
         """Return the other parts that explain a part's crashes at least as well.
--- a/plantainwood/core/probation.py
+++ b/plantainwood/core/probation.py
@@ -18,10 +18,26 @@
 
     name: str
     excess: int
-    """The crashes beyond those that it takes to suspect it."""
+    """The crashes since then that came long enough after one another to count."""
     last_crash_ms: int
 
 
+def make_suspicion(name: str, crash_times_ms: list[int], needed: int) -> Suspicion:
+    """Return the suspicion that crashes raise, of which the first `needed` raise it.
+
+    Crashes that follow at once had the same cause: an outage stops many upstreams.
+    """
+    times_ms = sorted(crash_times_ms)
+    last_ms = times_ms[needed - 1]
+    excess = 0
+    for time_ms in times_ms[needed:]:
+        apart_ms, last_ms = time_ms - last_ms, time_ms
+        if excess == len(PROBE_PAUSES_MS) or apart_ms < PROBE_PAUSES_MS[excess]:
+            continue
+        excess += 1
+    return Suspicion(name, excess, last_ms)
+
+
 class Verdict(Enum):
     """What becomes of a request under suspicion, from the mildest to the hardest."""
 
@@ -33,11 +49,18 @@
     """It is refused for good."""
 
 
-def judge(suspicion: Suspicion, is_prober: bool, is_open: bool, now_ms: int) -> Verdict:
+def judge(
+    suspicion: Suspicion,
+    is_prober: bool,
+    is_open: bool,
+    probed_ms: int | None,
+    now_ms: int,
+) -> Verdict:
     """Return what becomes of a new request under suspicion.
 
     `is_prober` says whether this node is the one that finds out for the fleet,
-    `is_open` whether it has another request with the same name.
+    `is_open` whether it has another request with the same name, and `probed_ms` when
+    it last sent one to find out, if it did.
     """
     if suspicion.excess >= len(PROBE_PAUSES_MS):
         return Verdict.BLOCK
@@ -45,4 +68,6 @@
         return Verdict.HOLD
     if now_ms - suspicion.last_crash_ms < PROBE_PAUSES_MS[suspicion.excess]:
         return Verdict.HOLD
+    if probed_ms is not None and now_ms - probed_ms < PROBE_PAUSES_MS[-1]:
+        return Verdict.HOLD
     return Verdict.PASS
--- a/plantainwood/core/quarantine.py
+++ b/plantainwood/core/quarantine.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
-from plantainwood.core.probation import Suspicion
+from plantainwood.core.probation import Suspicion, make_suspicion
 
 MAX_CRASHES = 2
 MARK_LIFETIME_MS = 600_000
@@ -108,8 +108,11 @@
             needed = max(needed, MAX_CRASHES_OF_TRUSTED)
         if count < needed:
             return None
-        last_crash_ms = max(self._marks[fingerprint].values()) - MARK_LIFETIME_MS
-        return Suspicion(fingerprint, count - needed, last_crash_ms)
+        times_ms = [
+            until_ms - MARK_LIFETIME_MS
+            for until_ms in self._marks[fingerprint].values()
+        ]
+        return make_suspicion(fingerprint, times_ms, needed)
 
     def _is_trusted(self, fingerprint: str, now_ms: int) -> bool:
         trusted_ms = self._trusted.get(fingerprint)
--- a/plantainwood/core/suspects.py
+++ b/plantainwood/core/suspects.py
@@ -2,7 +2,7 @@
 
 from plantainwood.core.dispatcherstate import DispatcherState
 from plantainwood.core.hashing import rank_members
-from plantainwood.core.probation import Suspicion, Verdict, judge
+from plantainwood.core.probation import PROBE_PAUSES_MS, Suspicion, Verdict, judge
 
 
 def judge_request(
@@ -22,11 +22,23 @@
             return Verdict.BLOCK
         is_prober = rank_members(suspicion.name, state.nodes)[0] == state.node
         is_open = _has_open(state, suspicion.name, own_id)
-        judged = judge(suspicion, is_prober, is_open, now_ms)
+        probed_ms = state.probed_ms.get(suspicion.name)
+        judged = judge(suspicion, is_prober, is_open, probed_ms, now_ms)
         verdict = max(verdict, judged, key=lambda item: item.value)
     return verdict
 
 
+def record_probe(
+    state: DispatcherState, fingerprint: str, parts: tuple[str, ...], now_ms: int
+) -> None:
+    """Record that a request is sent although it is suspected; do nothing if not."""
+    for name, probed_ms in list(state.probed_ms.items()):
+        if now_ms - probed_ms >= PROBE_PAUSES_MS[-1]:
+            del state.probed_ms[name]
+    for suspicion in _list_suspicions(state, fingerprint, parts, now_ms):
+        state.probed_ms[suspicion.name] = now_ms
+
+
 def _list_suspicions(
     state: DispatcherState, fingerprint: str, parts: tuple[str, ...], now_ms: int
 ) -> list[Suspicion]:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -103,6 +103,11 @@
         event = ev.AttemptDone(attempt.request_id, attempt.attempt)
         self._collect(self._dispatchers[vm].decide(event, self.now_ms))
 
+    def leave(self, vm: int, attempt: ev.Dispatch) -> None:
+        """Let the caller of an attempt leave."""
+        event = ev.CallerLeft(attempt.request_id)
+        self._collect(self._dispatchers[vm].decide(event, self.now_ms))
+
     def _collect(self, decisions: list[ev.Decision]) -> ev.Dispatch | None:
         found = None
         for decision in decisions:
@@ -147,6 +152,22 @@
     assert fleet.codes[-1] is ErrorCode.CRASH_SUSPECT
 
 
+# Guards against requests that reach servers without end to find out, when callers
+# leave before one crashes (BUDGET).
+def test_what_neither_crashes_nor_answers_is_not_tried_again_at_once():
+    fleet = Fleet()
+    send_crashing_requests(fleet, 2)
+    fleet.advance(RESTART_MS)
+    sent = 0
+    for _ in range(50):
+        attempt = fleet.send(0, CRASHING_PATH)
+        if attempt is not None:
+            sent += 1
+            fleet.leave(0, attempt)
+        fleet.advance(1_000)
+    assert sent == 1
+
+
 # Guards against VMs that all find out at once what one of them can (BUDGET), and
 # against a request that stays refused though it was answered (DENIED).
 def test_one_vm_finds_out_and_its_answer_clears_the_request_everywhere():
