--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -685,7 +685,7 @@
         CORE + "probation.py",
         "    if suspicion.excess >= len(PROBE_PAUSES_MS):\n",
         "    if suspicion.excess >= 0:\n",
-        "tests/test_unrelated_crashes.py",
+        "tests/test_crashing_requests.py",
     ),
     Mutant(
         0,
