Test each moment of a planned stop with each length of work (LOST, REFUSED)

Seven lengths from 0.05 to 12 s, four times a second, from a second before SIGTERM until the process is gone, for calls that may be repeated and that may not: every one that ran or was read got an answer, and none that was promised not to run ran.

--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -24,6 +24,7 @@
 SLOTS = 64
 CLOSED = 0
 STOPS_AT_MS = 9_000
+WORK_S = (0.05, 0.7, 2.0, 4.0, 6.0, 7.3, 12.0)
 
 
 async def answer_late(request, writer) -> None:
@@ -132,6 +133,55 @@
     run_processes(scenario, answer_late, tmp_path, vms=2)
 
 
+async def answer_as_asked(request, writer) -> None:
+    """Answer after as many seconds as the end of the path says."""
+    work_s = float(request.line.split()[1].rpartition(b"/")[2])
+    await asyncio.sleep(work_s)
+    writer.write(make_response(request, request.request_id))
+
+
+# Guards against any moment of a planned stop, and any length of work, at which a
+# request that was read gets no answer, or a promise that does not hold (LOST, REFUSED).
+@pytest.mark.parametrize("kind", ["u", "r"])
+def test_each_moment_and_length_of_work_gets_an_answer(kind, tmp_path):
+    async def scenario(site: ProcessSite) -> None:
+        await give_room(site)
+        vm = site.vms[0]
+        loop = asyncio.get_running_loop()
+        calls: list[LateCall] = []
+        group = asyncio.TaskGroup()
+        began_s = 0.0
+
+        def send_all() -> None:
+            for work_s in WORK_S:
+                sent_s = loop.time() - began_s
+                call = LateCall(f"m-{work_s}-{len(calls)}", sent_s)
+                calls.append(call)
+                path = f"/{kind}/{work_s}"
+                group.create_task(send_late(vm, call, path, TIMEOUT_MS))
+
+        async with group:
+            began_s = loop.time() + 1.0
+            while loop.time() < began_s:
+                send_all()
+                await asyncio.sleep(0.25)
+            vm.signal(signal.SIGTERM)
+            began_s = loop.time()
+            while site.list_ended() == []:
+                send_all()
+                await asyncio.sleep(0.25)
+        ran = {r.request_id.decode() for u in site.runners for r in u.received}
+        wrong = []
+        for call in calls:
+            allowed = (200, 502, 504) if call.name in ran else (503, None)
+            if call.status not in allowed:
+                wrong.append((call.name, round(call.sent_s, 2), call.status))
+        assert wrong == []
+        assert {call.status for call in calls} >= {200, 503, 504}
+
+    run_processes(scenario, answer_as_asked, tmp_path, vms=2)
+
+
 # Guards against a request that a node takes though it may outlast the node (LOST).
 def test_a_node_that_stops_takes_only_what_ends_before():
     dispatcher = Dispatcher("vm-1", 7)
