--- a/tests/test_two_builds.py
+++ b/tests/test_two_builds.py
@@ -14,16 +14,17 @@
     write_odd_entries,
 )
 
-EARLIER_BUILD = "e970768"
-"""The last build whose reading of the store ends at entries that can't be read."""
+EARLIER_BUILDS = ("e970768", "f447cae")
+"""The last build whose reading of the store ends at entries that can't be read, and the
+landing before this build."""
 
 
-@pytest.fixture(scope="module")
-def earlier_root(tmp_path_factory) -> Path:
-    """Return the source tree of the earlier build, from the repository's history."""
+@pytest.fixture(scope="module", params=EARLIER_BUILDS)
+def earlier_root(tmp_path_factory, request) -> Path:
+    """Return the source tree of an earlier build, from the repository's history."""
     root = tmp_path_factory.mktemp("earlier")
     archive = subprocess.run(
-        ["git", "archive", EARLIER_BUILD, "plantainwood", "platform"],
+        ["git", "archive", request.param, "plantainwood", "platform"],
         cwd=ROOT,
         check=True,
         stdout=subprocess.PIPE,
