--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -217,18 +217,20 @@
     run(scenario)
 
 
+# Guards against connections that are closed after the idle time of an earlier
+# configuration. That time is longer than a change may take to be in force (2 s).
 def test_an_open_connection_follows_a_longer_idle_time():
     async def scenario(site):
-        put_limits(site, idleTimeoutMs=500)
+        put_limits(site, idleTimeoutMs=2_500)
         await wait_for_version(site, 2)
         host, port = site.base_url.removeprefix("http://").split(":")
         reader, writer = await asyncio.open_connection(host, int(port))
-        for pause_s in (0.1, 1.0, 0.0):
+        for pause_s in (0.1, 3.0, 0.0):
             writer.write(INCOMPLETE_HEAD + b"\r\n")
             head = await reader.readuntil(b"\r\n\r\n")
             assert head.split()[1] == b"200"
             await reader.readexactly(len(b"GET /o/x HTTP/1.1"))
-            limits = {"headerBytes": 2_000, "idleTimeoutMs": 3_000}
+            limits = {"headerBytes": 2_000, "idleTimeoutMs": 9_000}
             site.store.put("op/config", make_config(3, limits=limits))
             await wait_for_version(site, 3)
             await asyncio.sleep(pause_s)
