--- a/soak/clients.py
+++ b/soak/clients.py
@@ -19,7 +19,17 @@
 class Call:
     """One client attempt: what was sent where, and what came back."""
 
-    __slots__ = ("request_id", "kind", "key", "vm", "sent_s", "status", "body")
+    __slots__ = (
+        "request_id",
+        "kind",
+        "key",
+        "vm",
+        "sent_s",
+        "status",
+        "body",
+        "leaving",
+        "ended_s",
+    )
 
     def __init__(
         self, request_id: str, kind: str, key: str, vm: VmProcess, sent_s: float
@@ -32,6 +42,9 @@
         self.status = 0
         """0 without a whole answer."""
         self.body = b""
+        self.leaving = ""
+        """The runner whose leaving the answer tells of, if it does."""
+        self.ended_s = 0.0
 
 
 class Client:
@@ -82,8 +95,11 @@
                     async for chunk in response.content.iter_any():
                         call.body += chunk
                     call.status = response.status
+                    if "Server-Leaving" in response.headers:
+                        call.leaving = response.headers["Instance"]
         except (aiohttp.ClientError, OSError, TimeoutError):
             pass
+        call.ended_s = loop.time()
         return call
 
     async def _read_stream(self) -> None:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -46,6 +46,10 @@
                 return began_s, ended_s
         return None
 
+    def was_calm_since(self, name: str, since_s: float) -> bool:
+        """Return whether nothing disturbed a VM since a time."""
+        return all(ended_s < since_s for _, ended_s in self._spans.get(name, []))
+
     def was_calm(self, name: str, at_s: float) -> bool:
         """Return whether a VM and the store were calm for CONTACT_S before a time."""
         for began_s, ended_s in self._spans.get(name, []) + self._spans.get(STORE, []):
@@ -115,6 +119,8 @@
         faults = [
             self._drain_a_runner,
             self._crash_a_runner,
+            self._remove_a_runner,
+            self._let_a_runner_say_that_it_leaves,
             self._write_an_odd_entry,
             self._write_an_odd_entry,
             self._change_keys,
@@ -142,12 +148,36 @@
         self._register(name, "draining")
         self.left_s[name] = asyncio.get_running_loop().time()
 
-    async def _crash_a_runner(self) -> None:
-        """Let a runner end for no reason of a request's; another one comes for it."""
+    async def _remove_a_runner(self) -> None:
+        """Remove a runner's entry without a word; it serves on."""
+        name = self._take_ready_runner()
+        if name is None:
+            return
+        self.site.store.remove(f"servers/{name}")
+        self.left_s[name] = asyncio.get_running_loop().time()
+        await self.add_runner()
+
+    async def _let_a_runner_say_that_it_leaves(self) -> None:
+        """Let a runner's answers say that it leaves, long before its entry does."""
+        name = self._take_ready_runner()
+        if name is None:
+            return
+        self.left_s[name] = math.inf
+        self.runners[name].says_leaving = True
+        await self.add_runner()
+
+    def _take_ready_runner(self) -> str | None:
+        """Return a runner that may leave; None if there are too few, or no store."""
         ready = [name for name in self.runners if name not in self.left_s]
         if len(ready) < 4 or self.site.store.faults.down:
+            return None
+        return self._source.choice(ready)
+
+    async def _crash_a_runner(self) -> None:
+        """Let a runner end for no reason of a request's; another one comes for it."""
+        name = self._take_ready_runner()
+        if name is None:
             return
-        name = self._source.choice(ready)
         self.left_s[name] = math.inf
         await self.runners[name].stop()
         await asyncio.sleep(self._source.uniform(*RESTART_S))
--- a/soak/main.py
+++ b/soak/main.py
@@ -97,6 +97,7 @@
         found += self._check_runs(by_id)
         found += self._check_answers(calls)
         found += self._check_stops(calls)
+        found += self._check_leaving(by_id)
         for vm in self.site.vms:
             for event in ERROR_EVENTS:
                 found += [f"{vm.name}: {line}" for line in vm.list_events(event)]
@@ -146,6 +147,24 @@
                 found.append(f"LOST: {call.request_id}, {call.sent_s - stop[0]:.2f} s")
         return found
 
+    def _check_leaving(self, by_id: dict[str, Call]) -> list[str]:
+        """Check that a VM sends nothing to a runner whose leaving it has told of."""
+        found: list[str] = []
+        told_s: dict[tuple[str, str], float] = {}
+        for call in by_id.values():
+            if call.leaving:
+                key = (call.vm.name, call.leaving)
+                told_s[key] = min(call.ended_s, told_s.get(key, call.ended_s))
+        for run in self.operator.runs:
+            call = by_id.get(run.request_id)
+            since_s = told_s.get((call.vm.name, run.instance)) if call else None
+            if call is None or since_s is None or call.sent_s <= since_s + DRAIN_S:
+                continue
+            if self.operator.disturbances.was_calm_since(call.vm.name, since_s):
+                late_s = call.sent_s - since_s
+                found.append(f"DRAIN: {call.request_id}, told {late_s:.2f} s before")
+        return found
+
     def _check_answers(self, calls: list[Call]) -> list[str]:
         """Check what callers got: their own answers, and no denial without reason."""
         found: list[str] = []
--- a/soak/runners.py
+++ b/soak/runners.py
@@ -42,6 +42,8 @@
         self._source = source
         self._runs = runs
         self._last_refusal = b""
+        self.says_leaving = False
+        """Whether its answers say that it leaves, whatever its entry says."""
 
     async def _answer(self, request, writer) -> None:
         if request.headers.get(b"expect-instance", b"").decode() != self.instance:
@@ -72,7 +74,10 @@
             await self._stream(request, writer, chance > 0.9)
             return
         await asyncio.sleep(WORK_S)
-        writer.write(make_response(request, request.request_id))
+        extra = f"Instance: {self.instance}\r\n"
+        if self.says_leaving:
+            extra += "Server-Leaving: 1\r\n"
+        writer.write(make_response(request, request.request_id, extra=extra))
 
     async def _stream(self, request, writer, breaks_off: bool) -> None:
         first = int(request.headers.get(b"last-event-id", b"0")) + 1
