--- a/plantainwood/callers.py
+++ b/plantainwood/callers.py
@@ -19,6 +19,7 @@
     compute_spread,
     pick_addresses,
 )
+from plantainwood.lingering import LingeringRunner
 from plantainwood.logs import log_event
 from plantainwood.node import Node
 from plantainwood.pipeline.exchange import ApiKind, Exchange
@@ -27,8 +28,6 @@
 from plantainwood.traces import read_context
 
 MAX_REQUEST_ID_CHARS = 64
-LINGERING_TIME_S = 1.0
-"""How long the rest of a body is read after the request was rejected."""
 
 
 def make_tls_context(tls: Tls) -> ssl.SSLContext | None:
@@ -59,14 +58,13 @@
         app.router.add_post("/v1/chat/completions", self.handle_chat)
         app.router.add_post("/v1/completions", self.handle_completion)
         app.router.add_route("*", "/services/{service}/{path:.*}", self.handle_plain)
-        self._runner = web.AppRunner(
+        self._runner = LingeringRunner(
             app,
             access_log=None,
             handler_cancellation=True,
             max_line_size=callers.max_header_bytes,
             max_field_size=callers.max_header_bytes,
             keepalive_timeout=callers.idle_timeout_ms / 1_000,
-            lingering_time=LINGERING_TIME_S,
         )
         await self._runner.setup()
         context = make_tls_context(callers.tls)
--- /dev/null
+++ b/plantainwood/lingering.py
@@ -0,0 +1,83 @@
+"""Closing of callers' connections in the middle of a request.
+
+A connection that is closed with bytes unread, or that receives bytes afterwards, is
+reset, and the caller may lose the response that it was sent (RFC 9112, 9.6).
+"""
+
+import asyncio
+
+from aiohttp import web
+from aiohttp.http_exceptions import HttpProcessingError
+from aiohttp.web_protocol import RequestHandler
+
+LINGERING_S = 1.0
+"""How long bytes are read and dropped after a response that ends a connection."""
+
+
+class LingeringHandler(RequestHandler):
+    """Serve one connection; drop what follows a malformed request, then close it."""
+
+    __slots__ = ("_is_ending",)
+
+    def __init__(self, manager, **kwargs) -> None:
+        super().__init__(manager, lingering_time=LINGERING_S, **kwargs)
+        self._is_ending = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; drop them once the connection is ending."""
+        if not self._is_ending:
+            super().data_received(data)
+
+    def handle_error(self, request, status=500, exc=None, message=None):
+        """Return the response to a request that failed.
+
+        Raise ConnectionError, which closes the connection, if the response has begun.
+        """
+        self.end_if_malformed(exc)
+        return super().handle_error(request, status, exc, message)
+
+    def end_if_malformed(self, error: BaseException | None) -> None:
+        """End the connection after the next response if a request was malformed."""
+        if isinstance(error, HttpProcessingError):
+            self._is_ending = True
+
+    async def finish_response(self, request, resp, start_time):
+        """Send a response to its end; if the connection is ending, wait for its end."""
+        finished = await super().finish_response(request, resp, start_time)
+        if self._is_ending:
+            self._stop_sending()
+            await asyncio.sleep(LINGERING_S)
+        return finished
+
+    def end(self, response: bytes) -> None:
+        """Send a response's bytes in place of any other, and end the connection."""
+        assert self.transport is not None
+        self._is_ending = True
+        self.transport.write(response)
+        self._stop_sending()
+        self._loop.call_later(LINGERING_S, self.force_close)
+
+    def _stop_sending(self) -> None:
+        transport = self.transport
+        if transport is not None and transport.can_write_eof():
+            transport.write_eof()
+
+
+class LingeringServer(web.Server):
+    """Create a LingeringHandler for each connection."""
+
+    def __call__(self) -> LingeringHandler:
+        """Return the handler of a new connection."""
+        return LingeringHandler(self, loop=self._loop, **self._kwargs)
+
+
+class LingeringRunner(web.AppRunner):
+    """Run an application whose connections are served by a LingeringHandler."""
+
+    async def _make_server(self) -> web.Server:
+        server = await super()._make_server()
+        return LingeringServer(
+            server.request_handler,
+            request_factory=server.request_factory,
+            **self._kwargs,
+        )
--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -5,6 +5,7 @@
 import ssl
 import subprocess
 import sys
+import time
 import urllib.request
 from pathlib import Path
 
@@ -124,6 +125,32 @@
     assert send_raw(fleet, head, b"1234567").split(b" ")[1] == b"400"
 
 
+# Guards against refusals that are lost in a reset, as the caller was still sending.
+@pytest.mark.parametrize(
+    "lines",
+    [
+        ["Content-Length: 5", "Content-Length: 7"],
+        ["Bad Name: a"],
+        ["X-Large: " + "x" * 10_000],
+    ],
+    ids=["two lengths", "bad name", "large head"],
+)
+def test_a_refused_caller_that_still_sends_reads_the_response_to_its_end(
+    fleet, key, lines
+):
+    address = ("127.0.0.1", fleet.ports["vm-1/callers"])
+    with socket.create_connection(address, timeout=10) as connection:
+        connection.sendall(make_head(key, *lines))
+        received = connection.recv(1)
+        for _ in range(5):
+            connection.sendall(b"x" * 1_000)
+            time.sleep(0.02)
+        while chunk := connection.recv(65_536):
+            received += chunk
+    assert received.split(b" ")[1] in (b"400", b"431")
+    assert received.count(b"HTTP/1.") == 1
+
+
 def test_a_body_that_stalls_is_refused_as_not_run(fleet, key):
     response = send_raw(fleet, make_head(key, "Content-Length: 500"), b"{")
     assert response.startswith(b"HTTP/1.1 400")
--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -165,6 +165,7 @@
 
 
 INCOMPLETE_HEAD = b"GET /o/x HTTP/1.1\r\nHost: front.example\r\nRequest-Id: z\r\n"
+CHUNKED_HEAD = INCOMPLETE_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
 
 
 def test_a_head_over_the_configured_size_is_431():
@@ -182,6 +183,39 @@
     run(scenario)
 
 
+# Guards against refusals that are lost in a reset, as the caller was still sending.
+@pytest.mark.parametrize(
+    ("status", "start"),
+    [
+        (b"400", INCOMPLETE_HEAD + b"Content-Length: 3\r\nContent-Length: 4\r\n\r\n"),
+        (b"400", b"POST /o/x HTTP/1.1\r\nBad Name: a\r\n"),
+        (b"400", CHUNKED_HEAD + b"no size\r\n"),
+        (b"431", INCOMPLETE_HEAD + b"X-Large: " + b"v" * 3_000),
+        (b"408", INCOMPLETE_HEAD),
+    ],
+    ids=["two lengths", "bad name", "bad chunk", "large head", "slow head"],
+)
+def test_a_refused_caller_that_still_sends_reads_the_response_to_its_end(status, start):
+    async def scenario(site):
+        put_limits(site, headerTimeoutMs=200)
+        await wait_for_version(site, 2)
+        host, port = site.base_url.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(start)
+        response = await reader.read(1)
+        for _ in range(5):
+            writer.write(b"v" * 1_000)
+            await asyncio.sleep(0.02)
+        response += await reader.read()
+        writer.close()
+        assert response.split()[1] == status
+        assert response.count(b"HTTP/1.") == 1
+        assert b'"not_run"' in response
+        assert not site.runners[0].received
+
+    run(scenario)
+
+
 def test_a_head_not_complete_within_the_configured_time_is_408():
     async def scenario(site):
         put_limits(site, headerTimeoutMs=200)
