--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -19,6 +19,7 @@
 GRACE_S = 8.0
 SENDING_S = 4.0
 GAP_S = 0.1
+PAUSE_S = 0.3
 EXCUSED_S = 3.0
 """Only of requests sent earlier may the upstream outlast the grace period."""
 SLOTS = 64
@@ -182,6 +183,68 @@
     run_processes(scenario, answer_as_asked, tmp_path, vms=2)
 
 
+def make_parts(name: str, part: int) -> tuple[bytes, bytes]:
+    """Return a request in two parts: nothing and all, or half a head and the rest."""
+    request = (
+        f"POST /u/0.05 HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {name}\r\n"
+        f"Authorization: {AUTHORIZATION}\r\nContent-Length: 1\r\n\r\nb"
+    ).encode()
+    at = part * len(request) // 2
+    return request[:at], request[at:]
+
+
+async def send_slowly(vm, call: LateCall, part: int) -> None:
+    """Open a connection, pause, then send a request; record what comes back."""
+    try:
+        reader, writer = await asyncio.open_connection("127.0.0.1", vm.ports[0])
+    except OSError:
+        return
+    first, rest = make_parts(call.name, part)
+    received = b""
+    try:
+        writer.write(first)
+        await asyncio.sleep(PAUSE_S)
+        writer.write(rest)
+        received = await reader.read(65_536)
+    except ConnectionError:
+        pass
+    finally:
+        writer.close()
+    call.status = int(received.split()[1]) if received else CLOSED
+
+
+# Guards against connections that a stopping VM accepted and closed before their first
+# request, or in the middle of a head (LOST); with a call in progress, and with none.
+@pytest.mark.parametrize("long_calls", [1, 0])
+@pytest.mark.parametrize("part", [0, 1])
+def test_a_connection_opened_late_in_a_planned_stop_gets_an_answer(
+    part, long_calls, tmp_path
+):
+    async def scenario(site: ProcessSite) -> None:
+        await give_room(site)
+        vm = site.vms[0]
+        loop = asyncio.get_running_loop()
+        calls: list[LateCall] = []
+        async with asyncio.TaskGroup() as group:
+            for number in range(long_calls):
+                call = LateCall(f"long-{number}", 0.0)
+                group.create_task(send_late(vm, call, "/u/6.0", TIMEOUT_MS))
+            await asyncio.sleep(0.2)
+            vm.signal(signal.SIGTERM)
+            began_s = loop.time()
+            while site.list_ended() == []:
+                call = LateCall(f"s-{len(calls)}", loop.time() - began_s)
+                calls.append(call)
+                group.create_task(send_slowly(vm, call, part))
+                await asyncio.sleep(GAP_S)
+        closed = [round(call.sent_s, 2) for call in calls if call.status == CLOSED]
+        assert closed == []
+        assert {call.status for call in calls} >= {200, 503}
+        assert vm.process.returncode == 0
+
+    run_processes(scenario, answer_as_asked, tmp_path, vms=2)
+
+
 # Guards against a request that a node takes though it may outlast the node (LOST).
 def test_a_node_that_stops_takes_only_what_ends_before():
     dispatcher = Dispatcher("vm-1", 7)
