Soak: the store is lost and comes back from a copy; a VM that knew must still know

A VM that was told in time that a runner leaves must not forget it, also while it is disturbed later (DRAIN); the check was silent then.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """Faults of the soak: drawn by a seed, in series, overlapping."""
 
 import asyncio
+import base64
 import json
 import math
 import random
@@ -16,6 +17,8 @@
 MAX_ODD_ENTRIES = 6
 GRACE_S = 8.0
 RESTART_S = (0.5, 3.0)
+COPY_AGE_S = 4.0
+REWRITE_S = 1.8
 SLOW_S = 0.4
 KEYS_IN_USE = 3
 """The keys that clients use, the withdrawn ones included."""
@@ -128,6 +131,7 @@
             self._kill_a_vm,
             self._stop_a_vm,
             self._disturb_the_store,
+            self._bring_back_the_store,
             self._signal_settings,
         ]
         while not stop.is_set():
@@ -286,3 +290,40 @@
         faults.slow_s = 0.0
         self.disturbances.end(STORE)
         self._is_store_disturbed = False
+
+    async def _bring_back_the_store(self) -> None:
+        """Let the store be down, and come back from a copy that is some seconds old.
+
+        What the operator and the runners wrote since is written again a moment later.
+        """
+        if self._is_store_disturbed:
+            return
+        self._is_store_disturbed = True
+        store = self.site.store
+        copy = store.copy()
+        await asyncio.sleep(self._source.uniform(0.5, COPY_AGE_S))
+        self.disturbances.begin(STORE)
+        store.faults.down = True
+        await asyncio.sleep(self._source.uniform(0.1, 0.8))
+        written = dict(store.items)
+        store.come_back(copy)
+        copied = dict(store.items)
+        store.faults.down = False
+        await asyncio.sleep(self._source.uniform(0.1, REWRITE_S))
+        self._write_again(written, copied)
+        self.disturbances.end(STORE)
+        self._is_store_disturbed = False
+
+    def _write_again(self, written: dict[str, dict], copied: dict[str, dict]) -> None:
+        """Write what the store has lost; leave what was written since it came back."""
+        store = self.site.store
+        for key in sorted({*written, *copied}):
+            if not key.startswith(("op/", "servers/")):
+                continue
+            if store.items.get(key) is not copied.get(key):
+                continue
+            item = written.get(key)
+            if item is None:
+                store.remove(key)
+            elif item != copied.get(key):
+                store.put(key, base64.b64decode(item["value"]))
--- a/soak/main.py
+++ b/soak/main.py
@@ -1,6 +1,7 @@
 """Run the soak: python -m soak.main SEED [SEEDS] [SECONDS] [VMS]."""
 
 import asyncio
+import math
 import random
 import re
 import sys
@@ -12,6 +13,7 @@
 
 from soak.clients import RETRY_LATER, Call, Client
 from soak.faults import Operator
+from soak.runners import Run
 from standins.fleet import find_ports
 from tests.processsite import PORTS_PER_VM, ProcessSite, VmProcess
 
@@ -119,12 +121,12 @@
                 found.append(f"TWICE: {run.request_id}")
             if call.kind == "u" and call.status in RETRY_LATER:
                 found.append(f"REFUSED: {run.request_id} ran")
-            if not operator.disturbances.was_calm(call.vm.name, run.at_s):
-                continue
-            left_s = operator.left_s.get(run.instance)
-            if left_s is not None and run.at_s > left_s + DRAIN_S:
+            left_s = operator.left_s.get(run.instance, math.inf)
+            if run.at_s > left_s + DRAIN_S and self._must_know(call.vm, left_s, run):
                 late_s = run.at_s - left_s
                 found.append(f"DRAIN: {run.request_id} after {late_s:.2f} s")
+            if not operator.disturbances.was_calm(call.vm.name, run.at_s):
+                continue
             withdrawn_s = operator.withdrawn_s.get(call.key)
             if withdrawn_s is None or not operator.disturbances.was_calm(
                 call.vm.name, call.sent_s
@@ -134,6 +136,17 @@
                 found.append(f"CONFIG: {run.request_id} with a withdrawn key")
         return found
 
+    def _must_know(self, vm: VmProcess, left_s: float, run: Run) -> bool:
+        """Tell whether a VM is bound to know that a runner has left.
+
+        It is if it is in touch, or has been undisturbed since it was bound to know.
+        """
+        disturbances = self.operator.disturbances
+        if disturbances.was_calm(vm.name, run.at_s):
+            return True
+        knew = disturbances.was_calm(vm.name, left_s + DRAIN_S)
+        return knew and disturbances.was_calm_since(vm.name, left_s)
+
     def _check_stops(self, calls: list[Call]) -> list[str]:
         """Check that planned stops cut off no request that an upstream has run."""
         found: list[str] = []
