--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,8 +1,10 @@
 """A planned stop under load cuts off no request that the VM has read."""
 
 import asyncio
+import socket
 
 import msgspec
+import pytest
 
 from bridge.callers import EdgeCallerServer
 from fakes.runner import make_response
@@ -166,3 +168,25 @@
         assert received == {r.request_id.decode() for r in site.runners[0].received}
 
     run(scenario, script=never_answer)
+
+
+# Guards against a reset of what has connected when a stop closes the address (LOST).
+def test_what_has_connected_before_the_address_closes_is_answered():
+    async def scenario(site):
+        host, _, port = site.daemon.edge.settings.addresses.callers.rpartition(":")
+        address = (host, int(port))
+        # The daemon shares this loop, so it accepts nothing in this step.
+        connections = [socket.create_connection(address) for _ in range(OPEN)]
+        site.daemon._caller_server.close_address()
+        for connection in connections:
+            reader, writer = await asyncio.open_connection(sock=connection)
+            writer.write(
+                f"GET /o/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: z\r\n\r\n".encode()
+            )
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.split()[1] == b"200"
+            writer.close()
+        with pytest.raises(ConnectionRefusedError):
+            await asyncio.open_connection(*address)
+
+    run(scenario)
