--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -251,6 +251,28 @@
     run(scenario)
 
 
+# Guards against an idle time that ends in the middle of a head (LOST).
+def test_a_head_that_began_within_the_idle_time_is_answered():
+    async def scenario(site):
+        put_limits(site, idleTimeoutMs=600)
+        await wait_for_version(site, 2)
+        host, port = site.base_url.removeprefix("http://").split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        for _ in range(2):
+            writer.write(INCOMPLETE_HEAD)
+            await asyncio.sleep(0.4)
+            writer.write(b"\r\n")
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.split()[1] == b"200"
+            await reader.readexactly(len(b"GET /o/x HTTP/1.1"))
+            await asyncio.sleep(0.4)
+        async with asyncio.timeout(2):
+            assert await reader.read() == b""
+        writer.close()
+
+    run(scenario)
+
+
 # Guards against connections that are closed after the idle time of an earlier
 # configuration. That time is longer than a change may take to be in force (2 s).
 def test_an_open_connection_follows_a_longer_idle_time():
