--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -190,3 +190,29 @@
             await asyncio.open_connection(*address)
 
     run(scenario)
+
+
+# Guards against a stop that takes a kept connection for idle in the middle of a head.
+def test_a_head_that_began_before_idle_connections_are_closed_is_answered():
+    async def scenario(site):
+        host, _, port = site.daemon.edge.settings.addresses.callers.rpartition(":")
+        request = f"GET /o/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: z\r\n\r\n".encode()
+        connections = []
+        for _ in range(2):
+            reader, writer = await asyncio.open_connection(host, int(port))
+            connections.append((reader, writer))
+            writer.write(request)
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(len(b"GET /o/x HTTP/1.1"))
+        (began, writer), (idle, _) = connections
+        writer.write(request[:20])
+        await asyncio.sleep(0.1)
+        site.daemon._caller_server.close_idle()
+        writer.write(request[20:])
+        head = await began.readuntil(b"\r\n\r\n")
+        assert head.split()[1] == b"200"
+        assert await idle.read() == b""
+        for _, writer in connections:
+            writer.close()
+
+    run(scenario)
