Remember that a runner said it leaves, whatever becomes of its entry (DRAIN)

Cause: the word of an answer was dropped if the VM did not know the runner at that moment or took it for leaving already; a runner whose entry has lapsed while attempts run counts as leaving.

Why the fix works: what a runner has said is kept apart from what its entry says (core/leavingupstreams.py), also for one that is not known.

The soak prints the logs of findings with a comma, too.

--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -147,10 +147,7 @@
     state: DispatcherState, event: ev.UpstreamLeaving, now_ms: int, decisions: list
 ) -> None:
     """Mark an upstream as leaving, until a catalogue gives it another address."""
-    load = state.loads.get(event.upstream)
-    if load is not None:
-        load.leaving = True
-        state.leaving_addresses.add((event.upstream, load.entry.address))
+    state.record_leaving(event.upstream)
 
 
 def handle_crash_mark(
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -20,6 +20,7 @@
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.fairness import FairQueue, TokenCounters, WaitingQueue
 from plantainwood.core.hashing import pick_subset
+from plantainwood.core.leavingupstreams import ANY_ADDRESS, LeavingUpstreams
 from plantainwood.core.limits import CustomerLimit
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.membership import select_serving_domains
@@ -95,7 +96,7 @@
         "running_by_upstream",
         "deadlines",
         "last_crash_ms",
-        "leaving_addresses",
+        "leaving_upstreams",
         "pauses_until_ms",
         "counters",
         "path_lost",
@@ -140,7 +141,7 @@
         self.running_by_upstream: dict[str, dict[str, Request]] = {}
         self.deadlines: list[tuple[int, str]] = []
         self.last_crash_ms: dict[str, int] = {}
-        self.leaving_addresses: set[tuple[str, str]] = set()
+        self.leaving_upstreams = LeavingUpstreams()
         self.pauses_until_ms: dict[str, int] = {}
         """Until when upstreams want no attempts of this node; kept while their entries
         lapse and return."""
@@ -246,7 +247,25 @@
         """Tell whether an upstream told this node or its registry that it leaves."""
         if isinstance(entry, DiscoveredUpstream) and entry.leaving:
             return True
-        return (name, entry.address) in self.leaving_addresses
+        return self.leaving_upstreams.has(name, entry.address)
+
+    def has_said_it_leaves(self, name: str) -> bool:
+        """Return whether it is recorded that an upstream has said that it leaves."""
+        load = self.loads.get(name)
+        address = load.entry.address if load is not None else ANY_ADDRESS
+        return self.leaving_upstreams.has(name, address)
+
+    def record_leaving(self, name: str) -> None:
+        """Send nothing more to an upstream that has said that it leaves.
+
+        One that this node does not know gets nothing at whichever address it turns up.
+        """
+        load = self.loads.get(name)
+        if load is None:
+            self.leaving_upstreams.add(name, ANY_ADDRESS)
+            return
+        load.leaving = True
+        self.leaving_upstreams.add(name, load.entry.address)
 
     def _forget_upstream(self, name: str) -> None:
         """Delete the state of a removed upstream that runs no attempt of this node."""
--- a/plantainwood/upstreamreports.py
+++ b/plantainwood/upstreamreports.py
@@ -47,11 +47,11 @@
 
         A pause that it names concerns only that VM.
         """
+        self._record_leaving(upstream, request_id, response)
         if upstream not in self._broker.dispatcher.state.loads:
             return
         self._record_limit(upstream, request_id, response)
         self._record_brittleness(upstream, request_id, response)
-        self._record_leaving(upstream, request_id, response)
 
     def _record_load(self, upstream: str, response: ResponseHead) -> None:
         load = self._codec.read_load(response)
@@ -99,11 +99,13 @@
     def _record_leaving(
         self, upstream: str, request_id: str, response: ResponseHead
     ) -> None:
-        """Send nothing new to an upstream whose answer says that it leaves."""
+        """Send nothing new to an upstream whose answer says that it leaves.
+
+        That its entry says so too, or has lapsed, may not last; its own word does.
+        """
         if not self._codec.is_leaving(response):
             return
-        load = self._broker.dispatcher.state.loads.get(upstream)
-        if load is None or load.leaving:
+        if self._broker.dispatcher.state.has_said_it_leaves(upstream):
             return
         self._broker.feed(ev.UpstreamLeaving(upstream))
         log_event("upstream_leaving", upstream=upstream, request=request_id)
--- a/soak/main.py
+++ b/soak/main.py
@@ -204,7 +204,7 @@
     def trace(self, finding: str) -> list[str]:
         """Return the log lines of the request that a finding names, if it names one."""
         lines: list[str] = []
-        for word in finding.replace(":", " ").split():
+        for word in re.split(r"[:, ]+", finding):
             if not CALL_PATTERN.fullmatch(word):
                 continue
             for vm in self.site.vms:
