--- a/tests/test_caller_server.py
+++ b/tests/test_caller_server.py
@@ -7,6 +7,19 @@
 from tests.edgesite import AUTHORIZATION, HOST, make_config, run
 
 
+async def connect(site) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    """Open a connection to the callers' address."""
+    host, port = site.base_url.removeprefix("http://").split(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def read_status(reader: asyncio.StreamReader) -> bytes:
+    """Read the whole answer to a request with INCOMPLETE_HEAD; return its status."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    await reader.readexactly(len(b"GET /o/x HTTP/1.1"))
+    return head.split()[1]
+
+
 def test_a_request_is_forwarded_unchanged_except_hop_by_hop_and_reserved_headers():
     async def scenario(site):
         status, headers, body = await site.call(
@@ -37,8 +50,7 @@
 
 def test_the_target_is_not_rewritten():
     async def scenario(site):
-        host, port = site.base_url.removeprefix("http://").split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(site)
         writer.write(
             b"GET /r/%41/./b//c?q=%2f HTTP/1.1\r\nHost: front.example\r\n"
             b"Request-Id: z\r\nAuthorization: Token secret-key\r\n\r\n"
@@ -125,8 +137,7 @@
 )
 def test_ambiguous_requests_are_400_and_close_the_connection(head):
     async def scenario(site):
-        host, port = site.base_url.removeprefix("http://").split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(site)
         writer.write(
             b"POST /u/x HTTP/1.1\r\nHost: front.example\r\nRequest-Id: z\r\n"
             b"Authorization: Token secret-key\r\n" + head + b"\r\nabc"
@@ -142,8 +153,7 @@
 
 async def send_raw(site, *pieces: bytes, pause_s: float = 0.0) -> bytes:
     """Send pieces, each followed by a pause; return what is received until a close."""
-    host, port = site.base_url.removeprefix("http://").split(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
+    reader, writer = await connect(site)
     for piece in pieces:
         writer.write(piece)
         await asyncio.sleep(pause_s)
@@ -199,8 +209,7 @@
     async def scenario(site):
         put_limits(site, headerTimeoutMs=200)
         await wait_for_version(site, 2)
-        host, port = site.base_url.removeprefix("http://").split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(site)
         writer.write(start)
         response = await reader.read(1)
         for _ in range(5):
@@ -236,13 +245,10 @@
     async def scenario(site):
         put_limits(site, idleTimeoutMs=600)
         await wait_for_version(site, 2)
-        host, port = site.base_url.removeprefix("http://").split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(site)
         for _ in range(2):
             writer.write(INCOMPLETE_HEAD + b"\r\n")
-            head = await reader.readuntil(b"\r\n\r\n")
-            assert head.split()[1] == b"200"
-            await reader.readexactly(len(b"GET /o/x HTTP/1.1"))
+            assert await read_status(reader) == b"200"
             await asyncio.sleep(0.4)
         async with asyncio.timeout(2):
             assert await reader.read() == b""
@@ -256,15 +262,12 @@
     async def scenario(site):
         put_limits(site, idleTimeoutMs=600)
         await wait_for_version(site, 2)
-        host, port = site.base_url.removeprefix("http://").split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(site)
         for _ in range(2):
             writer.write(INCOMPLETE_HEAD)
             await asyncio.sleep(0.4)
             writer.write(b"\r\n")
-            head = await reader.readuntil(b"\r\n\r\n")
-            assert head.split()[1] == b"200"
-            await reader.readexactly(len(b"GET /o/x HTTP/1.1"))
+            assert await read_status(reader) == b"200"
             await asyncio.sleep(0.4)
         async with asyncio.timeout(2):
             assert await reader.read() == b""
@@ -279,13 +282,10 @@
     async def scenario(site):
         put_limits(site, idleTimeoutMs=2_500)
         await wait_for_version(site, 2)
-        host, port = site.base_url.removeprefix("http://").split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(site)
         for pause_s in (0.1, 3.0, 0.0):
             writer.write(INCOMPLETE_HEAD + b"\r\n")
-            head = await reader.readuntil(b"\r\n\r\n")
-            assert head.split()[1] == b"200"
-            await reader.readexactly(len(b"GET /o/x HTTP/1.1"))
+            assert await read_status(reader) == b"200"
             limits = {"headerBytes": 2_000, "idleTimeoutMs": 9_000}
             site.store.put("op/config", make_config(3, limits=limits))
             await wait_for_version(site, 3)
@@ -299,8 +299,7 @@
 @pytest.mark.parametrize("change", [{"routes": []}, {"tenants": []}])
 def test_a_request_that_a_new_configuration_overtakes_may_come_back(change):
     async def scenario(site):
-        host, port = site.base_url.removeprefix("http://").split(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+        reader, writer = await connect(site)
         try:
             writer.write(
                 b"POST /u/x HTTP/1.1\r\nHost: front.example\r\nRequest-Id: z\r\n"
