--- a/soak/main.py
+++ b/soak/main.py
@@ -4,6 +4,7 @@
 import math
 import random
 import re
+import shutil
 import sys
 import tempfile
 from collections import Counter
@@ -219,15 +220,22 @@
 
 
 def run_seed(seed: int, seconds: float, vms: int) -> list[str]:
-    """Run one seed; print its summary and findings, and return these."""
-    with tempfile.TemporaryDirectory(prefix="plantainwood-soak-") as folder:
-        soak = Soak(seed, Path(folder))
-        found = asyncio.run(soak.run(seconds, vms))
-        print(f"seed {seed}: {soak.summarize()}, {len(found)} findings", flush=True)
-        for text in found[:MAX_PRINTED]:
-            print(f"  {text}", flush=True)
-            for line in soak.trace(text):
-                print(f"    {line}", flush=True)
+    """Run one seed; print its summary and findings, and return these.
+
+    The VMs' logs are kept if there are any.
+    """
+    folder = Path(tempfile.mkdtemp(prefix="plantainwood-soak-"))
+    soak = Soak(seed, folder)
+    found = asyncio.run(soak.run(seconds, vms))
+    print(f"seed {seed}: {soak.summarize()}, {len(found)} findings", flush=True)
+    for text in found[:MAX_PRINTED]:
+        print(f"  {text}", flush=True)
+        for line in soak.trace(text):
+            print(f"    {line}", flush=True)
+    if found:
+        print(f"  logs: {folder}", flush=True)
+    else:
+        shutil.rmtree(folder)
     return found
 
 
