--- a/experiments/slopes.py
+++ b/experiments/slopes.py
@@ -41,6 +41,7 @@
     ShareRequest,
 )
 from plantainwood.core.usage import UsageLedger, UsageLine, flush_record
+from plantainwood.dutycalls import DutyCaller
 from plantainwood.engines import OpenAiEngine
 from plantainwood.metrics import Metrics
 from plantainwood.platform import HttpPlatform
@@ -273,7 +274,8 @@
         store = EtcdClient(
             session, [fleet.url("keyvalue")], 5_000, 1_000_000, clock, Metrics()
         )
-        driver = Driver(store, HttpPlatform(session, "", "", "", 1_000))
+        caller = DutyCaller(clock, 1_000)
+        driver = Driver(store, HttpPlatform(session, caller, "", "", ""))
         engine = OpenAiEngine(session)
         numbers = iter(range(1_000_000))
 
--- a/plantainwood/autoscaler.py
+++ b/plantainwood/autoscaler.py
@@ -123,6 +123,7 @@
         order.spot,
         edge.lease.fence,
         edge.lease.get_deadline_ms(),
+        edge.lease.get_arrival_limit_ms(),
     )
     try:
         return (yield call)
--- a/plantainwood/core/billing.py
+++ b/plantainwood/core/billing.py
@@ -214,6 +214,7 @@
         body=encode_report(frozen),
         fence=lease.fence,
         deadline_ms=lease.get_deadline_ms(),
+        arrive_by_ms=lease.get_arrival_limit_ms(),
     )
     if not accepted:
         return False
--- a/plantainwood/core/effects.py
+++ b/plantainwood/core/effects.py
@@ -52,7 +52,8 @@
 class SendOrder(msgspec.Struct, frozen=True):
     """Send one start or stop order; the reply is True if it was accepted.
 
-    The sender must not write a byte at or after `deadline_ms` of its own clock.
+    The sender must not write a byte at or after `deadline_ms` of its own clock, and
+    what it wrote must not arrive at or after `arrive_by_ms`.
     """
 
     action: str
@@ -60,22 +61,28 @@
     domain: str
     fence: int
     deadline_ms: int
+    arrive_by_ms: int
 
 
 class SendReport(msgspec.Struct, frozen=True):
-    """Send the frozen totals of a billing window; the reply is True if accepted."""
+    """Send the frozen totals of a billing window; the reply is True if accepted.
+
+    The limits in time are those of SendOrder.
+    """
 
     firm: str
     window: int
     body: bytes
     fence: int
     deadline_ms: int
+    arrive_by_ms: int
 
 
 class SendDesiredCount(msgspec.Struct, frozen=True):
     """Order how many upstreams of a service are to run in a failure domain.
 
-    The reply is True if it was accepted, False if none are available there.
+    The reply is True if it was accepted, False if none are available there. The limits
+    in time are those of SendOrder.
     """
 
     service: str
@@ -84,6 +91,7 @@
     spot: bool
     fence: int
     deadline_ms: int
+    arrive_by_ms: int
 
 
 Effect = (
--- a/plantainwood/core/leases.py
+++ b/plantainwood/core/leases.py
@@ -118,6 +118,10 @@
         """Return the monotonic ms from which on nothing may be sent for the duty."""
         return self._held_until_ms - self._times.margin_ms
 
+    def get_arrival_limit_ms(self) -> int:
+        """Return the monotonic ms from which on another process may act."""
+        return self._held_until_ms + self._times.margin_ms + self._times.flight_ms
+
     def renew_or_acquire(self) -> Procedure:
         """Renew a held lease, else try to acquire it; return whether it is held."""
         try:
--- a/plantainwood/core/orders.py
+++ b/plantainwood/core/orders.py
@@ -87,6 +87,7 @@
             domain=order.domain,
             fence=lease.fence,
             deadline_ms=lease.get_deadline_ms(),
+            arrive_by_ms=lease.get_arrival_limit_ms(),
         )
         if not accepted:
             return False
--- a/plantainwood/core/reports.py
+++ b/plantainwood/core/reports.py
@@ -85,6 +85,7 @@
                 body=frozen,
                 fence=lease.fence,
                 deadline_ms=lease.get_deadline_ms(),
+                arrive_by_ms=lease.get_arrival_limit_ms(),
             )
         )
     except StoreError:
--- a/plantainwood/daemon.py
+++ b/plantainwood/daemon.py
@@ -14,6 +14,7 @@
 from plantainwood.core.messages import NodeState
 from plantainwood.documents import InvalidYamlError
 from plantainwood.duties import Billing, LeaseRenewer, OrderIssuer
+from plantainwood.dutycalls import DutyCaller
 from plantainwood.engines import (
     OpenAiEngine,
     PlainClient,
@@ -22,7 +23,7 @@
 from plantainwood.links import PeerLinks
 from plantainwood.logs import log_event, setup_logs
 from plantainwood.node import Clients, Node, make_node
-from plantainwood.platform import HttpPlatform, make_platform_session
+from plantainwood.platform import HttpPlatform
 from plantainwood.poller import Poller
 from plantainwood.procedures import Driver
 from plantainwood.settings import Settings, SettingsError, load_settings
@@ -83,7 +84,6 @@
         general = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=UNLIMITED_CONNECTIONS),
         )
-        orders = make_platform_session(self.node.clock)
         plain = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=UNLIMITED_CONNECTIONS, force_close=True
@@ -91,7 +91,7 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             trace_configs=[make_single_connection_config()],
         )
-        self._sessions = [general, plain, orders]
+        self._sessions = [general, plain]
         store = EtcdClient(
             general,
             settings.store.endpoints,
@@ -101,11 +101,11 @@
             self.node.metrics,
         )
         platform = HttpPlatform(
-            orders,
+            general,
+            DutyCaller(self.node.clock, settings.platform.timeout_ms),
             settings.platform.orders_url,
             settings.platform.reports_url,
             settings.platform.vms_url,
-            settings.platform.timeout_ms,
         )
         self.node.clients = Clients(
             Driver(store, platform), OpenAiEngine(general), PlainClient(plain)
--- a/tests/processsite.py
+++ b/tests/processsite.py
@@ -29,6 +29,10 @@
         self.ports = ports
         self.root = ROOT
         """The source tree that the daemon runs from."""
+        self.store_address = site.store.address
+        self.orders_address = "127.0.0.1:1"
+        self.more_settings = ""
+        """Further sections of the settings file, as YAML."""
         self.process: asyncio.subprocess.Process
         self._log_path = site.folder / f"{self.name}.log"
 
@@ -51,10 +55,10 @@
   metrics_port: {self.ports[4]}
   calls: "{host}:{self.ports[5]}"
 store:
-  address: "{self.site.store.address}"
-  orders_address: "{host}:1"
+  address: "{self.store_address}"
+  orders_address: "{self.orders_address}"
 fleet: "0123456789abcdef"
-""")
+{self.more_settings}""")
         return path
 
     async def start(self) -> None:
--- /dev/null
+++ b/tests/tcppath.py
@@ -0,0 +1,156 @@
+"""A path to a server whose network can be cut for the sender's kernel, on loopback.
+
+A classic packet filter on the sockets of the path's near end drops what arrives there,
+so that nothing is acknowledged: the sender's kernel sends it again, as behind a cut
+link. This needs no privileges.
+"""
+
+import asyncio
+import ctypes
+import socket
+import struct
+
+SO_ATTACH_FILTER = 26
+SO_DETACH_FILTER = 27
+DROP = (0x06, 0, 0, 0)
+ACCEPT = (0x06, 0, 0, 0xFFFFFFFF)
+DROP_ALL = (DROP,)
+DROP_PAYLOAD = (
+    (0x30, 0, 0, 12),  # load the byte with the header's length in words
+    (0x74, 0, 0, 4),  # shift right, which leaves the words
+    (0x64, 0, 0, 2),  # shift left, which makes them bytes
+    (0x07, 0, 0, 0),  # keep them in X
+    (0x80, 0, 0, 0),  # load the segment's length
+    (0x1D, 1, 0, 0),  # without a payload, skip the next instruction
+    DROP,
+    ACCEPT,
+)
+CHUNK_BYTES = 65_536
+SMALL_WINDOW_BYTES = 1
+"""The kernel raises this to the least window that it supports."""
+
+
+class TcpPath:
+    """Forward the connections of one sender to a target, unless the path is cut.
+
+    `delay_s` is how long what the sender wrote is under way.
+    """
+
+    def __init__(self, target: str, window_bytes: int = 0) -> None:
+        host, _, port = target.rpartition(":")
+        self._target = (host, int(port))
+        self._window_bytes = window_bytes
+        self._listener = socket.socket()
+        self._server: asyncio.Server
+        self._sockets: set[socket.socket] = set()
+        self._passing = asyncio.Event()
+        self._passing.set()
+        self._tasks: set[asyncio.Task] = set()
+        self.delay_s = 0.0
+        self.bytes_under_way = 0
+        """What the sender wrote and the delay holds back."""
+        self.address = ""
+        self.port = 0
+
+    async def start(self) -> None:
+        """Listen on a free port of loopback."""
+        if self._window_bytes:
+            self._listener.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self._window_bytes
+            )
+        self._listener.bind(("127.0.0.1", 0))
+        self._server = await asyncio.start_server(self._forward, sock=self._listener)
+        self.port = self._listener.getsockname()[1]
+        self.address = f"127.0.0.1:{self.port}"
+
+    async def stop(self) -> None:
+        """Close the address and all connections."""
+        self._server.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def cut(self) -> None:
+        """Drop all that arrives from the sender, and hold back the answers to it."""
+        self._passing.clear()
+        self._attach(DROP_ALL)
+
+    def cut_after_connecting(self) -> None:
+        """Let connections open, but drop all that is written on them."""
+        self._attach(DROP_PAYLOAD)
+
+    def stop_reading(self) -> None:
+        """Hold back what arrives: the sender's kernel keeps what exceeds the window."""
+        self._passing.clear()
+
+    def heal(self) -> None:
+        """Let everything pass again."""
+        for sock in [self._listener, *self._sockets]:
+            try:
+                sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+            except OSError:
+                continue
+        self._passing.set()
+
+    def _attach(self, instructions: tuple) -> None:
+        code = b"".join(struct.pack("HBBI", *line) for line in instructions)
+        buffer = ctypes.create_string_buffer(code)
+        program = struct.pack("HL", len(instructions), ctypes.addressof(buffer))
+        for sock in [self._listener, *self._sockets]:
+            sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+    def has_unacknowledged_bytes(self) -> bool:
+        """Return whether the sender's kernel keeps bytes for this path."""
+        with open("/proc/net/tcp", encoding="ascii") as table:
+            for line in table.readlines()[1:]:
+                fields = line.split()
+                if int(fields[2].rpartition(":")[2], 16) != self.port:
+                    continue
+                if int(fields[4].partition(":")[0], 16) > 0:
+                    return True
+        return False
+
+    async def _forward(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        near = writer.get_extra_info("socket")
+        self._sockets.add(near)
+        try:
+            up_reader, up_writer = await asyncio.open_connection(*self._target)
+            back = asyncio.create_task(self._copy(up_reader, writer, is_back=True))
+            try:
+                await self._copy(reader, up_writer)
+                await back
+            finally:
+                back.cancel()
+                up_writer.transport.abort()
+        except OSError:
+            pass
+        finally:
+            self._sockets.discard(near)
+            self._tasks.discard(task)
+            writer.transport.abort()
+
+    async def _copy(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        is_back: bool = False,
+    ) -> None:
+        """Copy bytes in order; end without the rest if the sender resets."""
+        data = b"-"
+        while data:
+            await self._passing.wait()
+            data = await reader.read(CHUNK_BYTES)
+            await self._passing.wait()
+            if self.delay_s and not is_back:
+                self.bytes_under_way += len(data)
+                await asyncio.sleep(self.delay_s)
+                self.bytes_under_way -= len(data)
+            if data:
+                writer.write(data)
+                await writer.drain()
+        writer.write_eof()
--- a/tests/test_autoscaler.py
+++ b/tests/test_autoscaler.py
@@ -26,6 +26,10 @@
         """Return a deadline in the far future."""
         return 2**60
 
+    def get_arrival_limit_ms(self) -> int:
+        """Return a time in the far future."""
+        return 2**60
+
 
 class RecordingDriver:
     """Run procedures as if every effect succeeded, and record the orders."""
--- a/tests/test_given_up_orders.py
+++ b/tests/test_given_up_orders.py
@@ -2,14 +2,13 @@
 
 import asyncio
 
-import aiohttp
 import pytest
 
 from bridge.cloud import CloudClient
 from plantainwood.core.clock import make_clock
 from plantainwood.core.effects import SendDesiredCount
 from plantainwood.core.errors import StoreError
-from plantainwood.platform import make_platform_session
+from plantainwood.dutycalls import DutyCaller
 
 TIMEOUT_MS = 200
 BEFORE_DEADLINE_MS = 5_000
@@ -32,15 +31,13 @@
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
         clock = make_clock()
-        session: aiohttp.ClientSession = make_platform_session(clock)
-        client = CloudClient(session, f"127.0.0.1:{port}", "vm-1", TIMEOUT_MS)
-        order = SendDesiredCount(
-            "pool", "a", 2, False, 1, clock.now_ms() + BEFORE_DEADLINE_MS
-        )
+        caller = DutyCaller(clock, TIMEOUT_MS)
+        client = CloudClient(caller, f"127.0.0.1:{port}", "vm-1")
+        deadline_ms = clock.now_ms() + BEFORE_DEADLINE_MS
+        order = SendDesiredCount("pool", "a", 2, False, 1, deadline_ms, deadline_ms)
         with pytest.raises(StoreError):
             await client.send_count(order)
         await asyncio.sleep(0.1)
-        await session.close()
         server.close()
 
     asyncio.run(main())
