--- a/plantainwood/core/leases.py
+++ b/plantainwood/core/leases.py
@@ -68,6 +68,7 @@
         "_find_era",
         "_era",
         "_earliest_acquire_ms",
+        "_sought_previous",
         "_retired",
     )
 
@@ -103,6 +104,8 @@
         self._find_era = find_era
         self._era: int | None = None
         self._earliest_acquire_ms = 0
+        self._sought_previous: str | None = None
+        """The previous holder at the last try to acquire."""
         self._retired = False
         if may_be_held:
             self._earliest_acquire_ms = clock.now_ms() + times.takeover_ms
@@ -213,15 +216,23 @@
             return
         if record.holder == self.node and record.incarnation == self.incarnation:
             # A delayed write of this process landed; no other process can act on it.
-            yield from self._acquire(found.revision, record.fence, self.previous_holder)
+            previous = self._find_previous(record)
+            yield from self._acquire(found.revision, record.fence, previous)
             return
         if now_ms - self._seen_at_ms < self._times.takeover_ms:
             return
         yield from self._acquire(found.revision, record.fence + 1, record.holder)
 
+    def _find_previous(self, own: LeaseRecord) -> str | None:
+        """Return the holder before this process's own record."""
+        if own.fence == self.fence:
+            return self.previous_holder
+        return self._sought_previous
+
     def _acquire(self, expected: int, fence: int, previous: str | None) -> Procedure:
         asked_ms = self._clock.now_ms()
         fence = max(fence, (self._era or 0) * FENCES_PER_ERA + 1)
+        self._sought_previous = previous
         revision = yield from self._write(self._make_record(fence), expected)
         if not revision or self._is_new_era():
             return
--- a/tests/test_lease_handovers.py
+++ b/tests/test_lease_handovers.py
@@ -32,6 +32,25 @@
         raise AssertionError("the lease is not acquired")
 
 
+# Guards against two processes that act as holder: an order to an upstream that ignores
+# fences was sent at once, though the holder before was only silent, as the write that
+# took the lease from it landed late.
+def test_a_late_write_leaves_it_known_from_whom_the_lease_was_taken():
+    site = LeaseSite()
+    first, second = site.make_lease("vm-1"), site.make_lease("vm-2")
+    assert site.try_lease(first)
+    assert not site.try_lease(second)
+    site.clock.advance(TIMES.takeover_ms)
+    run = ProcedureRun(second.renew_or_acquire())
+    run.step(site.store)
+    run.step(site.store, "late")
+    run.finish(site.store)
+    assert not second.is_held()
+    site.store.apply_late_write(0)
+    assert site.try_lease(second)
+    assert second.previous_holder == "vm-1"
+
+
 # Guards against ONE: a renewal that ended during a planned stop made the leaving
 # process a holder again.
 def test_a_retired_holder_acts_no_more_and_can_still_release():
