--- a/plantainwood/core/leases.py
+++ b/plantainwood/core/leases.py
@@ -154,7 +154,7 @@
         asked_ms = self._clock.now_ms()
         record = self._make_record(self.fence)
         revision = yield from self._write(record, self._revision)
-        if revision:
+        if revision and not self.note_era():
             self._revision = revision
             self._held_until_ms = asked_ms + self._times.term_ms
         else:
@@ -182,10 +182,11 @@
         self._held_until_ms = 0
         self._seen_revision = -1
 
-    def _is_new_era(self) -> bool:
-        """Note the store's era; none acquires until all earlier terms are over.
+    def note_era(self) -> bool:
+        """Note the store's era, and return whether it is a new one.
 
-        The store may have lost the record of a holder that is still within its term.
+        The store may have lost the record of a holder that is still within its term, so
+        none acquires the lease until all earlier terms are over.
         """
         era = self._find_era()
         if era == self._era:
@@ -200,7 +201,7 @@
 
     def _try_acquire(self) -> Procedure:
         found = yield Read(self.key)
-        self._is_new_era()
+        self.note_era()
         if self._clock.now_ms() < self._earliest_acquire_ms:
             return
         if not isinstance(found, StoredValue):
@@ -234,7 +235,7 @@
         fence = max(fence, (self._era or 0) * FENCES_PER_ERA + 1)
         self._sought_previous = previous
         revision = yield from self._write(self._make_record(fence), expected)
-        if not revision or self._is_new_era():
+        if not revision or self.note_era():
             return
         self.fence = fence
         self.previous_holder = previous
--- a/plantainwood/leaserenewer.py
+++ b/plantainwood/leaserenewer.py
@@ -39,6 +39,7 @@
         held = False
         while not self.should_stop:
             async with self._procedure_lock:
+                self.lease.note_era()
                 if self.may_try():
                     await self.get_driver().run(self.lease.renew_or_acquire())
             if self.lease.is_held() != held:
--- a/tests/test_lease_handovers.py
+++ b/tests/test_lease_handovers.py
@@ -1,5 +1,7 @@
 """Leases around hand-overs: late writes, a store that went back, holders in turn."""
 
+import copy
+
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.leases import Lease, LeaseTimes
 from tests.fakes import FakeStore, ProcedureRun
@@ -51,6 +53,43 @@
     assert second.previous_holder == "vm-1"
 
 
+# Guards against ONE: a store back from an older copy gave the number of a paused
+# holder's revision out again, to its successor; the holder renewed that record.
+def test_a_paused_holder_renews_no_record_of_a_later_era():
+    site = LeaseSite()
+    before = copy.copy(site.store.items), site.store.revision
+    paused, other = site.make_lease("vm-1"), site.make_lease("vm-2")
+    site.try_lease(paused)
+    assert not site.try_lease(other)
+    site.store.items, site.store.revision = copy.copy(before[0]), before[1]
+    site.era += 1
+    site.try_until_held(other)
+    run = ProcedureRun(paused.renew_or_acquire())
+    run.finish(site.store)
+    assert not paused.is_held()
+
+
+# Guards against ONE: a process that was no candidate when the store came back took the
+# lease at once, by a record that it had released before the copy was made.
+def test_a_process_that_becomes_a_candidate_later_waits_too():
+    site = LeaseSite()
+    leaving, holder = site.make_lease("vm-1"), site.make_lease("vm-2")
+    later = site.make_lease("vm-3")
+    later.note_era()
+    assert site.try_lease(leaving)
+    ProcedureRun(leaving.release()).finish(site.store)
+    before = copy.copy(site.store.items)
+    assert site.try_lease(holder)
+    site.store.items = before
+    site.era += 1
+    later.note_era()
+    while holder.is_held():
+        assert not site.try_lease(later)
+        site.clock.advance(100)
+    site.try_until_held(later)
+    assert later.fence > holder.fence
+
+
 # Guards against ONE: a renewal that ended during a planned stop made the leaving
 # process a holder again.
 def test_a_retired_holder_acts_no_more_and_can_still_release():
