--- a/plantainwood/core/leases.py
+++ b/plantainwood/core/leases.py
@@ -71,6 +71,7 @@
         "_seen_fence",
         "_highest_fence",
         "_sought_previous",
+        "_acted_until_ms",
         "_retired",
     )
 
@@ -111,6 +112,8 @@
         """Of all records seen here; the store may come back from an older copy."""
         self._sought_previous: str | None = None
         """The previous holder at the last try to acquire."""
+        self._acted_until_ms: int | None = None
+        """When this process last could act as a holder that lost the lease."""
         self._retired = False
         if may_be_held:
             self._earliest_acquire_ms = clock.now_ms() + times.takeover_ms
@@ -183,6 +186,9 @@
         return 0
 
     def _mark_lost(self) -> None:
+        now_ms = self._clock.now_ms()
+        deadline_ms = self._held_until_ms - self._times.margin_ms
+        self._acted_until_ms = min(now_ms, deadline_ms)
         self._revision = 0
         self._held_until_ms = 0
         self._seen_revision = -1
@@ -225,6 +231,16 @@
         self._highest_fence = max(fence, self._highest_fence)
         return record
 
+    def _must_rest(self, record: LeaseRecord) -> bool:
+        """Return whether another process held the lease since this one did, just now.
+
+        Holders that take turns within a term would look like two at a time.
+        """
+        if self._acted_until_ms is None or record.fence == self.fence:
+            return False
+        rested_ms = self._clock.now_ms() - self._acted_until_ms
+        return rested_ms < self._times.term_ms + self._times.flight_ms
+
     def _try_acquire(self) -> Procedure:
         found = yield Read(self.key)
         self.note_era()
@@ -243,6 +259,8 @@
             fence = record.fence if is_highest else next_fence
             yield from self._acquire(revision, fence, self._find_previous(record))
             return
+        if self._must_rest(record):
+            return
         if record.released:
             yield from self._acquire(revision, next_fence, None)
             return
--- a/tests/test_lease_handovers.py
+++ b/tests/test_lease_handovers.py
@@ -106,6 +106,31 @@
     assert other.fence > holder.fence
 
 
+# Guards against ONE (holders A, B, A within the length of a lease): a holder that lost
+# the lease acted again as soon as its successor had released it.
+def test_a_holder_that_was_replaced_rests_for_a_term():
+    site = LeaseSite()
+    first, second = site.make_lease("vm-1"), site.make_lease("vm-2")
+    assert site.try_lease(first)
+    site.try_until_held(second)
+    acted_ms = first.get_deadline_ms()
+    assert not site.try_lease(first)
+    ProcedureRun(second.release()).finish(site.store)
+    while site.clock.now_ms() < acted_ms + TIMES.term_ms:
+        assert not site.try_lease(first)
+        site.clock.advance(50)
+    site.try_until_held(first)
+
+
+def test_a_holder_that_lost_its_lease_to_nobody_takes_it_again_at_once():
+    site = LeaseSite()
+    lease = site.make_lease("vm-1")
+    assert site.try_lease(lease)
+    site.clock.advance(10 * TIMES.term_ms)
+    assert not lease.is_held()
+    assert site.try_lease(lease)
+
+
 # Guards against ONE: a renewal that ended during a planned stop made the leaving
 # process a holder again.
 def test_a_retired_holder_acts_no_more_and_can_still_release():
