Tests of hand-overs: connections being opened, answers under way; a path that models a cut only

The path of the tests held back in a cut what its own kernel had acknowledged before, and missed the connections opened just then; both are shown by a script. What arrived before a cut now goes on, as at a real receiver, and new connections get the filter in force.

--- a/tests/tcppath.py
+++ b/tests/tcppath.py
@@ -6,10 +6,13 @@
 """
 
 import asyncio
+import contextlib
 import ctypes
 import socket
 import struct
 
+import msgspec
+
 SO_ATTACH_FILTER = 26
 SO_DETACH_FILTER = 27
 DROP = (0x06, 0, 0, 0)
@@ -26,10 +29,27 @@
     ACCEPT,
 )
 CHUNK_BYTES = 65_536
+SYN_SENT = 2
+"""The state's number in the kernel's list."""
 SMALL_WINDOW_BYTES = 1
 """The kernel raises this to the least window that it supports."""
 
 
+def attach_filter(sock: socket.socket, instructions: tuple) -> None:
+    """Let a filter drop segments that arrive at a socket."""
+    code = b"".join(struct.pack("HBBI", *line) for line in instructions)
+    buffer = ctypes.create_string_buffer(code)
+    program = struct.pack("HL", len(instructions), ctypes.addressof(buffer))
+    sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+
+
+class KernelEntry(msgspec.Struct, frozen=True):
+    """The state of a connection, and the bytes that its sender's kernel keeps."""
+
+    state: int
+    queued_bytes: int
+
+
 class TcpPath:
     """Forward the connections of one sender to a target, unless the path is cut.
 
@@ -43,8 +63,12 @@
         self._listener = socket.socket()
         self._server: asyncio.Server
         self._sockets: set[socket.socket] = set()
+        self._dropped: tuple = ()
+        """The instructions of the filter in force; empty without one."""
         self._passing = asyncio.Event()
         self._passing.set()
+        self._answering = asyncio.Event()
+        self._answering.set()
         self._tasks: set[asyncio.Task] = set()
         self.delay_s = 0.0
         self.bytes_under_way = 0
@@ -71,8 +95,11 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def cut(self) -> None:
-        """Drop all that arrives from the sender, and hold back the answers to it."""
-        self._passing.clear()
+        """Drop all that arrives from the sender, and hold back the answers to it.
+
+        What arrived before, and so was acknowledged, goes on to the target.
+        """
+        self._answering.clear()
         self._attach(DROP_ALL)
 
     def cut_after_connecting(self) -> None:
@@ -85,30 +112,41 @@
 
     def heal(self) -> None:
         """Let everything pass again."""
+        self._dropped = ()
         for sock in [self._listener, *self._sockets]:
-            try:
+            with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
-            except OSError:
-                continue
         self._passing.set()
+        self._answering.set()
 
     def _attach(self, instructions: tuple) -> None:
-        code = b"".join(struct.pack("HBBI", *line) for line in instructions)
-        buffer = ctypes.create_string_buffer(code)
-        program = struct.pack("HL", len(instructions), ctypes.addressof(buffer))
+        self._dropped = instructions
         for sock in [self._listener, *self._sockets]:
-            sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
+            attach_filter(sock, instructions)
+
+    def hold_answers(self) -> None:
+        """Hold back the answers to the sender."""
+        self._answering.clear()
 
     def has_unacknowledged_bytes(self) -> bool:
         """Return whether the sender's kernel keeps bytes for this path."""
+        return any(entry.queued_bytes for entry in self._list_connections())
+
+    def is_connecting(self) -> bool:
+        """Return whether the sender's kernel opens a connection on this path."""
+        return any(entry.state == SYN_SENT for entry in self._list_connections())
+
+    def _list_connections(self) -> list[KernelEntry]:
+        """Return the sender's connections, as the kernel lists them."""
+        found: list[KernelEntry] = []
         with open("/proc/net/tcp", encoding="ascii") as table:
             for line in table.readlines()[1:]:
                 fields = line.split()
                 if int(fields[2].rpartition(":")[2], 16) != self.port:
                     continue
-                if int(fields[4].partition(":")[0], 16) > 0:
-                    return True
-        return False
+                queued_bytes = int(fields[4].partition(":")[0], 16)
+                found.append(KernelEntry(int(fields[3], 16), queued_bytes))
+        return found
 
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -118,6 +156,9 @@
         self._tasks.add(task)
         near = writer.get_extra_info("socket")
         self._sockets.add(near)
+        if self._dropped:
+            # The connection may have been opened just before the filter was attached.
+            attach_filter(near, self._dropped)
         try:
             up_reader, up_writer = await asyncio.open_connection(*self._target)
             back = asyncio.create_task(self._copy(up_reader, writer, is_back=True))
@@ -146,6 +187,8 @@
             await self._passing.wait()
             data = await reader.read(CHUNK_BYTES)
             await self._passing.wait()
+            if is_back:
+                await self._answering.wait()
             if self.delay_s and not is_back:
                 self.bytes_under_way += len(data)
                 await asyncio.sleep(self.delay_s)
--- a/tests/test_duty_handovers.py
+++ b/tests/test_duty_handovers.py
@@ -7,6 +7,7 @@
 from typing import Iterable
 
 import aiohttp
+import msgspec
 import pytest
 
 from standins.fleet import find_ports
@@ -41,6 +42,10 @@
     """Connections open, but all that the holder writes is lost."""
     DELAY = "delay"
     """What the holder writes arrives later."""
+    CONNECT = "connect"
+    """Nothing arrives, so that a connection is being opened."""
+    ANSWER = "answer"
+    """The call arrives, but its answer does not."""
     FULL = "full"
     """The receiver's window is full, so that a part of a report waits at the holder."""
 
@@ -54,6 +59,15 @@
         path.delay_s = SLOW_PATH_S
         await site.wait_until(lambda: path.bytes_under_way)
         return
+    if obstacle is Obstacle.ANSWER:
+        path.hold_answers()
+        count = len(site.calls)
+        await site.wait_until(lambda: len(site.calls) > count)
+        return
+    if obstacle is Obstacle.CONNECT:
+        path.cut()
+        await site.wait_until(path.is_connecting)
+        return
     if obstacle is Obstacle.LOSS:
         path.cut_after_connecting()
     else:
@@ -111,37 +125,62 @@
     ]
 
 
-async def hand_over_each_way(
-    sites: Iterable[DutySite | NodeDutySite], obstacle: Obstacle
+class Case(msgspec.Struct, frozen=True):
+    """A way in which the duty passes on, and what keeps a call under way meanwhile."""
+
+    way: Way
+    obstacle: Obstacle
+
+
+def list_cases(obstacles: tuple[Obstacle, ...]) -> list[Case]:
+    """Return each way with each of some obstacles."""
+    return [Case(way, obstacle) for way in Way for obstacle in obstacles]
+
+
+async def hand_over_all(
+    sites: Iterable[DutySite | NodeDutySite], cases: list[Case]
 ) -> list[str]:
-    """Pass the duty on in each way, on a site each; return the faults."""
+    """Play the cases at the same time, on a site each; return the faults."""
     tasks: list[asyncio.Task] = []
     async with asyncio.TaskGroup() as group:
-        for site, way in zip(sites, Way, strict=True):
-            tasks.append(group.create_task(hand_over(site, way, obstacle)))
+        for site, case in zip(sites, cases, strict=True):
+            scenario = hand_over(site, case.way, case.obstacle)
+            tasks.append(group.create_task(scenario))
     return [fault for task in tasks for fault in task.result()]
 
 
 # Guards against ONE: an order or a report that was under way when its sender's duty
 # passed on arrived after the next holder's, as the sender's kernel went on sending it.
-@pytest.mark.parametrize("obstacle", list(Obstacle))
-def test_no_call_under_way_arrives_after_the_next_holders(obstacle, tmp_path):
-    ports = find_ports(PORTS_PER_SITE * len(Way))
+@pytest.mark.parametrize(
+    "obstacles",
+    [
+        (Obstacle.LOSS, Obstacle.CONNECT),
+        (Obstacle.DELAY, Obstacle.ANSWER),
+        (Obstacle.FULL,),
+    ],
+)
+def test_no_call_under_way_arrives_after_the_next_holders(obstacles, tmp_path):
+    cases = list_cases(obstacles)
+    ports = find_ports(PORTS_PER_SITE * len(cases))
     sites: list[DutySite] = []
-    for number, way in enumerate(Way):
-        folder = tmp_path / way.name
+    for number in range(len(cases)):
+        folder = tmp_path / str(number)
         folder.mkdir()
         first = PORTS_PER_SITE * number
         sites.append(DutySite(folder, ports[first : first + PORTS_PER_SITE]))
-    assert asyncio.run(hand_over_each_way(sites, obstacle)) == []
+    assert asyncio.run(hand_over_all(sites, cases)) == []
 
 
 # As above, on the product's own interface, whose orders are shorter than any window.
-@pytest.mark.parametrize("obstacle", [Obstacle.LOSS, Obstacle.DELAY])
-def test_no_order_under_way_arrives_after_the_next_holders(obstacle):
-    ports = find_ports(PORTS_PER_FLEET * len(Way))
+@pytest.mark.parametrize(
+    "obstacles",
+    [(Obstacle.LOSS, Obstacle.CONNECT), (Obstacle.DELAY, Obstacle.ANSWER)],
+)
+def test_no_order_under_way_arrives_after_the_next_holders(obstacles):
+    cases = list_cases(obstacles)
+    ports = find_ports(PORTS_PER_FLEET * len(cases))
     sites: list[NodeDutySite] = []
-    for number in range(len(Way)):
+    for number in range(len(cases)):
         first = PORTS_PER_FLEET * number
         sites.append(NodeDutySite(ports[first : first + PORTS_PER_FLEET]))
-    assert asyncio.run(hand_over_each_way(sites, obstacle)) == []
+    assert asyncio.run(hand_over_all(sites, cases)) == []
