--- a/experiments/experiment.py
+++ b/experiments/experiment.py
@@ -20,7 +20,7 @@
     make_engine_name,
     make_jobs,
 )
-from plantainwood.core.dispatcherstate import Options
+from plantainwood.core.dispatcheroptions import Options
 from plantainwood.core.fairness import FifoQueue
 from plantainwood.core.retries import UnlimitedRetries
 from plantainwood.core.router import LeastLoadedRouter, RoundRobinRouter
--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -603,7 +603,7 @@
     Mutant(
         11,
         "forget a pause with the registration",
-        CORE + "dispatcherstate.py",
+        CORE + "upstreamset.py",
         "                load.unwilling_until_ms = self.pauses_until_ms.get(name, 0)",
         "                load.unwilling_until_ms = 0",
         "tests/test_kept_reports.py",
--- a/experiments/slopes.py
+++ b/experiments/slopes.py
@@ -30,7 +30,7 @@
 from plantainwood.core.claims import ClaimRequest, claim_call, complete_claim
 from plantainwood.core.clock import SystemClock
 from plantainwood.core.dispatcher import Dispatcher
-from plantainwood.core.dispatcherstate import Options
+from plantainwood.core.dispatcheroptions import Options
 from plantainwood.core.frames import decode_frame, encode_frame
 from plantainwood.core.gossip import GossipTable
 from plantainwood.core.messages import (
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -11,7 +11,8 @@
 )
 from plantainwood.core.catalogue import Catalogue, ServingVm
 from plantainwood.core.crashes import enforce_mark, enforce_part_marks
-from plantainwood.core.dispatcherstate import DispatcherState, Options
+from plantainwood.core.dispatcheroptions import Options
+from plantainwood.core.dispatcherstate import DispatcherState
 from plantainwood.core.outcomes import (
     handle_authorization_lost,
     handle_caller_left,
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -1,37 +1,18 @@
 """The dispatcher's state, and the operations on it that its policies share."""
 
 import heapq
-import random
-from typing import Callable
-
-import msgspec
 
 from plantainwood.core import events as ev
-from plantainwood.core.affinity import PrefixHints
-from plantainwood.core.brittleness import BrittlePools, SlotDivision
-from plantainwood.core.catalogue import (
-    Catalogue,
-    Customer,
-    DiscoveredUpstream,
-    ServingVm,
-    Upstream,
-    UpstreamKind,
-)
+from plantainwood.core.catalogue import Catalogue, Customer
+from plantainwood.core.dispatcheroptions import Options
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
-from plantainwood.core.fairness import FairQueue, TokenCounters, WaitingQueue
-from plantainwood.core.hashing import pick_subset
-from plantainwood.core.leavingupstreams import ANY_ADDRESS, LeavingUpstreams
+from plantainwood.core.fairness import TokenCounters
 from plantainwood.core.limits import CustomerLimit
-from plantainwood.core.loads import UpstreamLoad
-from plantainwood.core.membership import select_serving_domains
 from plantainwood.core.partquarantine import PartQuarantine
 from plantainwood.core.pools import Pool, TierQueue
-from plantainwood.core.quarantine import MAX_CRASHES, Mark, Quarantine
+from plantainwood.core.quarantine import Mark, Quarantine
 from plantainwood.core.requests import Request
-from plantainwood.core.retries import RetryBudget
-from plantainwood.core.router import FewChoicesRouter, Router
-from plantainwood.core.streamversions import StreamVersions
-from plantainwood.core.upstreamlimits import UpstreamLimits
+from plantainwood.core.upstreamset import UpstreamSet
 
 TOP_TIER = 0
 MIN_CRASHES_OF_PART = 3
@@ -40,78 +21,28 @@
 RETRY_FAILED_MS = 2_000
 RETRY_NOT_RUN_MS = 300
 """When to come back with a request that no upstream ran: another VM may reach one."""
-USABLE_CONNECTION_SHARE = 0.9
-"""The fraction of an upstream's connections that the nodes divide among them; the rest
-is left for probes and for shares that overlap while VMs join and leave."""
-
-
-class Options(msgspec.Struct):
-    """Policies of the dispatcher; experiments compare the defaults with baselines."""
 
-    make_queue: Callable[[TokenCounters], WaitingQueue] = FairQueue
-    make_router: Callable[[random.Random, PrefixHints], Router] = FewChoicesRouter
-    make_budget: Callable[[], RetryBudget] = RetryBudget
-    strict_tiers: bool = True
-    guard_starvation: bool = True
-    preempt: bool = True
-    eject_stragglers: bool = True
-    move_unstarted: bool = True
-    isolate_suspects: bool = True
-    """Whether a crash suspect runs only on an upstream that it has reserved."""
-    probe_suspects: bool = False
-    """Whether what crashed upstreams is on probation before it is blocked."""
-    max_crashes: int = MAX_CRASHES
-    max_waiting: int = 256
-    subset_size: int = 16
-    limit_floor: float = 1.0
-    """The share of a customer's limits that a node uses without a lease."""
 
-
-class DispatcherState:
-    """Hold every request, queue and load estimate of one node."""
+class DispatcherState(UpstreamSet):
+    """Hold every request and queue of one node, beside its upstreams."""
 
     __slots__ = (
-        "options",
-        "node",
-        "catalogue",
-        "pools",
-        "loads",
         "requests",
         "quarantine",
         "part_quarantine",
         "probed_ms",
-        "upstream_limits",
-        "brittle_pools",
-        "slot_divisions",
-        "nodes",
-        "stream_versions",
-        "hints",
         "limits",
         "limit_floor",
         "stops_at_ms",
         "draining",
         "refuses_waiting",
-        "router",
         "budget",
-        "running_by_upstream",
         "deadlines",
-        "last_crash_ms",
-        "leaving_upstreams",
-        "pauses_until_ms",
         "counters",
-        "path_lost",
-        "serving_vms",
-        "_connection_share",
-        "_own_domain",
-        "_domains",
     )
 
     def __init__(self, node: str, seed: int, options: Options) -> None:
-        self.options = options
-        self.node = node
-        self.catalogue = Catalogue()
-        self.pools: dict[str, Pool] = {}
-        self.loads: dict[str, UpstreamLoad] = {}
+        super().__init__(node, seed, options)
         self.requests: dict[str, Request] = {}
         self.quarantine = Quarantine(options.max_crashes)
         self.part_quarantine = PartQuarantine(
@@ -120,14 +51,6 @@
         self.probed_ms: dict[str, int] = {}
         """When this node last sent a request to find out whether what it has in common
         with others crashes upstreams, by fingerprint or part."""
-        self.upstream_limits = UpstreamLimits(node)
-        self.brittle_pools = BrittlePools()
-        self.slot_divisions: dict[str, SlotDivision] = {}
-        """By pool, for those that were brittle."""
-        self.nodes = [node]
-        """The live nodes, this one included, sorted."""
-        self.stream_versions = StreamVersions()
-        self.hints = PrefixHints()
         self.limits: dict[str, CustomerLimit] = {}
         self.limit_floor = options.limit_floor
         self.stops_at_ms: int | None = None
@@ -136,143 +59,18 @@
         """Whether new requests are refused."""
         self.refuses_waiting = False
         """Whether those that wait are refused too."""
-        self.router = options.make_router(random.Random(seed), self.hints)
         self.budget = options.make_budget()
-        self.running_by_upstream: dict[str, dict[str, Request]] = {}
         self.deadlines: list[tuple[int, str]] = []
-        self.last_crash_ms: dict[str, int] = {}
-        self.leaving_upstreams = LeavingUpstreams()
-        self.pauses_until_ms: dict[str, int] = {}
-        """Until when upstreams want no attempts of this node; kept while their entries
-        lapse and return."""
         self.counters = TokenCounters()
         """Shared by all tiers: tokens served in one tier count in the others too."""
-        self.path_lost = False
-        """Whether this node reaches no upstreams."""
-        self.serving_vms: dict[str, ServingVm] = {}
-        """The VMs that serve for this node while its path is lost, by load name."""
-        self._connection_share = 1.0
-        self._own_domain = ""
-        self._domains: list[str] = []
-
-    def set_connection_share(self, share: float) -> None:
-        """Set the share of each upstream's connections that this node may use."""
-        self._connection_share = share
-        for load in self.loads.values():
-            load.max_own_in_flight = compute_max_own_in_flight(load.entry, share)
-
-    def set_domains(self, own: str, domains: list[str]) -> None:
-        """Select every pool's subset again if the own or the live domains changed."""
-        if (own, domains) == (self._own_domain, self._domains):
-            return
-        self._own_domain = own
-        self._domains = domains
-        for pool in self.pools.values():
-            self._choose_subset(pool)
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Replace the catalogue; loads, queues and limits are kept by name."""
-        self.catalogue = catalogue
-        for name, entry in catalogue.upstreams.items():
-            load = self.loads.get(name)
-            if load is None or load.entry.address != entry.address:
-                load = self.loads[name] = UpstreamLoad(name, entry)
-                load.unwilling_until_ms = self.pauses_until_ms.get(name, 0)
-                load.rate = self.upstream_limits.find_rate(name)
-            load.entry = entry
-            load.leaving = self._is_leaving(name, entry)
-            load.max_own_in_flight = compute_max_own_in_flight(
-                entry, self._connection_share
-            )
-        for name, load in list(self.loads.items()):
-            if name in catalogue.upstreams or name in self.serving_vms:
-                continue
-            self._remove_load(load)
+        super().apply_catalogue(catalogue)
         for name, customer in catalogue.customers.items():
             if name in self.limits:
                 self.limits[name].set_customer(customer)
             self.counters.set_weight(name, customer.weight)
-        for pool in self.pools.values():
-            self._choose_subset(pool)
-
-    def set_serving_vms(self, vms: dict[str, ServingVm]) -> None:
-        """Replace the VMs that may serve for this node; loads are kept by name."""
-        for name in self.serving_vms.keys() - vms.keys():
-            self._remove_load(self.loads[name])
-        self.serving_vms = vms
-        for name, entry in vms.items():
-            load = self.loads.get(name)
-            if load is None or load.entry.address != entry.address:
-                load = self.loads[name] = UpstreamLoad(name, entry)
-            load.entry = entry
-            load.leaving = False
-
-    def list_unreached_pools(self, now_ms: int) -> tuple[str, ...]:
-        """Return the pools of which this node reaches no upstream, sorted."""
-        found: list[str] = []
-        for name, pool in self.pools.items():
-            if pool.is_unreached(now_ms):
-                found.append(name)
-        return tuple(sorted(found))
-
-    def lacks_path(self, pool: Pool, version: str, now_ms: int) -> bool:
-        """Tell whether only other VMs can serve a pool's requests.
-
-        `version` is that of the upstreams which a resumed stream needs, if any.
-        """
-        return self.path_lost or pool.is_unreached(now_ms, version)
-
-    def list_serving_vms(self) -> list[UpstreamLoad]:
-        """Return the loads of the VMs that may serve for this node."""
-        return [self.loads[name] for name in self.serving_vms]
-
-    def _remove_load(self, load: UpstreamLoad) -> None:
-        """Send an upstream nothing more, and forget it once it runs no attempt."""
-        load.leaving = True
-        if not self.running_by_upstream.get(load.name):
-            self._forget_upstream(load.name)
-
-    def pause_upstream(self, name: str, until_ms: int, now_ms: int) -> None:
-        """Send an upstream nothing until a time, unless it asked for a longer pause."""
-        for paused in list(self.pauses_until_ms):
-            if self.pauses_until_ms[paused] <= now_ms:
-                del self.pauses_until_ms[paused]
-        load = self.loads.get(name)
-        if load is None:
-            return
-        load.unwilling_until_ms = max(load.unwilling_until_ms, until_ms)
-        self.pauses_until_ms[name] = load.unwilling_until_ms
-
-    def _is_leaving(self, name: str, entry: Upstream) -> bool:
-        """Tell whether an upstream told this node or its registry that it leaves."""
-        if isinstance(entry, DiscoveredUpstream) and entry.leaving:
-            return True
-        return self.leaving_upstreams.has(name, entry.address)
-
-    def has_said_it_leaves(self, name: str) -> bool:
-        """Return whether it is recorded that an upstream has said that it leaves."""
-        load = self.loads.get(name)
-        address = load.entry.address if load is not None else ANY_ADDRESS
-        return self.leaving_upstreams.has(name, address)
-
-    def record_leaving(self, name: str) -> None:
-        """Send nothing more to an upstream that has said that it leaves.
-
-        One that this node does not know gets nothing at whichever address it turns up.
-        """
-        load = self.loads.get(name)
-        if load is None:
-            self.leaving_upstreams.add(name, ANY_ADDRESS)
-            return
-        load.leaving = True
-        self.leaving_upstreams.add(name, load.entry.address)
-
-    def _forget_upstream(self, name: str) -> None:
-        """Delete the state of a removed upstream that runs no attempt of this node."""
-        self.running_by_upstream.pop(name, None)
-        self.last_crash_ms.pop(name, None)
-        self.router.forget(name)
-        del self.loads[name]
 
     def get_or_create_limit(
         self, name: str, customer: Customer, now_ms: int
@@ -297,58 +95,17 @@
         pool = self.pools.get(name)
         if pool is None:
             pool = Pool(name)
-            self._choose_subset(pool)
+            self.choose_subset(pool)
             if pool.group:
                 self.pools[name] = pool
         return pool
 
-    def _choose_subset(self, pool: Pool) -> None:
-        """Select this node's bounded subset of the upstreams that serve a pool."""
-        domains: dict[str, str] = {}
-        members: list[UpstreamLoad] = []
-        for upstream, entry in self.catalogue.upstreams.items():
-            if not _serves_pool(entry, pool.name):
-                continue
-            members.append(self.loads[upstream])
-            if self.loads[upstream].leaving:
-                continue
-            if self._domains and entry.kind is UpstreamKind.ENGINE:
-                if self._own_domain not in select_serving_domains(
-                    upstream, self._domains
-                ):
-                    continue
-            domains[upstream] = entry.domain
-        subset = pick_subset(self.node, domains, self.options.subset_size)
-        pool.group = [self.loads[upstream] for upstream in subset]
-        self.router.set_pool_upstreams(pool.name, members)
-
     def is_suspect(self, request: Request, now_ms: int) -> bool:
         """Tell whether a request must run on an upstream without other suspects."""
         if not self.options.isolate_suspects:
             return False
         return self.quarantine.is_suspect(request.fingerprint, now_ms)
 
-    def update_rate(self, upstream: str) -> None:
-        """Apply what is known of an upstream's limit to what this node may send."""
-        load = self.loads.get(upstream)
-        if load is not None:
-            load.rate = self.upstream_limits.find_rate(upstream)
-
-    def update_rooms(self, now_ms: int) -> None:
-        """Apply which pools are brittle to what this node may send their upstreams."""
-        for pool in self.pools.values():
-            rooms: dict[str, int] = {}
-            if self.brittle_pools.is_brittle(pool.name, now_ms):
-                slots = {
-                    load.name: load.entry.slots
-                    for load in pool.group
-                    if not load.leaving
-                }
-                division = self.slot_divisions.setdefault(pool.name, SlotDivision())
-                rooms = division.update(self.node, self.nodes, slots)
-            for load in pool.group:
-                load.room = rooms.get(load.name)
-
     def is_blocked(self, fingerprint: str, parts: tuple[str, ...], now_ms: int) -> bool:
         """Tell whether a request is suspected for crashes under it or its parts."""
         if self.quarantine.is_blocked(fingerprint, now_ms):
@@ -428,25 +185,6 @@
             )
 
 
-def _serves_pool(entry: Upstream, pool: str) -> bool:
-    kind, name = pool.split("/", 1)
-    if kind == "model":
-        return entry.kind is UpstreamKind.ENGINE and name in entry.models
-    return entry.service == name
-
-
-def compute_max_own_in_flight(entry: Upstream, share: float) -> int:
-    """Return how many attempts a node may run at once on an upstream; 0: no bound.
-
-    `share` is the node's share of the fleet. Each attempt uses one connection. All
-    nodes together stay below the upstream's limit, except that each node may always
-    use one connection.
-    """
-    if not isinstance(entry, DiscoveredUpstream) or not entry.max_connections:
-        return 0
-    return max(1, int(USABLE_CONNECTION_SHARE * share * entry.max_connections))
-
-
 def find_outcome(request: Request) -> Outcome:
     """Return the outcome to report for a request that ends without its answer."""
     return Outcome.UNKNOWN if request.attempts_made else Outcome.NOT_RUN
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -19,7 +19,7 @@
 from plantainwood.core.clock import Clock, make_clock, make_incarnation
 from plantainwood.core.confirmation import MAX_CONFIRM_AGE_MS, hears_quorum
 from plantainwood.core.dispatcher import Dispatcher
-from plantainwood.core.dispatcherstate import Options
+from plantainwood.core.dispatcheroptions import Options
 from plantainwood.core.fleetmessages import (
     CrashNotice,
     Message,
--- a/tests/proofs/test_prompts.py
+++ b/tests/proofs/test_prompts.py
@@ -13,9 +13,9 @@
     assemble_catalogue,
 )
 from plantainwood.core.dispatcher import Dispatcher, Options
-from plantainwood.core.dispatcherstate import USABLE_CONNECTION_SHARE
 from plantainwood.core.promptrouter import make_prompt_router
 from plantainwood.core.prompts import Part, Prompt
+from plantainwood.core.upstreamset import USABLE_CONNECTION_SHARE
 from tests.seeds import pin_seed
 
 POOL = "service/pool"
--- a/tests/test_connection_share.py
+++ b/tests/test_connection_share.py
@@ -12,7 +12,7 @@
     assemble_catalogue,
 )
 from plantainwood.core.dispatcher import Dispatcher
-from plantainwood.core.dispatcherstate import compute_max_own_in_flight
+from plantainwood.core.upstreamset import compute_max_own_in_flight
 from plantainwood.core.vms import compute_share
 from tests.samples import make_heartbeat
 
