--- a/tests/test_duty_handovers.py
+++ b/tests/test_duty_handovers.py
@@ -18,6 +18,8 @@
 SLOW_PATH_S = 0.65
 STOP_OBSTACLE_S = 0.5
 """Ends before the call is given up, so that its bytes are sent again."""
+OBSTACLE_S = 12.0
+"""Longer than a takeover."""
 BACKOFF_S = 7.0
 """The kernel sends lost bytes again after pauses of up to this length."""
 AFTER_RESUME_S = 1.5
@@ -109,9 +111,17 @@
             first_fence = site.find_last().fence
             await put_call_under_way(holder, obstacle, site)
             await pass_on(holder, way, site)
-            await site.wait_until(lambda: site.find_last().fence > first_fence)
+
+            def has_passed_on() -> bool:
+                return site.find_last().fence > first_fence
+
+            # The holder may take a duty again whose record the store lost; its calls
+            # arrive only once the path heals.
+            with contextlib.suppress(TimeoutError):
+                await site.wait_until(has_passed_on, OBSTACLE_S)
             await asyncio.sleep(SLOW_PATH_S)
             holder.heal()
+            await site.wait_until(has_passed_on)
             await asyncio.sleep(BACKOFF_S)
             holder.signal(signal.SIGCONT)
             await asyncio.sleep(AFTER_RESUME_S)
