--- a/tests/nodedutysite.py
+++ b/tests/nodedutysite.py
@@ -204,9 +204,10 @@
 
     async def stop(self) -> None:
         """End all processes that were started, and the stand-ins."""
-        for vm in self.vms:
-            if vm.name in self._fleet.processes:
-                await vm.kill()
+        for process in self._fleet.processes.values():
+            process.kill()
+        for process in self._fleet.processes.values():
+            await asyncio.to_thread(process.wait)
         for path in self._paths:
             await path.stop()
         for platform in self._platforms:
