Soak: the VMs perform duties, over paths that lose, delay and hold back calls

The soak watched no duty. Now each VM has a path of its own to the platform's API, which is cut, loses what is written, delays it or holds back the answers at times, beside all other faults; checked are fences, holders in turn within a lease, and reports that are sent again. The platform's end is one class for both.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,8 +8,10 @@
 import signal
 
 from soak.runners import Run, SoakRunner
+from tests.dutyplatform import SERVICE
 from tests.edgesite import make_config, make_entry
 from tests.processsite import ProcessSite, VmProcess
+from tests.tcppath import TcpPath
 from tests.test_odd_entries import ENTRY, ODD_ENTRIES, nest
 
 CONTACT_S = 3.0
@@ -20,6 +22,7 @@
 COPY_AGE_S = 4.0
 REWRITE_S = 1.8
 SLOW_S = 0.4
+PATH_DELAY_S = (0.1, 0.65)
 KEYS_IN_USE = 3
 """The keys that clients use, the withdrawn ones included."""
 STORE = "store"
@@ -73,6 +76,8 @@
         self.withdrawn_s: dict[str, float] = {}
         self.added_s: dict[str, float] = {}
         self.keys = ["key-0", "key-1"]
+        self.platform_paths: dict[str, TcpPath] = {}
+        """Each VM's path to the platform's API, by name."""
         self.disturbances = Disturbances()
         self.busy: set[str] = set()
         """VMs under a fault that have yet to come back."""
@@ -93,7 +98,7 @@
         self._version += 1
         live = [key for key in self.keys if key not in self.withdrawn_s]
         tenants = [{"name": key, "apiKeys": [key]} for key in live]
-        config = make_config(version=self._version, tenants=tenants)
+        config = make_config(version=self._version, tenants=tenants, services=[SERVICE])
         self.site.store.put("op/config", config)
 
     async def add_runner(self) -> None:
@@ -133,6 +138,8 @@
             self._disturb_the_store,
             self._bring_back_the_store,
             self._signal_settings,
+            self._disturb_a_path,
+            self._disturb_a_path,
         ]
         while not stop.is_set():
             task = asyncio.create_task(self._source.choice(faults)())
@@ -273,6 +280,22 @@
         vm.signal(signal.SIGHUP)
         self._give_back(vm)
 
+    async def _disturb_a_path(self) -> None:
+        """Cut a VM's path to the platform's API, or let it lose or delay calls."""
+        path = self.platform_paths[self._source.choice(sorted(self.platform_paths))]
+        kind = self._source.choice(["cut", "loss", "delay", "no answers"])
+        if kind == "cut":
+            path.cut()
+        if kind == "loss":
+            path.cut_after_connecting()
+        if kind == "delay":
+            path.delay_s = self._source.uniform(*PATH_DELAY_S)
+        if kind == "no answers":
+            path.hold_answers()
+        await asyncio.sleep(self._source.uniform(0.3, 4.0))
+        path.delay_s = 0.0
+        path.heal()
+
     async def _disturb_the_store(self) -> None:
         """Let the store be down or slow, or forget its history, one at a time."""
         if self._is_store_disturbed:
--- a/soak/main.py
+++ b/soak/main.py
@@ -16,7 +16,14 @@
 from soak.faults import Operator
 from soak.runners import Run
 from standins.fleet import find_ports
+from tests.dutyplatform import (
+    FakePlatform,
+    find_faults,
+    find_turns,
+    make_duty_settings,
+)
 from tests.processsite import PORTS_PER_VM, ProcessSite, VmProcess
+from tests.tcppath import TcpPath
 
 DRAIN_S = 2.0
 CONFIG_APPLY_S = 2.0
@@ -26,6 +33,7 @@
 START_S = 1.5
 NEVER_EXPECTED = (400, 403, 404, 422, 500)
 ERROR_EVENTS = ("task_failed", "attempt_error")
+DUTIES = ["usage_reporting", "scaling"]
 DEFAULT_SECONDS = 30
 DEFAULT_VMS = 4
 MAX_PRINTED = 20
@@ -41,6 +49,7 @@
         self.operator = Operator(self.site, random.Random(self._source.random()))
         self.clients: list[Client] = []
         self.ended: set[str] = set()
+        self.platform = FakePlatform()
 
     async def run(self, seconds: float, vms: int) -> list[str]:
         """Run for a time; return the findings."""
@@ -52,18 +61,30 @@
                 return self._check()
             finally:
                 await self.site.stop()
+                for path in self.operator.platform_paths.values():
+                    await path.stop()
+                await self.platform.stop()
 
     async def _start(self, vms: int) -> None:
         site = self.site
         await site.store.start()
+        await self.platform.start()
         await self.operator.set_up(RUNNERS)
         ports = find_ports(PORTS_PER_VM * vms)
         for number in range(vms):
             first = PORTS_PER_VM * number
-            site.vms.append(VmProcess(site, number, ports[first:][:PORTS_PER_VM]))
+            vm = VmProcess(site, number, ports[first:][:PORTS_PER_VM])
+            path = TcpPath(self.platform.address)
+            await path.start()
+            self.operator.platform_paths[vm.name] = path
+            vm.orders_address = path.address
+            vm.more_settings = make_duty_settings(DUTIES, bootstrap=True)
+            site.vms.append(vm)
         async with asyncio.TaskGroup() as group:
             for vm in site.vms:
                 group.create_task(vm.start())
+        for vm in site.vms:
+            vm.more_settings = make_duty_settings(DUTIES, bootstrap=False)
         await asyncio.sleep(START_S)
 
     async def _play(self, seconds: float) -> None:
@@ -101,6 +122,10 @@
         found += self._check_answers(calls)
         found += self._check_stops(calls)
         found += self._check_leaving(by_id)
+        duty_calls = self.platform.calls
+        for text in find_faults(duty_calls, passes_once=False):
+            found.append(f"ONE: {text}")
+        found += [f"ONE: {text}" for text in find_turns(duty_calls)]
         for vm in self.site.vms:
             for event in ERROR_EVENTS:
                 found += [f"{vm.name}: {line}" for line in vm.list_events(event)]
@@ -216,7 +241,12 @@
         """Return how much was sent, and what came of it."""
         statuses = Counter(call.status for c in self.clients for call in c.calls)
         parts = [f"{status}: {count}" for status, count in sorted(statuses.items())]
-        return f"{sum(statuses.values())} calls ({', '.join(parts)})"
+        duty_calls = self.platform.calls
+        fences = len({call.fence for call in duty_calls})
+        return (
+            f"{sum(statuses.values())} calls ({', '.join(parts)}),"
+            f" {len(duty_calls)} orders and reports with {fences} fences"
+        )
 
 
 def run_seed(seed: int, seconds: float, vms: int) -> list[str]:
--- a/tests/dutysite.py
+++ b/tests/dutysite.py
@@ -5,14 +5,11 @@
 
 import asyncio
 import contextlib
-import json
-import time
 from pathlib import Path
 
-import msgspec
-
-from fakes.runner import FakeRunner, make_response
+from fakes.runner import make_response
 from fakes.store import StoreCopy
+from tests.dutyplatform import SERVICE, DutyCall, FakePlatform, make_duty_settings
 from tests.edgesite import HOST, make_config
 from tests.processsite import PORTS_PER_VM, ProcessSite, VmProcess
 from tests.tcppath import TcpPath
@@ -22,75 +19,9 @@
 CUSTOMERS = 2
 CUSTOMER_NAME_CHARS = 2_500
 """Makes the reports longer than the least window of a receiver."""
-SERVICE = {
-    "name": "pool",
-    "healthPath": "/health",
-    "engine": {"kvCacheTokens": 400_000},
-    "scaling": {
-        "min": 0,
-        "max": 4,
-        "bootS": 4.0,
-        "spotPrice": 0.4,
-        "zonePrices": {"a": 1.0, "b": 1.0},
-    },
-}
-SETTINGS = """bootstrap: true
-duties:
-  enabled: {duties}
-  window_ms: 1000
-  report_late_ms: 10000
-drain:
-  grace_ms: 8000
-"""
 REQUEST_PAUSE_S = 0.2
 
 
-class DutyCall(msgspec.Struct, frozen=True):
-    """An order or a report that the platform got, `at_s` on the test's clock.
-
-    `fence` is 0 where the interface has none, `window` empty for an order. All calls of
-    one `duty` are those of one holder at a time.
-    """
-
-    at_s: float
-    vm: str
-    fence: int
-    duty: str
-    subject: str
-    window: str
-    body: str
-
-
-def find_faults(calls: list[DutyCall]) -> list[str]:
-    """Return what breaks the rules for duties, in the calls' order of arrival.
-
-    No call with a fence has a lower one than a call before; no two VMs send the same
-    fence; no VM acts again after another one did; and a report that is sent again is
-    the same. For calls of a scenario in which the duty passes on once.
-    """
-    last: dict[str, DutyCall] = {}
-    earlier_holders: dict[str, set[str]] = {}
-    reports: dict[str, str] = {}
-    faults: list[str] = []
-    for call in calls:
-        holders = earlier_holders.setdefault(call.duty, set())
-        before = last.setdefault(call.duty, call)
-        if call.fence < before.fence:
-            faults.append(f"lower fence than {before.fence}: {call}")
-            continue
-        if call.vm in holders:
-            faults.append(f"acts again after {before.vm}: {call}")
-            continue
-        if call.vm != before.vm:
-            holders.add(before.vm)
-            if call.fence and call.fence == before.fence:
-                faults.append(f"the fence of {before.vm} too: {call}")
-        last[call.duty] = call
-        if call.window and reports.setdefault(call.window, call.body) != call.body:
-            faults.append(f"other counts for a window: {call}")
-    return faults
-
-
 class DutyVm(VmProcess):
     """A VM with paths of its own to the store and to the platform."""
 
@@ -114,9 +45,7 @@
     def __init__(self, folder: Path, ports: list[int]) -> None:
         super().__init__(folder)
         self._ports = ports
-        self.began_s = time.monotonic()
-        self.calls: list[DutyCall] = []
-        self.platform = FakeRunner(self._take_call)
+        self.platform = FakePlatform()
         self.vms: list[DutyVm] = []
         self.subjects = {"usage"}
         """The subjects of the calls that are waited for."""
@@ -124,24 +53,10 @@
         """The store as it was before the VMs started."""
         self._paths: list[TcpPath] = []
 
-    async def _take_call(self, request, writer) -> None:
-        """Take a call; spot engines in the failure domain b can't be had."""
-        body = json.loads(request.body)
-        path = request.line.split()[1].decode()
-        subject = "usage" if path == "/usage" else f"{body['service']}/{body['zone']}"
-        self.calls.append(
-            DutyCall(
-                time.monotonic() - self.began_s,
-                request.headers[b"duty-holder"].decode(),
-                int(request.headers[b"fencing-token"]),
-                "fleet",
-                subject,
-                str(body.get("window", "")),
-                request.body.decode(),
-            )
-        )
-        refused = body.get("spot") and body.get("zone") == "b"
-        writer.write(make_response(request, b"", 409 if refused else 200))
+    @property
+    def calls(self) -> list[DutyCall]:
+        """Return the calls that the platform got."""
+        return self.platform.calls
 
     async def start_duties(self, window_bytes: int = 0) -> None:
         """Start everything, and wait until a VM has sent orders and reports.
@@ -173,11 +88,13 @@
                 self._paths.append(path)
             vm.store_address = vm.store_path.address
             vm.orders_address = vm.platform_path.address
-            vm.more_settings = SETTINGS.format(duties=json.dumps(duties))
+            vm.more_settings = make_duty_settings(duties, bootstrap=True)
             self.vms.append(vm)
         async with asyncio.TaskGroup() as group:
             for vm in self.vms:
                 group.create_task(vm.start())
+        for vm in self.vms:
+            vm.more_settings = make_duty_settings(duties, bootstrap=False)
         await self.wait_until(lambda: any(self.has_acted(vm) for vm in self.vms))
 
     async def wait_until(self, condition, timeout_s: float = 30.0) -> None:
--- a/tests/nodedutysite.py
+++ b/tests/nodedutysite.py
@@ -17,7 +17,7 @@
 from plantainwood.core.leases import LEASE_PREFIX
 from standins import keyvalue
 from standins.fleet import DOMAINS, Fleet
-from tests.dutysite import DutyCall
+from tests.dutyplatform import DutyCall
 from tests.tcppath import TcpPath
 
 VMS = 2
--- a/tests/test_duty_handovers.py
+++ b/tests/test_duty_handovers.py
@@ -11,7 +11,8 @@
 import pytest
 
 from standins.fleet import find_ports
-from tests.dutysite import PORTS_PER_SITE, DutySite, DutyVm, find_faults
+from tests.dutyplatform import find_faults
+from tests.dutysite import PORTS_PER_SITE, DutySite, DutyVm
 from tests.nodedutysite import PORTS_PER_FLEET, NodeDutySite, NodeVm
 from tests.tcppath import SMALL_WINDOW_BYTES
 
