--- a/plantainwood/dutycalls.py
+++ b/plantainwood/dutycalls.py
@@ -13,7 +13,7 @@
 import sys
 import termios
 from functools import cache
-from urllib.parse import urlsplit
+from urllib.parse import SplitResult, urlsplit
 
 import aiohttp
 
@@ -91,6 +91,7 @@
 
     __slots__ = (
         "_clock",
+        "_address",
         "_url",
         "_deadline_ms",
         "_arrive_by_ms",
@@ -104,7 +105,8 @@
         self, clock: Clock, url: str, deadline_ms: int, arrive_by_ms: int
     ) -> None:
         self._clock = clock
-        self._url = urlsplit(url)
+        self._address = url
+        self._url: SplitResult
         self._deadline_ms = deadline_ms
         self._arrive_by_ms = arrive_by_ms
         self._connection: DutyConnection | None = None
@@ -128,8 +130,9 @@
     async def perform(self, headers: dict[str, str], body: bytes) -> int:
         """Send the request and return the response's status.
 
-        Raise OSError if there is no connection, NotAppliedError if the request could
-        arrive too late, AttemptError if the connection is lost.
+        Raise ValueError or OverflowError if the URL names no address, OSError if there
+        is no connection, NotAppliedError if the request could arrive too late,
+        AttemptError if the connection is lost.
         """
         connection = await self._connect()
         data = self._encode(headers, body)
@@ -150,6 +153,9 @@
 
     async def _connect(self) -> DutyConnection:
         began_ms = self._clock.now_ms()
+        self._url = urlsplit(self._address)
+        if not self._url.hostname:
+            raise ValueError(f"no host in {self._address!r}")
         is_secure = self._url.scheme == HTTPS
         _, connection = await asyncio.get_running_loop().create_connection(
             lambda: DutyConnection(self._url.netloc, self._clock),
@@ -228,7 +234,7 @@
         self._open_calls += 1
         try:
             return await self._perform(call, headers, body, until_ms)
-        except (AttemptError, OSError, TimeoutError) as error:
+        except (AttemptError, OSError, ValueError, OverflowError) as error:
             if call.is_written:
                 raise StoreError(repr(error)) from error
             raise NotAppliedError(repr(error)) from error
--- a/tests/dutysite.py
+++ b/tests/dutysite.py
@@ -12,7 +12,7 @@
 from tests.dutyplatform import SERVICE, DutyCall, FakePlatform, make_duty_settings
 from tests.edgesite import HOST, make_config
 from tests.processsite import PORTS_PER_VM, ProcessSite, VmProcess
-from tests.tcppath import TcpPath
+from tests.tcppath import OwnPaths, TcpPath
 
 VMS = 2
 PORTS_PER_SITE = VMS * PORTS_PER_VM
@@ -22,22 +22,9 @@
 REQUEST_PAUSE_S = 0.2
 
 
-class DutyVm(VmProcess):
+class DutyVm(VmProcess, OwnPaths):
     """A VM with paths of its own to the store and to the platform."""
 
-    store_path: TcpPath
-    platform_path: TcpPath
-
-    def cut(self) -> None:
-        """Cut this VM off from the store and from the platform."""
-        self.store_path.cut()
-        self.platform_path.cut()
-
-    def heal(self) -> None:
-        """Let everything pass again."""
-        self.store_path.heal()
-        self.platform_path.heal()
-
 
 class DutySite(ProcessSite):
     """Two VMs that contend for the duties, the platform, and traffic to report."""
--- a/tests/nodedutysite.py
+++ b/tests/nodedutysite.py
@@ -18,7 +18,7 @@
 from standins import keyvalue
 from standins.fleet import DOMAINS, Fleet
 from tests.dutyplatform import DutyCall
-from tests.tcppath import TcpPath
+from tests.tcppath import OwnPaths, TcpPath
 
 VMS = 2
 PORTS_PER_FLEET = 4 + 3 * VMS
@@ -36,14 +36,12 @@
 }
 
 
-class NodeVm:
+class NodeVm(OwnPaths):
     """A daemon with paths of its own to the key-value service and to the platform."""
 
     def __init__(self, fleet: "DutyFleet", name: str) -> None:
         self._fleet = fleet
         self.name = name
-        self.store_path: TcpPath
-        self.platform_path: TcpPath
 
     def signal(self, signum: signal.Signals) -> None:
         """Send a signal to the process if it runs."""
@@ -61,16 +59,6 @@
         self._fleet.start_node(self.name)
         await asyncio.to_thread(self._fleet.wait_until_listening, self.name)
 
-    def cut(self) -> None:
-        """Cut this VM off from the key-value service and from the platform."""
-        self.store_path.cut()
-        self.platform_path.cut()
-
-    def heal(self) -> None:
-        """Let everything pass again."""
-        self.store_path.heal()
-        self.platform_path.heal()
-
 
 class DutyFleet(Fleet):
     """Daemons whose outside systems are the test's own."""
--- a/tests/tcppath.py
+++ b/tests/tcppath.py
@@ -197,3 +197,20 @@
                 writer.write(data)
                 await writer.drain()
         writer.write_eof()
+
+
+class OwnPaths:
+    """The paths of one VM to the store and to the platform."""
+
+    store_path: TcpPath
+    platform_path: TcpPath
+
+    def cut(self) -> None:
+        """Cut this VM off from the store and from the platform."""
+        self.store_path.cut()
+        self.platform_path.cut()
+
+    def heal(self) -> None:
+        """Let everything pass again."""
+        self.store_path.heal()
+        self.platform_path.heal()
--- a/tests/test_duty_calls.py
+++ b/tests/test_duty_calls.py
@@ -175,6 +175,22 @@
     run_with_path(scenario, Receiver(silent=True))
 
 
+# Guards against a task that ends again and again, and against calls to this machine: an
+# address that can't be dialled, or none, is reported as not applied.
+@pytest.mark.parametrize(
+    "url",
+    ["http:///x", "http://127.0.0.1:99999/x", "http://[::1/x", "http://a..b/x", "/x"],
+)
+def test_an_address_that_cannot_be_dialled_is_no_unexpected_error(url):
+    async def main() -> None:
+        clock = make_clock()
+        limit_ms = clock.now_ms() + FAR_MS
+        with pytest.raises(NotAppliedError):
+            await DutyCaller(clock, 500).post(url, {}, b"{}", limit_ms, limit_ms)
+
+    asyncio.run(main())
+
+
 @pytest.mark.parametrize(
     ("round_trip_ms", "flight_ms"), [(0, 700), (100, 1_000), (200, 1_700)]
 )
