--- a/tests/test_crashing_part.py
+++ b/tests/test_crashing_part.py
@@ -127,6 +127,17 @@
     assert not quarantine.is_blocked(("first",), 2_000)
 
 
+# Guards against DENIED: a domain's engines are lost at one moment while those of other
+# domains answer, and what the lost requests shared is refused.
+def test_engines_lost_at_the_same_moment_while_others_answer_count_as_one_crash():
+    quarantine = PartQuarantine(max_crashes=3)
+    for number in range(8):
+        lost = [LostAttempt(f"request {number}", ("shared", f"own {number}"))]
+        quarantine.record_crash(PartCrash(f"e{number}", lost), 1_000 + 10 * number)
+        quarantine.record_start(["other"], 1_005 + 10 * number)
+    assert not quarantine.is_blocked(("shared", "own 9"), 2_000)
+
+
 # Guards against an outage of all engines that is noticed engine by engine: it made the
 # parts that most prompts share suspects, and no answer could clear them any more.
 # Guards against DENIED: a part that all prompts share is refused for ten minutes since
