--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -14,6 +14,7 @@
 )
 from plantainwood.core.dispatcher import Dispatcher, Options
 from plantainwood.core.errors import ErrorCode
+from plantainwood.core.quarantine import Mark, Quarantine
 from plantainwood.core.routes import ConfiguredCustomer
 from tests.samples import ROUTE
 
@@ -185,6 +186,15 @@
         assert fleet.send(vm, CRASHING_PATH) is not None
 
 
+# Guards against a message to all VMs for each copy of a popular request that one crash
+# hit, and against counting that crash as many.
+def test_copies_of_a_request_that_one_crash_hit_are_marked_once():
+    quarantine = Quarantine(MAX_CRASHES)
+    marks = quarantine.record_crash("s1", "d1", ["popular"] * 4, 1_000)
+    assert marks == [Mark("popular", "s1", lifted=False)]
+    assert not quarantine.is_blocked("popular", 1_000)
+
+
 def test_requests_without_a_body_for_other_things_are_served():
     fleet = Fleet()
     send_crashing_requests(fleet, 4)
