--- a/tests/proofs/test_relay.py
+++ b/tests/proofs/test_relay.py
@@ -93,6 +93,14 @@
             answer = self.answers[attempt.request]
             answer.finish(attempt.number, attempt.length)
 
+    @rule(which=st.integers(0, 20))
+    def lose_the_rest_and_end(self, which: int) -> None:
+        """An attempt loses all its further tokens, and reports its end."""
+        if not self.attempts:
+            return
+        self._pick(which).index = self._pick(which).length
+        self.end(which)
+
     @invariant()
     def whole_and_own(self) -> None:
         """A caller gets a prefix of its answer, and all of it once it is finished."""
