--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -92,6 +92,14 @@
         "return True",
         PROOFS + "test_withdrawal.py",
     ),
+    Mutant(
+        6,
+        "calls may arrive once another process acts",
+        CORE + "leases.py",
+        "        return self._held_until_ms + self._times.margin_ms + ",
+        "        return self._held_until_ms + 29 * self._times.flight_ms + ",
+        PROOFS + "test_leases.py",
+    ),
     Mutant(
         6,
         "start the lease term at the reply instead of the request",
--- a/tests/proofs/test_leases.py
+++ b/tests/proofs/test_leases.py
@@ -14,6 +14,8 @@
 TIMES = LeaseTimes(term_ms=9_000, margin_ms=1_000, flight_ms=2_000)
 CLOCK_RATES_PERCENT = [96, 100, 104]
 NODES = ["a", "b", "c"]
+ORDER_EFFECTS = 3
+"""Effects of an order's procedure up to the order itself."""
 
 
 class FakeNode:
@@ -98,7 +100,7 @@
                 ProcedureRun(node.lease.renew_or_acquire()).finish(self.store)
             self.advance(3_000)
 
-    @rule(name=st.sampled_from(NODES), rounds=st.integers(1, 6))
+    @rule(name=st.sampled_from(NODES), rounds=st.integers(1, 12))
     def renew_slowly(self, name: str, rounds: int) -> None:
         """A renewal takes effect at once, but its reply is delayed.
 
@@ -107,15 +109,42 @@
         node = self.nodes[name]
         if node.frozen_ms or (node.lease_run and not node.lease_run.done):
             return
+        ProcedureRun(node.lease.renew_or_acquire()).finish(self.store)
         run = ProcedureRun(node.lease.renew_or_acquire())
         run.step(self.store, "slow")
+        self._let_others_contend(node, rounds)
+        run.finish(self.store)
+
+    def _let_others_contend(self, node: FakeNode, rounds: int) -> None:
         for _ in range(rounds):
             self.advance(3_000)
             for other in self.nodes.values():
                 if other is not node and not other.frozen_ms:
                     if other.lease_run is None or other.lease_run.done:
                         ProcedureRun(other.lease.renew_or_acquire()).finish(self.store)
-        run.finish(self.store)
+
+    @rule(name=st.sampled_from(NODES), rounds=st.integers(1, 12))
+    def freeze_with_an_order_under_way(self, name: str, rounds: int) -> None:
+        """A holder freezes with an order under way; the next one's arrives before it.
+
+        Meanwhile the other nodes try to acquire the lease.
+        """
+        node = self.nodes[name]
+        if node.frozen_ms or (node.lease_run and not node.lease_run.done):
+            return
+        ProcedureRun(node.lease.renew_or_acquire()).finish(self.store)
+        self._send_order(name)
+        self.freeze(name, 90_000)
+        self._let_others_contend(node, rounds)
+        for other in NODES:
+            self._send_order(other)
+        while self.in_flight_orders:
+            self.land(len(self.in_flight_orders) - 1)
+
+    def _send_order(self, name: str) -> None:
+        self.order(name, fenced=True)
+        for _ in range(ORDER_EFFECTS):
+            self.step_order(name, "ok")
 
     @rule(name=st.sampled_from(NODES))
     def release(self, name: str) -> None:
@@ -163,13 +192,19 @@
 
     @rule(which=st.integers(0, 5))
     def land(self, which: int) -> None:
-        """An order arrives at the platform, after any freeze of its sender."""
-        ready = [i for i in self.in_flight_orders if not self.nodes[i[0]].frozen_ms]
-        if not ready:
+        """An order arrives at the platform; its sender's freeze doesn't hold it back.
+
+        Until its limit none may arrive after one of a later holder. After it only a
+        process that froze before the write can send it; then fences or waits help.
+        """
+        if not self.in_flight_orders:
             return
-        item = ready[which % len(ready)]
+        item = self.in_flight_orders[which % len(self.in_flight_orders)]
         self.in_flight_orders.remove(item)
-        order = item[1]
+        sender, order = item
+        in_time = self.nodes[sender].clock.now_ms() < order.arrive_by_ms
+        if in_time:
+            assert order.fence >= max(self.max_fences.values()), "a call too late"
         fenced = order.upstream.endswith("True")
         if fenced and order.fence < self.max_fences[True]:
             return
