--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,67 +1,27 @@
 """Faults of the soak: drawn by a seed, in series, overlapping."""
 
 import asyncio
-import base64
 import json
 import math
 import random
 import signal
 
+from soak.disturbances import Disturbances
 from soak.runners import Run, SoakRunner
+from soak.storefaults import StoreFaults
 from tests.dutyplatform import SERVICE
 from tests.edgesite import make_config, make_entry
 from tests.processsite import ProcessSite, VmProcess
 from tests.tcppath import TcpPath
 from tests.test_odd_entries import ENTRY, ODD_ENTRIES, nest
 
-CONTACT_S = 3.0
 FAULT_GAP_S = (0.2, 1.2)
 MAX_ODD_ENTRIES = 6
 GRACE_S = 8.0
 RESTART_S = (0.5, 3.0)
-COPY_AGE_S = 4.0
-REWRITE_S = 1.8
-SLOW_S = 0.4
 PATH_DELAY_S = (0.1, 0.65)
 KEYS_IN_USE = 3
 """The keys that clients use, the withdrawn ones included."""
-STORE = "store"
-
-
-class Disturbances:
-    """When each VM and the store were disturbed; the timed rules rest then."""
-
-    def __init__(self) -> None:
-        self._spans: dict[str, list[list[float]]] = {}
-        self.stops: dict[str, list[tuple[float, float]]] = {}
-        """By VM, from SIGTERM to the end of its process, if that came in the grace."""
-
-    def begin(self, name: str) -> None:
-        """Record that a disturbance begins, and lasts until its end is recorded."""
-        now_s = asyncio.get_running_loop().time()
-        self._spans.setdefault(name, []).append([now_s, math.inf])
-
-    def end(self, name: str) -> None:
-        """Record that the last disturbance that began has ended."""
-        self._spans[name][-1][1] = asyncio.get_running_loop().time()
-
-    def find_stop(self, name: str, at_s: float) -> tuple[float, float] | None:
-        """Return the span of the planned stop that a VM was in at a time, if any."""
-        for began_s, ended_s in self.stops.get(name, []):
-            if began_s <= at_s <= ended_s:
-                return began_s, ended_s
-        return None
-
-    def was_calm_since(self, name: str, since_s: float) -> bool:
-        """Return whether nothing disturbed a VM since a time."""
-        return all(ended_s < since_s for _, ended_s in self._spans.get(name, []))
-
-    def was_calm(self, name: str, at_s: float) -> bool:
-        """Return whether a VM and the store were calm for CONTACT_S before a time."""
-        for began_s, ended_s in self._spans.get(name, []) + self._spans.get(STORE, []):
-            if began_s <= at_s and ended_s > at_s - CONTACT_S:
-                return False
-        return True
 
 
 class Operator:
@@ -82,11 +42,11 @@
         self.busy: set[str] = set()
         """VMs under a fault that have yet to come back."""
         self._source = source
+        self._store_faults = StoreFaults(site.store, source, self.disturbances)
         self._version = 0
         self._runner_count = 0
         self._software = 1
         self._tasks: set[asyncio.Task] = set()
-        self._is_store_disturbed = False
 
     async def set_up(self, runners: int) -> None:
         """Write the first configuration, and start runners."""
@@ -135,8 +95,8 @@
             self._freeze_a_vm,
             self._kill_a_vm,
             self._stop_a_vm,
-            self._disturb_the_store,
-            self._bring_back_the_store,
+            self._store_faults.disturb,
+            self._store_faults.bring_back,
             self._signal_settings,
             self._disturb_a_path,
             self._disturb_a_path,
@@ -295,58 +255,3 @@
         await asyncio.sleep(self._source.uniform(0.3, 4.0))
         path.delay_s = 0.0
         path.heal()
-
-    async def _disturb_the_store(self) -> None:
-        """Let the store be down or slow, or forget its history, one at a time."""
-        if self._is_store_disturbed:
-            return
-        self._is_store_disturbed = True
-        faults = self.site.store.faults
-        kind = self._source.choice(["down", "slow", "compact"])
-        self.disturbances.begin(STORE)
-        if kind == "compact":
-            self.site.store.compact()
-        faults.down = kind == "down"
-        faults.slow_s = SLOW_S if kind == "slow" else 0.0
-        await asyncio.sleep(self._source.uniform(0.3, 1.5))
-        faults.down = False
-        faults.slow_s = 0.0
-        self.disturbances.end(STORE)
-        self._is_store_disturbed = False
-
-    async def _bring_back_the_store(self) -> None:
-        """Let the store be down, and come back from a copy that is some seconds old.
-
-        What the operator and the runners wrote since is written again a moment later.
-        """
-        if self._is_store_disturbed:
-            return
-        self._is_store_disturbed = True
-        store = self.site.store
-        copy = store.copy()
-        await asyncio.sleep(self._source.uniform(0.5, COPY_AGE_S))
-        self.disturbances.begin(STORE)
-        store.faults.down = True
-        await asyncio.sleep(self._source.uniform(0.1, 0.8))
-        written = dict(store.items)
-        store.come_back(copy)
-        copied = dict(store.items)
-        store.faults.down = False
-        await asyncio.sleep(self._source.uniform(0.1, REWRITE_S))
-        self._write_again(written, copied)
-        self.disturbances.end(STORE)
-        self._is_store_disturbed = False
-
-    def _write_again(self, written: dict[str, dict], copied: dict[str, dict]) -> None:
-        """Write what the store has lost; leave what was written since it came back."""
-        store = self.site.store
-        for key in sorted({*written, *copied}):
-            if not key.startswith(("op/", "servers/")):
-                continue
-            if store.items.get(key) is not copied.get(key):
-                continue
-            item = written.get(key)
-            if item is None:
-                store.remove(key)
-            elif item != copied.get(key):
-                store.put(key, base64.b64decode(item["value"]))
