--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -471,6 +471,14 @@
         "        if revision:",
         "tests/test_lease_handovers.py",
     ),
+    Mutant(
+        6,
+        "take a duty at the first read of a store without eras",
+        CORE + "leases.py",
+        "        is_first = not self._has_eras and not self._has_read\n",
+        "        is_first = False\n",
+        "tests/test_lease_handovers.py",
+    ),
     Mutant(
         6,
         "let a holder that was replaced take the duty again at once",
--- a/plantainwood/core/leases.py
+++ b/plantainwood/core/leases.py
@@ -73,6 +73,8 @@
         "_sought_previous",
         "_acted_until_ms",
         "_retired",
+        "_has_eras",
+        "_has_read",
     )
 
     def __init__(
@@ -84,11 +86,13 @@
         times: LeaseTimes,
         find_era: Callable[[], int] = lambda: 0,
         may_be_held: bool = False,
+        has_eras: bool = True,
     ) -> None:
         """Make a lease that is not held.
 
         `find_era` returns the newest era of the store that is known. `may_be_held`
         tells that some process may hold the duty though the store lost its record.
+        `has_eras` is False if the store doesn't tell that it lost writes.
         """
         self.duty = duty
         self.node = node
@@ -115,6 +119,8 @@
         self._acted_until_ms: int | None = None
         """When this process last could act as a holder that lost the lease."""
         self._retired = False
+        self._has_eras = has_eras
+        self._has_read = False
         if may_be_held:
             self._earliest_acquire_ms = clock.now_ms() + times.takeover_ms
 
@@ -215,8 +221,8 @@
     def _note_record(self, found: object) -> LeaseRecord | None:
         """Note what was read; return the record, None if there is none.
 
-        A lower fence than before means that the store lost writes; one without eras
-        doesn't tell.
+        A lower fence than before means that the store lost writes. One without eras
+        doesn't tell, so the first record that is read may be one of long ago.
         """
         record: LeaseRecord | None = None
         if isinstance(found, StoredValue):
@@ -225,8 +231,10 @@
                 self._seen_revision = found.revision
                 self._seen_at_ms = self._clock.now_ms()
         fence = record.fence if record is not None else 0
-        if fence < self._seen_fence:
+        is_first = not self._has_eras and not self._has_read
+        if fence < self._seen_fence or is_first:
             self._wait_for_earlier_terms()
+        self._has_read = True
         self._seen_fence = fence
         self._highest_fence = max(fence, self._highest_fence)
         return record
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -116,7 +116,12 @@
         self.leases: dict[str, Lease] = {}
         for duty in (ORDERS_DUTY, BILLING_DUTY):
             self.leases[duty] = Lease(
-                duty, settings.node, self.incarnation, clock, times
+                duty,
+                settings.node,
+                self.incarnation,
+                clock,
+                times,
+                has_eras=False,
             )
         self.metrics = metrics
         self.tracer: Tracer = make_tracer(settings.node, settings.traces.exporter)
--- a/tests/proofs/test_leases.py
+++ b/tests/proofs/test_leases.py
@@ -21,26 +21,41 @@
 class FakeNode:
     """A node whose clock has a rate of its own, and which may freeze."""
 
-    def __init__(self, name: str, rate_percent: int) -> None:
+    def __init__(self, name: str, rate_percent: int, has_eras: bool = True) -> None:
         self.name = name
+        self.has_eras = has_eras
         self.rate_percent = rate_percent
         self.clock = VirtualClock(now_ms=rate_percent * 1_000)
-        self.lease = Lease("orders", name, 1, self.clock, TIMES)
+        self.lease = self.make_lease(1)
         self.lease_run: ProcedureRun | None = None
         self.order_run: ProcedureRun | None = None
         self.frozen_ms = 0
         self.sent_until_ms = 0
 
+    def make_lease(self, incarnation: int) -> Lease:
+        """Return the lease of a process that has just started."""
+        return Lease(
+            "orders",
+            self.name,
+            incarnation,
+            self.clock,
+            TIMES,
+            has_eras=self.has_eras,
+        )
+
 
 @pin_seed("LeaseMachine")
 class LeaseMachine(RuleBasedStateMachine):
     """Nodes contend for the lease and send orders; they freeze, and calls get lost."""
 
+    has_eras = True
+
     def __init__(self) -> None:
         super().__init__()
         self.store = FakeStore()
         self.nodes = {
-            n: FakeNode(n, r) for n, r in zip(NODES, CLOCK_RATES_PERCENT, strict=True)
+            n: FakeNode(n, r, self.has_eras)
+            for n, r in zip(NODES, CLOCK_RATES_PERCENT, strict=True)
         }
         self.departed: set[str] = set()
         self.in_flight_orders: list[tuple[str, SendOrder]] = []
@@ -62,10 +77,9 @@
     def replace(self, name: str) -> None:
         """A VM is replaced; its orders that have not arrived are lost."""
         old = self.nodes[name]
-        node = FakeNode(name, old.rate_percent)
+        node = FakeNode(name, old.rate_percent, self.has_eras)
         node.clock = VirtualClock(now_ms=old.clock.now_ms())
-        incarnation = old.lease.incarnation + 1
-        node.lease = Lease("orders", name, incarnation, node.clock, TIMES)
+        node.lease = node.make_lease(old.lease.incarnation + 1)
         self.nodes[name] = node
         self.in_flight_orders = [
             item for item in self.in_flight_orders if item[0] != name
@@ -226,6 +240,16 @@
 TestLeases = LeaseMachine.TestCase
 
 
+@pin_seed("LeaseMachine")
+class EralessLeaseMachine(LeaseMachine):
+    """The same with a store that doesn't tell that it lost writes."""
+
+    has_eras = False
+
+
+TestLeasesWithoutEras = EralessLeaseMachine.TestCase
+
+
 def test_an_unfenced_order_waits_until_the_frozen_holder_is_gone():
     """The holder freezes between its last check of the lease and the write.
 
--- a/tests/test_lease_handovers.py
+++ b/tests/test_lease_handovers.py
@@ -17,9 +17,17 @@
         self.store = FakeStore()
         self.era = 0
 
-    def make_lease(self, name: str) -> Lease:
+    def make_lease(self, name: str, has_eras: bool = True) -> Lease:
         """Return a candidate's lease, which is not held."""
-        return Lease("orders", name, 1, self.clock, TIMES, lambda: self.era)
+        return Lease(
+            "orders",
+            name,
+            1,
+            self.clock,
+            TIMES,
+            lambda: self.era,
+            has_eras=has_eras,
+        )
 
     def try_lease(self, lease: Lease) -> bool:
         """Renew or acquire a lease; return whether it is held."""
@@ -106,6 +114,20 @@
     assert other.fence > holder.fence
 
 
+# Guards against ONE where the store tells no era: a process that had read nothing yet
+# took a duty at once, while a holder whose record the store had lost was in its term.
+def test_a_process_waits_for_all_terms_before_its_first_read():
+    site = LeaseSite()
+    holder = site.make_lease("vm-1", has_eras=False)
+    site.try_until_held(holder)
+    site.store.items.clear()
+    fresh = site.make_lease("vm-2", has_eras=False)
+    while holder.is_held():
+        assert not site.try_lease(fresh)
+        site.clock.advance(100)
+    site.try_until_held(fresh)
+
+
 # Guards against ONE (holders A, B, A within the length of a lease): a holder that lost
 # the lease acted again as soon as its successor had released it.
 def test_a_holder_that_was_replaced_rests_for_a_term():
