--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -479,6 +479,14 @@
         "        is_first = False\n",
         "tests/test_lease_handovers.py",
     ),
+    Mutant(
+        6,
+        "write by a revision of a term that is over to a store without eras",
+        CORE + "leases.py",
+        "        if not self._revision or self._has_eras:\n",
+        "        if True:\n",
+        "tests/test_lease_handovers.py",
+    ),
     Mutant(
         6,
         "let a holder that was replaced take the duty again at once",
--- a/plantainwood/core/leases.py
+++ b/plantainwood/core/leases.py
@@ -151,6 +151,7 @@
         """Renew a held lease, else try to acquire it; return whether it is held."""
         if self._retired:
             return False
+        self._drop_overdue()
         try:
             if self._revision:
                 yield from self._renew()
@@ -191,6 +192,16 @@
             raise StoreError("the write was lost or is still in flight")
         return 0
 
+    def _drop_overdue(self) -> None:
+        """Give up a lease whose term is over if the store has no eras.
+
+        A store that lost writes may have given the revision out again.
+        """
+        if not self._revision or self._has_eras:
+            return
+        if self._clock.now_ms() >= self._held_until_ms:
+            self._mark_lost()
+
     def _mark_lost(self) -> None:
         now_ms = self._clock.now_ms()
         deadline_ms = self._held_until_ms - self._times.margin_ms
@@ -297,6 +308,7 @@
 
     def release(self) -> Procedure:
         """Release the duty; call it only while no order or report is in flight."""
+        self._drop_overdue()
         if not self._revision:
             return True
         record = self._make_record(self.fence, released=True)
--- a/tests/test_lease_handovers.py
+++ b/tests/test_lease_handovers.py
@@ -2,6 +2,8 @@
 
 import copy
 
+import pytest
+
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.leases import Lease, LeaseTimes
 from tests.fakes import FakeStore, ProcedureRun
@@ -128,6 +130,25 @@
     site.try_until_held(fresh)
 
 
+# Guards against ONE where the store tells no era: a holder that was cut off renewed, or
+# released, its successor's record, whose revision was that of its own.
+@pytest.mark.parametrize("is_release", [False, True])
+def test_a_holder_whose_term_is_over_writes_by_no_revision(is_release):
+    site = LeaseSite()
+    holder = site.make_lease("vm-1", has_eras=False)
+    other = site.make_lease("vm-2", has_eras=False)
+    site.try_until_held(holder)
+    site.store.items.clear()
+    site.store.revision = 0
+    site.try_until_held(other)
+    kept = site.store.items[other.key]
+    assert not holder.is_held()
+    procedure = holder.release() if is_release else holder.renew_or_acquire()
+    ProcedureRun(procedure).finish(site.store)
+    assert not holder.is_held()
+    assert site.store.items[other.key] == kept
+
+
 # Guards against ONE (holders A, B, A within the length of a lease): a holder that lost
 # the lease acted again as soon as its successor had released it.
 def test_a_holder_that_was_replaced_rests_for_a_term():
