--- a/tests/proofs/test_leases.py
+++ b/tests/proofs/test_leases.py
@@ -121,14 +121,20 @@
         Meanwhile the other nodes try to acquire the lease.
         """
         node = self.nodes[name]
-        if node.frozen_ms or (node.lease_run and not node.lease_run.done):
+        if not self._try_to_renew(node):
             return
-        ProcedureRun(node.lease.renew_or_acquire()).finish(self.store)
         run = ProcedureRun(node.lease.renew_or_acquire())
         run.step(self.store, "slow")
         self._let_others_contend(node, rounds)
         run.finish(self.store)
 
+    def _try_to_renew(self, node: FakeNode) -> bool:
+        """Renew or acquire the lease at once; return whether the node could try."""
+        if node.frozen_ms or (node.lease_run and not node.lease_run.done):
+            return False
+        ProcedureRun(node.lease.renew_or_acquire()).finish(self.store)
+        return True
+
     def _let_others_contend(self, node: FakeNode, rounds: int) -> None:
         for _ in range(rounds):
             self.advance(3_000)
@@ -144,9 +150,8 @@
         Meanwhile the other nodes try to acquire the lease.
         """
         node = self.nodes[name]
-        if node.frozen_ms or (node.lease_run and not node.lease_run.done):
+        if not self._try_to_renew(node):
             return
-        ProcedureRun(node.lease.renew_or_acquire()).finish(self.store)
         self._send_order(name)
         self.freeze(name, 90_000)
         self._let_others_contend(node, rounds)
