--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -105,10 +105,10 @@
         "start the lease term at the reply instead of the request",
         CORE + "leases.py",
         "            self._held_until_ms = asked_ms + self._times.term_ms\n"
-        "        else:",
+        "            self._is_confirmed = True\n",
         "            asked_ms = self._clock.now_ms()\n"
         "            self._held_until_ms = asked_ms + self._times.term_ms\n"
-        "        else:",
+        "            self._is_confirmed = True\n",
         PROOFS + "test_leases.py",
     ),
     Mutant(
@@ -487,6 +487,14 @@
         "        if True:\n",
         "tests/test_lease_handovers.py",
     ),
+    Mutant(
+        6,
+        "act before the first renewal though others may not have read the record",
+        CORE + "leases.py",
+        "        if self._retired or not (self._has_eras or self._is_confirmed):\n",
+        "        if self._retired:\n",
+        "tests/test_lease_handovers.py",
+    ),
     Mutant(
         6,
         "let a holder that was replaced take the duty again at once",
--- a/plantainwood/core/leases.py
+++ b/plantainwood/core/leases.py
@@ -75,6 +75,7 @@
         "_retired",
         "_has_eras",
         "_has_read",
+        "_is_confirmed",
     )
 
     def __init__(
@@ -92,7 +93,9 @@
 
         `find_era` returns the newest era of the store that is known. `may_be_held`
         tells that some process may hold the duty though the store lost its record.
-        `has_eras` is False if the store doesn't tell that it lost writes.
+        `has_eras` is False if the store doesn't tell that it lost writes. Then nothing
+        is done for the duty before the first renewal: until then others may not have
+        read the record, and would not miss it.
         """
         self.duty = duty
         self.node = node
@@ -121,6 +124,8 @@
         self._retired = False
         self._has_eras = has_eras
         self._has_read = False
+        self._is_confirmed = False
+        """Whether the lease was renewed since it was acquired."""
         if may_be_held:
             self._earliest_acquire_ms = clock.now_ms() + times.takeover_ms
 
@@ -135,7 +140,7 @@
 
     def get_deadline_ms(self) -> int:
         """Return the monotonic ms from which on nothing may be sent for the duty."""
-        if self._retired:
+        if self._retired or not (self._has_eras or self._is_confirmed):
             return 0
         return self._held_until_ms - self._times.margin_ms
 
@@ -172,6 +177,7 @@
         if revision and not self.note_era():
             self._revision = revision
             self._held_until_ms = asked_ms + self._times.term_ms
+            self._is_confirmed = True
         else:
             self._mark_lost()
 
@@ -208,6 +214,7 @@
         self._acted_until_ms = min(now_ms, deadline_ms)
         self._revision = 0
         self._held_until_ms = 0
+        self._is_confirmed = False
         self._seen_revision = -1
 
     def note_era(self) -> bool:
--- a/tests/test_lease_handovers.py
+++ b/tests/test_lease_handovers.py
@@ -130,6 +130,26 @@
     site.try_until_held(fresh)
 
 
+# Guards against ONE where the store tells no era: the record of a new holder was lost
+# before the other candidates had read it, so the next one took the duty at once.
+@pytest.mark.parametrize("revision", [0, 10])
+def test_a_holder_whose_record_nobody_has_read_does_not_act(revision):
+    site = LeaseSite()
+    leases = [site.make_lease(name, has_eras=False) for name in ("vm-1", "vm-2")]
+    for lease in leases:
+        assert not site.try_lease(lease)
+    site.clock.advance(TIMES.takeover_ms)
+    assert not site.try_lease(leases[0])
+    site.store.items.clear()
+    site.store.revision = revision
+    for _ in range(100):
+        site.clock.advance(100)
+        for lease in reversed(leases):
+            site.try_lease(lease)
+            assert sum(item.is_held() for item in leases) <= 1
+    assert any(lease.is_held() for lease in leases)
+
+
 # Guards against ONE where the store tells no era: a holder that was cut off renewed, or
 # released, its successor's record, whose revision was that of its own.
 @pytest.mark.parametrize("is_release", [False, True])
