--- a/tests/processsite.py
+++ b/tests/processsite.py
@@ -173,10 +173,15 @@
         return [vm.name for vm in self.vms if vm.process.returncode is not None]
 
     async def stop(self) -> None:
-        """End all processes that were started, and the stand-ins."""
-        for vm in self.vms:
-            if hasattr(vm, "process"):
-                await vm.kill()
+        """End all processes that were started, and the stand-ins.
+
+        The processes end even if this is cancelled.
+        """
+        started = [vm for vm in self.vms if hasattr(vm, "process")]
+        for vm in started:
+            vm.signal(signal.SIGKILL)
+        for vm in started:
+            await vm.process.wait()
         for runner in self.runners:
             await runner.stop()
         await self.store.stop()
