--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -27,7 +27,8 @@
     PartsClearedNotice,
     VmHeartbeat,
 )
-from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.leaserecords import LeaseTimes
+from plantainwood.core.leases import Lease
 from plantainwood.core.messages import CrashMark, NodeState
 from plantainwood.core.mirror import Mirror
 from plantainwood.core.promptrouter import PromptRouter, make_prompt_router
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -9,7 +9,7 @@
 from plantainwood.core.decoding import MalformedError, decode_json
 from plantainwood.core.fleetmessages import CountsReport, FrozenReportNotice
 from plantainwood.core.hashing import rank_by_weight
-from plantainwood.core.leases import LEASE_PREFIX, LeaseRecord
+from plantainwood.core.leaserecords import LEASE_PREFIX, LeaseRecord
 from plantainwood.core.messages import NodeState
 from plantainwood.core.reports import report_window
 from plantainwood.core.windows import NodeCounts
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -14,7 +14,8 @@
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.core.gossip import GossipTable
 from plantainwood.core.keys import check_identity
-from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.leaserecords import LeaseTimes
+from plantainwood.core.leases import Lease
 from plantainwood.core.limits import ShareAllocator
 from plantainwood.core.membership import Members
 from plantainwood.core.messages import (
--- a/tests/nodedutysite.py
+++ b/tests/nodedutysite.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 from fakes.runner import FakeRunner, make_response
-from plantainwood.core.leases import LEASE_PREFIX
+from plantainwood.core.leaserecords import LEASE_PREFIX
 from standins import keyvalue
 from standins.fleet import DOMAINS, Fleet
 from tests.dutyplatform import DutyCall
--- a/tests/proofs/test_billing.py
+++ b/tests/proofs/test_billing.py
@@ -9,7 +9,8 @@
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.effects import SendReport
 from plantainwood.core.errors import StoreError
-from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.leaserecords import LeaseTimes
+from plantainwood.core.leases import Lease
 from plantainwood.core.usage import UsageCopies, UsageLedger, UsageLine, flush_record
 from tests.fakes import FAULTS, FakeStore, ProcedureRun
 from tests.seeds import pin_seed
--- a/tests/proofs/test_leases.py
+++ b/tests/proofs/test_leases.py
@@ -6,7 +6,8 @@
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.effects import SendOrder
 from plantainwood.core.errors import StoreError
-from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.leaserecords import LeaseTimes
+from plantainwood.core.leases import Lease
 from plantainwood.core.orders import UNFENCED_WAIT_MS, Action, Order, issue_order
 from tests.fakes import FAULTS, FakeStore, ProcedureRun
 from tests.seeds import pin_seed
--- a/tests/test_era_duties.py
+++ b/tests/test_era_duties.py
@@ -4,7 +4,8 @@
 
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.effects import SendReport
-from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.leaserecords import LeaseTimes
+from plantainwood.core.leases import Lease
 from plantainwood.core.reports import FrozenReports, make_report_key, report_window
 from tests.fakes import FakeStore
 from tests.test_windows import make_totals, run_procedure
--- a/tests/test_lease_handovers.py
+++ b/tests/test_lease_handovers.py
@@ -5,7 +5,8 @@
 import pytest
 
 from plantainwood.core.clock import VirtualClock
-from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.leaserecords import LeaseTimes
+from plantainwood.core.leases import Lease
 from tests.fakes import FakeStore, ProcedureRun
 
 TIMES = LeaseTimes(3_000, 500, 500)
--- a/tests/test_malformed_data.py
+++ b/tests/test_malformed_data.py
@@ -14,7 +14,8 @@
 from plantainwood.core.errors import StoreError
 from plantainwood.core.fleetmessages import MirrorRequest
 from plantainwood.core.frames import FrameError, decode_frame, seal
-from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.leaserecords import LeaseTimes
+from plantainwood.core.leases import Lease
 from plantainwood.core.versionrecords import decode_versions
 from plantainwood.documents import InvalidYamlError, read_yaml
 from plantainwood.vmcalls import decode_call
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -5,7 +5,8 @@
 
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.effects import CompareAndSwap, SendReport
-from plantainwood.core.leases import Lease, LeaseTimes
+from plantainwood.core.leaserecords import LeaseTimes
+from plantainwood.core.leases import Lease
 from plantainwood.core.reports import make_report_key, report_window
 from plantainwood.core.vms import AgreedTime
 from plantainwood.core.windows import NodeCounts, StartCounter, WindowTotals
