--- a/experiments/exchange.py
+++ b/experiments/exchange.py
@@ -22,7 +22,8 @@
 from plantainwood.core.catalogue import Catalogue, apply_changes, encode_catalogue
 from plantainwood.core.frames import encode_frame
 from plantainwood.core.messages import CatalogueUpdate
-from standins.fleet import ADMIN_KEY, LINK_SECRET, ROOT, find_ports
+from standins.fleet import ADMIN_KEY, LINK_SECRET, ROOT
+from standins.ports import find_ports
 from tests.catalogues import make_changes
 
 SIZES = (7, 40, 80, 160, 220)
--- a/soak/main.py
+++ b/soak/main.py
@@ -15,7 +15,7 @@
 from soak.clients import RETRY_LATER, Call, Client
 from soak.faults import Operator
 from soak.runners import Run
-from standins.fleet import find_ports
+from standins.ports import find_ports
 from tests.dutyplatform import (
     FakePlatform,
     find_faults,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -6,9 +6,7 @@
 
 import json
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -18,40 +16,15 @@
 
 import yaml
 
+from standins.ports import find_ports
+
 ADMIN_KEY = "admin-key-of-the-demo"
 LINK_SECRET = "link-secret-of-the-demo"
 DOMAINS = ["ba-norte", "ba-oeste", "ba-sur"]
 START_TIMEOUT_S = 20.0
-PORTS = range(15_000, 32_000)
-PORT_BLOCKS = 40
 ROOT = Path(__file__).resolve().parent.parent
 
 
-def find_ports(count: int) -> list[int]:
-    """Return free loopback ports below the range of ephemeral ports.
-
-    They come from a block of this process, so that another one which looks for ports
-    at the same time does not find the same ones free.
-    """
-    ports: list[int] = []
-    first = os.getpid() % PORT_BLOCKS * (len(PORTS) // PORT_BLOCKS)
-    own = list(PORTS[first : first + len(PORTS) // PORT_BLOCKS])
-    others = [*PORTS[:first], *PORTS[first + len(own) :]]
-    random.shuffle(own)
-    random.shuffle(others)
-    for port in own + others:
-        with socket.socket() as probe:
-            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        ports.append(port)
-        if len(ports) == count:
-            return ports
-    raise OSError("not enough free ports")
-
-
 def call(method: str, url: str, body: dict | None = None, key: str = "") -> dict:
     """Return the JSON response to one HTTP call; raise OSError if there is none."""
     data = json.dumps(body).encode() if body is not None else None
--- a/tests/edgesite.py
+++ b/tests/edgesite.py
@@ -14,7 +14,7 @@
     EdgeSettings,
     EdgeStore,
 )
-from standins.fleet import find_ports
+from standins.ports import find_ports
 
 AUTHORIZATION = "Token secret-key"
 HOST = "front.example"
--- a/tests/fleetsite.py
+++ b/tests/fleetsite.py
@@ -15,7 +15,7 @@
 from plantainwood.connections import Connection
 from plantainwood.edgesettings import EdgeAddresses, EdgeSettings, EdgeStore
 from plantainwood.engines import make_unreached_error
-from standins.fleet import find_ports
+from standins.ports import find_ports
 from tests.edgesite import AUTHORIZATION, HOST, make_config, make_entry
 
 HANG_S = 0.35
--- a/tests/processsite.py
+++ b/tests/processsite.py
@@ -10,7 +10,7 @@
 
 from fakes.runner import FakeRunner
 from fakes.store import FakeKvStore
-from standins.fleet import find_ports
+from standins.ports import find_ports
 from tests.edgesite import AUTHORIZATION, HOST, make_config, make_entry
 
 ROOT = Path(__file__).resolve().parent.parent
--- a/tests/test_duty_handovers.py
+++ b/tests/test_duty_handovers.py
@@ -10,7 +10,7 @@
 import msgspec
 import pytest
 
-from standins.fleet import find_ports
+from standins.ports import find_ports
 from tests.dutyplatform import find_faults
 from tests.dutysite import PORTS_PER_SITE, DutySite, DutyVm
 from tests.nodedutysite import PORTS_PER_FLEET, NodeDutySite, NodeVm
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -20,7 +20,7 @@
     EdgeSettings,
     EdgeStore,
 )
-from standins.fleet import find_ports
+from standins.ports import find_ports
 from tests.edgesite import make_config
 
 TIMEOUT_S = 20
--- a/tests/test_restart_after_return.py
+++ b/tests/test_restart_after_return.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from standins.fleet import find_ports
+from standins.ports import find_ports
 from tests.nodedutysite import PORTS_PER_FLEET, NodeDutySite
 
 AFTER_TAKEOVER_S = 1.0
--- a/tests/test_transport_drops.py
+++ b/tests/test_transport_drops.py
@@ -6,7 +6,7 @@
 from plantainwood.messenger import make_messenger
 from plantainwood.metrics import Metrics
 from plantainwood.transport import SEND_BUFFER_MESSAGES
-from standins.fleet import find_ports
+from standins.ports import find_ports
 
 
 # Guards against a full link that no log line tells of.
