Mirror: an entry written again as it had been kept is sent on

What callers saw: after the store came back from an older copy, one VM sent calls to a runner 6 s after its entry said that it drains (DRAIN). Cause: VMs that live through the return keep "draining"; a VM that starts in that moment reads the copy's "ready". When the runner's entry is written again, the reader of the store finds no change of its own value and sends the new revision without the item. The other VM takes the revision and keeps "ready" for good. Ruled out: a slow reader (vm-3 was confirmed at 386), a lost update (no gap was seen). Why this works: a kept value has no revision of the store's own, so a write over it is told apart from a write that changes nothing, and is sent on as a change.

--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -334,6 +334,14 @@
         "set(HOP_BY_HOP_HEADERS) | ",
         "tests/test_caller_server.py",
     ),
+    Mutant(
+        4,
+        "an entry written again as it had been kept is told to nobody",
+        CORE + "mirror.py",
+        "            return get_store_revision(current.revision) == KEPT_REVISION\n",
+        "            return False\n",
+        "tests/test_store_copies.py",
+    ),
     Mutant(
         4,
         "store updates after a revision gap are applied",
--- a/plantainwood/core/mirror.py
+++ b/plantainwood/core/mirror.py
@@ -6,7 +6,10 @@
 
 import msgspec
 
-from plantainwood.core.storeeras import get_era
+from plantainwood.core.storeeras import get_era, get_store_revision
+
+KEPT_REVISION = 0
+"""The store's revision of values kept from before its era; it gives out higher ones."""
 
 
 class Item(msgspec.Struct, array_like=True, frozen=True):
@@ -42,8 +45,9 @@
     def apply(self, base: int, revision: int, items: list[Item]) -> list[Item] | None:
         """Apply all changes after `base` up to `revision`.
 
-        Returns the items whose values changed, or None, with nothing applied, if the
-        mirror lacks changes up to `base`.
+        Returns the items whose values changed or that were written again as they had
+        been kept, or None, with nothing applied, if the mirror lacks changes up to
+        `base`.
         """
         if base > self.revision:
             return None
@@ -65,7 +69,8 @@
             return False
         if current is not None and current.value == item.value:
             self.items[item.key] = item
-            return False
+            # Whoever started since the store came back holds what the copy says.
+            return get_store_revision(current.revision) == KEPT_REVISION
         if item.value is None:
             self.items.pop(item.key, None)
             self._deleted[item.key] = item.revision
--- a/plantainwood/core/storecopies.py
+++ b/plantainwood/core/storecopies.py
@@ -6,7 +6,7 @@
 
 from typing import Callable
 
-from plantainwood.core.mirror import Item, Mirror
+from plantainwood.core.mirror import KEPT_REVISION, Item, Mirror
 from plantainwood.core.storeeras import get_era, make_revision
 
 REWRITE_GRACE_MS = 2_500
@@ -36,5 +36,5 @@
         if item is not None and item.value == known.value:
             kept.append(item)
             continue
-        kept.append(Item(key, make_revision(era, 0), known.value))
+        kept.append(Item(key, make_revision(era, KEPT_REVISION), known.value))
     return kept
