Store copies: any VM reads the store once more when the first reader has ended

What the operator or a runner did not write again after the store came back stayed in force for good on the VMs that had lived through it: an upstream that is gone, a newer configuration than the store's. Cause: the VM that read the copy reads the whole store again after 2.5 s and tells all others. The plan was dropped too when that read failed once, or was older than an update. Why this works: each VM told of the copy plans the read too, later by its rank (1 to 2.2 s), and drops the plan when another VM's whole mirror arrives after the writers' time. The plan goes only when a whole read has been applied.

--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -342,6 +342,14 @@
         "            return False\n",
         "tests/test_store_copies.py",
     ),
+    Mutant(
+        4,
+        "only the VM that read the store's copy reads the store once more",
+        CORE + "storecopies.py",
+        "            self._due_ms = self._ends_ms + delay_ms\n",
+        "            self._due_ms = None if delay_ms else self._ends_ms\n",
+        "tests/test_store_copies.py",
+    ),
     Mutant(
         4,
         "store updates after a revision gap are applied",
--- a/plantainwood/core/storecopies.py
+++ b/plantainwood/core/storecopies.py
@@ -11,6 +11,44 @@
 
 REWRITE_GRACE_MS = 2_500
 """How long the writers of a lost key have to write it again."""
+SNAPSHOT_LEEWAY_MS = 500
+"""How much of that time may pass until another VM's first snapshot arrives."""
+
+
+class SecondRead:
+    """When a VM reads the whole store once more, after the store came back.
+
+    The VM that has read the copy does so once the lost keys had time to be written
+    again, and sends all others what it has read. Any of them reads later in its place,
+    for it may have ended before that.
+    """
+
+    __slots__ = ("_era", "_ends_ms", "_due_ms")
+
+    def __init__(self) -> None:
+        self._era: int | None = None
+        self._ends_ms = 0
+        """From when on a whole mirror holds what was written again."""
+        self._due_ms: int | None = None
+
+    def note_whole(self, era: int, at_ms: int, delay_ms: int) -> None:
+        """Record that the whole mirror was read at a time, here or by another VM.
+
+        `delay_ms` is how long this VM waits for others to read the store again. A VM
+        whose first mirror this is has kept nothing from before, and plans nothing.
+        """
+        if self._era is None:
+            self._era = era
+        elif era > self._era:
+            self._era = era
+            self._ends_ms = at_ms + REWRITE_GRACE_MS
+            self._due_ms = self._ends_ms + delay_ms
+        elif at_ms >= self._ends_ms - (SNAPSHOT_LEEWAY_MS if delay_ms else 0):
+            self._due_ms = None
+
+    def is_due(self, now_ms: int) -> bool:
+        """Tell whether to read the whole store now."""
+        return self._due_ms is not None and now_ms >= self._due_ms
 
 
 def came_back(mirror: Mirror, revision: int) -> bool:
--- a/plantainwood/core/storereaders.py
+++ b/plantainwood/core/storereaders.py
@@ -15,14 +15,18 @@
 MAX_TAKEOVER_MS = 2_200
 
 
+def find_rank(node: str, weights: dict[str, int]) -> int:
+    """Return a live node's place among all of them, 0 for the first to read."""
+    return rank_by_weight("reader", sorted(weights), weights).index(node)
+
+
 def is_reader(node: str, weights: dict[str, int], age_ms: int | None) -> bool:
     """Tell whether a node must read the store now.
 
     `weights` has the capacity of each live node, this one included; `age_ms` is the
     time since its mirror was last known to be current, None if it never was.
     """
-    ranked = rank_by_weight("reader", sorted(weights), weights)
-    rank = ranked.index(node)
+    rank = find_rank(node, weights)
     if rank < READER_COUNT or age_ms is None:
         return True
     return age_ms > compute_takeover_ms(rank)
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -41,6 +41,7 @@
     make_service_pool,
 )
 from plantainwood.core.sizing import DemandPeak, EngineCounts, Scaling
+from plantainwood.core.storecopies import SecondRead
 from plantainwood.core.vms import AgreedTime, VmTable
 from plantainwood.core.windows import StartCounter, WindowTotals
 from plantainwood.edgesettings import EdgeSettings
@@ -106,6 +107,7 @@
         self.incarnation = make_incarnation(clock)
         self.state = NodeState.LIVE
         self.mirror = Mirror()
+        self.second_read = SecondRead()
         self.view = PlatformView()
         self.vms = VmTable(settings.node)
         now_ms = clock.now_ms()
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -24,6 +24,8 @@
 from plantainwood.core.mirror import Item
 from plantainwood.core.relays import find_targets, is_mesh
 from plantainwood.core.servingvms import make_load_name
+from plantainwood.core.storeeras import get_era
+from plantainwood.core.storereaders import compute_takeover_ms, find_rank
 from plantainwood.core.vms import (
     HeartbeatStatus,
     compute_heartbeat_interval_ms,
@@ -350,7 +352,11 @@
         changed_items = edge.mirror.replace(snapshot.revision, snapshot.items)
         if changed_items is None:
             return
-        edge.mirror.confirm(snapshot.revision, edge.clock.now_ms() - snapshot.age_ms)
+        now_ms = edge.clock.now_ms()
+        edge.mirror.confirm(snapshot.revision, now_ms - snapshot.age_ms)
+        rank = find_rank(edge.settings.node, edge.find_weights())
+        era = get_era(edge.mirror.revision)
+        edge.second_read.note_whole(era, now_ms, compute_takeover_ms(rank))
         self._on_items(changed_items)
 
     def publish_update(self, base: int, items: list[Item], age_ms: int) -> None:
--- a/plantainwood/reader.py
+++ b/plantainwood/reader.py
@@ -11,7 +11,6 @@
 from plantainwood.core.errors import StoreError
 from plantainwood.core.mirror import Item
 from plantainwood.core.storecopies import (
-    REWRITE_GRACE_MS,
     came_back,
     keep_known_items,
 )
@@ -79,8 +78,6 @@
         self._publisher = publisher
         self._is_reader = False
         self._store_lost = False
-        self._read_all_at_ms: int | None = None
-        """When to read everything again, after the store came back from a copy."""
         super().__init__(**kwargs)
 
     @guarded_task
@@ -96,7 +93,7 @@
         now_ms = edge.clock.now_ms()
         should_read = (
             edge.mirror.revision == 0
-            or self._read_all_at_ms is not None
+            or edge.second_read.is_due(now_ms)
             or is_reader(
                 edge.settings.node,
                 edge.find_weights(),
@@ -118,10 +115,7 @@
         try:
             if base == 0:
                 await self._read_all(requested_ms)
-            elif self._read_all_at_ms is not None and (
-                requested_ms >= self._read_all_at_ms
-            ):
-                self._read_all_at_ms = None
+            elif edge.second_read.is_due(requested_ms):
                 await self._read_all(requested_ms)
                 self._publisher.publish_snapshot()
             else:
@@ -144,10 +138,11 @@
             era = get_era(revision)
             log_event("store_came_back", era=era, revision=revision, items=len(items))
             items = keep_known_items(mirror, items, era, self._source.is_foreign)
-            self._read_all_at_ms = requested_ms + REWRITE_GRACE_MS
         changed_items = mirror.replace(revision, items)
         if changed_items is None:
             return
+        era = get_era(mirror.revision)
+        self.edge.second_read.note_whole(era, requested_ms, delay_ms=0)
         mirror.confirm(revision, requested_ms)
         log_event("store_read", revision=revision, items=len(items))
         self._on_items(changed_items)
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -3,20 +3,26 @@
 import asyncio
 
 from plantainwood.core.clock import VirtualClock
+from plantainwood.core.errors import StoreError
 from plantainwood.core.fleetmessages import MirrorSnapshot
 from plantainwood.core.mirror import Item, Mirror
+from plantainwood.core.storecopies import REWRITE_GRACE_MS
 from plantainwood.core.storeeras import make_revision
+from plantainwood.core.storereaders import MAX_TAKEOVER_MS
 from plantainwood.edge import Edge
 from plantainwood.fleet import FleetLinks
 from plantainwood.metrics import Metrics
 from plantainwood.reader import StoreChanges, StoreReader, StoreSource
+from tests.processsite import ProcessSite, run_processes
 from tests.samples import SETTINGS
+from tests.test_odd_entries import answer
 from tests.test_reader import RecordingPublisher
 
 KEY = "servers/i-1"
 DRAINING = Item(KEY, 6, b"draining")
 COPIED = Item(KEY, make_revision(1, 5), b"ready")
 WRITTEN_AGAIN = Item(KEY, make_revision(1, 7), b"draining")
+KEPT = Item(KEY, make_revision(1, 0), b"draining")
 COPY_REVISION = make_revision(1, 6)
 
 
@@ -24,6 +30,9 @@
     """A store that came back from a copy."""
 
     def __init__(self) -> None:
+        self.whole_reads = 0
+        self.failures = 0
+        """How many of the next whole reads fail."""
         self.has_lost_history = True
 
     def is_foreign(self, key: str) -> bool:
@@ -32,6 +41,10 @@
 
     async def read_all(self) -> tuple[int, list[Item]]:
         """Return what the copy says."""
+        self.whole_reads += 1
+        if self.failures:
+            self.failures -= 1
+            raise StoreError("no answer")
         return COPY_REVISION, [COPIED]
 
     async def read_changes(self, after: int, wait_ms: int) -> StoreChanges:
@@ -72,3 +85,81 @@
     started_since.replace(COPY_REVISION, [COPIED])
     started_since.apply(base, WRITTEN_AGAIN.revision, items)
     assert started_since.items[KEY].value == b"draining"
+
+
+# Guards against CONFIG and DRAIN: only the first VM to read the copy planned to read
+# the store again; when it ended, the others kept for good what was not written again.
+def test_a_vm_told_of_the_copy_reads_the_store_if_nobody_else_has():
+    clock = VirtualClock()
+    edge, links = make_survivor(clock)
+    source = ReturnedSource()
+    source.has_lost_history = False
+    reader, _ = make_reader(edge, source)
+    links.handle_message(MirrorSnapshot("vm-2", COPY_REVISION, 0, [KEPT]))
+    clock.advance(REWRITE_GRACE_MS + MAX_TAKEOVER_MS)
+    assert reader._should_read()
+    asyncio.run(reader._read_once())
+    assert source.whole_reads == 1
+    assert edge.mirror.items[KEY].value == b"ready"
+
+
+def test_a_vm_told_what_was_written_again_does_not_read_the_store_too():
+    clock = VirtualClock()
+    edge, links = make_survivor(clock)
+    source = ReturnedSource()
+    source.has_lost_history = False
+    reader, _ = make_reader(edge, source)
+    links.handle_message(MirrorSnapshot("vm-2", COPY_REVISION, 0, [KEPT]))
+    clock.advance(REWRITE_GRACE_MS)
+    settled = MirrorSnapshot("vm-2", WRITTEN_AGAIN.revision, 0, [WRITTEN_AGAIN])
+    links.handle_message(settled)
+    clock.advance(MAX_TAKEOVER_MS)
+    asyncio.run(reader._read_once())
+    assert source.whole_reads == 0
+
+
+# Guards against the second whole read being dropped for good when it fails once.
+def test_a_failed_second_read_is_tried_again():
+    clock = VirtualClock()
+    edge, _ = make_survivor(clock)
+    source = ReturnedSource()
+    reader, _ = make_reader(edge, source)
+    asyncio.run(reader._read_once())
+    assert edge.mirror.items[KEY].value == b"draining"
+    source.failures = 1
+    clock.advance(REWRITE_GRACE_MS)
+    asyncio.run(reader._read_once())
+    assert edge.mirror.items[KEY].value == b"draining"
+    asyncio.run(reader._read_once())
+    assert source.whole_reads == 3
+    assert edge.mirror.items[KEY].value == b"ready"
+
+
+def find_first_readers(site: ProcessSite) -> list:
+    """Return the VMs that have read the copy by themselves, before all others."""
+    return [vm for vm in site.vms if vm.list_events("store_came_back")]
+
+
+# Guards against the same with processes: the VM that read the copy is killed.
+def test_what_nobody_writes_again_is_given_up_though_the_first_reader_ended(tmp_path):
+    async def scenario(site: ProcessSite) -> None:
+        copy = site.store.copy()
+        await site.add_runner(answer)
+        for vm in site.vms:
+            while not any("i-2" in line for line in vm.list_events("upstream")):
+                await asyncio.sleep(0.02)
+        site.store.come_back(copy)
+        while not find_first_readers(site):
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(0.5)
+        first = find_first_readers(site)
+        for vm in first:
+            await vm.kill()
+        await asyncio.sleep((REWRITE_GRACE_MS + MAX_TAKEOVER_MS) / 1_000 + 1)
+        others = [vm for vm in site.vms if vm not in first]
+        assert others
+        for vm in others:
+            last = vm.list_events("upstream")[-1]
+            assert "upstream=i-2 state=gone" in last, vm.name
+
+    run_processes(scenario, answer, tmp_path, runners=2, vms=4)
