Store copies: a further read of the copy does not put it in force

In the seconds after the store came back from an older copy a draining runner could be "ready" again on all VMs, and the configuration the older one, before the operator had written them again. Cause: two VMs read the store.

--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -346,8 +346,17 @@
         4,
         "only the VM that read the store's copy reads the store once more",
         CORE + "storecopies.py",
-        "            self._due_ms = self._ends_ms + delay_ms\n",
-        "            self._due_ms = None if delay_ms else self._ends_ms\n",
+        "            self._due_ms = at_ms + REWRITE_GRACE_MS + delay_ms\n",
+        "            if not delay_ms:\n"
+        "                self._due_ms = at_ms + REWRITE_GRACE_MS\n",
+        "tests/test_store_copies.py",
+    ),
+    Mutant(
+        4,
+        "a second read of the store's copy puts it in force",
+        "plantainwood/reader.py",
+        "        elif self.edge.second_read.is_awaited(requested_ms):\n",
+        "        elif False:\n",
         "tests/test_store_copies.py",
     ),
     Mutant(
--- a/plantainwood/core/storecopies.py
+++ b/plantainwood/core/storecopies.py
@@ -7,7 +7,7 @@
 from typing import Callable
 
 from plantainwood.core.mirror import KEPT_REVISION, Item, Mirror
-from plantainwood.core.storeeras import get_era, make_revision
+from plantainwood.core.storeeras import get_era, get_store_revision, make_revision
 
 REWRITE_GRACE_MS = 2_500
 """How long the writers of a lost key have to write it again."""
@@ -41,11 +41,17 @@
             self._era = era
         elif era > self._era:
             self._era = era
+            self._due_ms = at_ms + REWRITE_GRACE_MS + delay_ms
             self._ends_ms = at_ms + REWRITE_GRACE_MS
-            self._due_ms = self._ends_ms + delay_ms
-        elif at_ms >= self._ends_ms - (SNAPSHOT_LEEWAY_MS if delay_ms else 0):
+            if delay_ms:
+                self._ends_ms -= SNAPSHOT_LEEWAY_MS
+        elif at_ms >= self._ends_ms:
             self._due_ms = None
 
+    def is_awaited(self, now_ms: int) -> bool:
+        """Tell whether lost keys may still be written again."""
+        return self._due_ms is not None and now_ms < self._ends_ms
+
     def is_due(self, now_ms: int) -> bool:
         """Tell whether to read the whole store now."""
         return self._due_ms is not None and now_ms >= self._due_ms
@@ -76,3 +82,22 @@
             continue
         kept.append(Item(key, make_revision(era, KEPT_REVISION), known.value))
     return kept
+
+
+def keep_kept_items(mirror: Mirror, found: list[Item]) -> list[Item]:
+    """Return the items of a further read of a copy that the mirror follows already.
+
+    It takes what was written since, and leaves the rest as it is known.
+    """
+    items: list[Item] = []
+    for item in found:
+        known = mirror.items.get(item.key)
+        if item.revision > mirror.revision:
+            items.append(item)
+        elif known is not None:
+            items.append(known)
+    names = {item.key for item in items}
+    for key, known in mirror.items.items():
+        if key not in names and get_store_revision(known.revision) == KEPT_REVISION:
+            items.append(known)
+    return items
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -24,6 +24,7 @@
 from plantainwood.core.mirror import Item
 from plantainwood.core.relays import find_targets, is_mesh
 from plantainwood.core.servingvms import make_load_name
+from plantainwood.core.storecopies import keep_kept_items
 from plantainwood.core.storeeras import get_era
 from plantainwood.core.storereaders import compute_takeover_ms, find_rank
 from plantainwood.core.vms import (
@@ -349,10 +350,13 @@
 
     def _handle_snapshot(self, snapshot: MirrorSnapshot) -> None:
         edge = self.edge
-        changed_items = edge.mirror.replace(snapshot.revision, snapshot.items)
+        now_ms = edge.clock.now_ms()
+        items = snapshot.items
+        if edge.second_read.is_awaited(now_ms):
+            items = keep_kept_items(edge.mirror, items)
+        changed_items = edge.mirror.replace(snapshot.revision, items)
         if changed_items is None:
             return
-        now_ms = edge.clock.now_ms()
         edge.mirror.confirm(snapshot.revision, now_ms - snapshot.age_ms)
         rank = find_rank(edge.settings.node, edge.find_weights())
         era = get_era(edge.mirror.revision)
--- a/plantainwood/reader.py
+++ b/plantainwood/reader.py
@@ -12,6 +12,7 @@
 from plantainwood.core.mirror import Item
 from plantainwood.core.storecopies import (
     came_back,
+    keep_kept_items,
     keep_known_items,
 )
 from plantainwood.core.storeeras import get_era
@@ -138,6 +139,8 @@
             era = get_era(revision)
             log_event("store_came_back", era=era, revision=revision, items=len(items))
             items = keep_known_items(mirror, items, era, self._source.is_foreign)
+        elif self.edge.second_read.is_awaited(requested_ms):
+            items = keep_kept_items(mirror, items)
         changed_items = mirror.replace(revision, items)
         if changed_items is None:
             return
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -135,6 +135,53 @@
     assert edge.mirror.items[KEY].value == b"ready"
 
 
+class OvertakenSource(ReturnedSource):
+    """A store whose copy another VM has read, and told of, before it answers."""
+
+    def __init__(self, links: FleetLinks, told: list[Item], found: list[Item]) -> None:
+        super().__init__()
+        self._links = links
+        self._told = told
+        self._found = found
+
+    async def read_all(self) -> tuple[int, list[Item]]:
+        """Return the items found; the other VM's snapshot arrives before that."""
+        self._links.handle_message(MirrorSnapshot("vm-2", COPY_REVISION, 0, self._told))
+        return make_revision(1, 8), self._found
+
+
+# Guards against DRAIN and CONFIG: the second VM to read the copy put it in force.
+def test_what_is_known_is_kept_though_a_second_vm_reads_the_copy():
+    edge, links = make_survivor(VirtualClock())
+    gone = Item("servers/i-2", make_revision(1, 4), b"ready")
+    added = Item("servers/i-3", make_revision(1, 7), b"ready")
+    only_known = Item("servers/i-4", make_revision(1, 0), b"ready")
+    changed = Item("servers/i-5", make_revision(1, 5), b"ready")
+    changed_since = Item("servers/i-5", make_revision(1, 8), b"draining")
+    source = OvertakenSource(
+        links, [KEPT, only_known, changed], [COPIED, gone, added, changed_since]
+    )
+    reader, _ = make_reader(edge, source)
+    asyncio.run(reader._read_once())
+    values = {key: item.value for key, item in edge.mirror.items.items()}
+    assert values == {
+        KEY: b"draining",
+        "servers/i-3": b"ready",
+        "servers/i-4": b"ready",
+        "servers/i-5": b"draining",
+    }
+
+
+# Guards against the same by the word of a VM that started since and read the copy.
+def test_what_is_known_is_kept_though_a_vm_that_read_the_copy_sends_its_mirror():
+    clock = VirtualClock()
+    edge, links = make_survivor(clock)
+    links.handle_message(MirrorSnapshot("vm-2", COPY_REVISION, 0, [KEPT]))
+    clock.advance(REWRITE_GRACE_MS // 2)
+    links.handle_message(MirrorSnapshot("vm-3", COPY_REVISION, 0, [COPIED]))
+    assert edge.mirror.items[KEY].value == b"draining"
+
+
 def find_first_readers(site: ProcessSite) -> list:
     """Return the VMs that have read the copy by themselves, before all others."""
     return [vm for vm in site.vms if vm.list_events("store_came_back")]
@@ -152,6 +199,8 @@
         while not find_first_readers(site):
             await asyncio.sleep(0.02)
         await asyncio.sleep(0.5)
+        for vm in site.vms:
+            assert "state=ready" in vm.list_events("upstream")[-1], vm.name
         first = find_first_readers(site)
         for vm in first:
             await vm.kill()
