--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -334,6 +334,22 @@
         "set(HOP_BY_HOP_HEADERS) | ",
         "tests/test_caller_server.py",
     ),
+    Mutant(
+        0,
+        "a crash mark whose message is lost is not sent again",
+        "plantainwood/links.py",
+        "            node.gossip_table.send_marks_again()\n",
+        "",
+        "tests/test_crash_marks.py",
+    ),
+    Mutant(
+        0,
+        "a refusal does not wait until the other nodes have the marks",
+        "plantainwood/pipeline/relay.py",
+        "        if self._exchange.attempts:\n            await",
+        "        if False:\n            await",
+        "tests/test_crash_marks.py",
+    ),
     Mutant(
         4,
         "an entry written again as it had been kept is told to nobody",
--- a/plantainwood/attempts.py
+++ b/plantainwood/attempts.py
@@ -38,6 +38,9 @@
     def record_failure(self, dispatch: ev.Dispatch, error: AttemptError) -> None:
         """Record a failed attempt; the default does nothing."""
 
+    async def prepare_refusal(self) -> None:
+        """Do what must be done before the caller is refused; by default nothing."""
+
     def find_outcome(self) -> Outcome:
         """Return whether the request may have run; by default nothing is known."""
         return Outcome.UNKNOWN
@@ -54,6 +57,7 @@
                     await _cancel(attempt)
                     attempt = None
                 if isinstance(decision, ev.Refuse):
+                    await self.prepare_refusal()
                     raise decision.error
                 if isinstance(decision, ev.Dispatch):
                     attempt = asyncio.create_task(self._run_attempt(decision))
--- a/plantainwood/core/messages.py
+++ b/plantainwood/core/messages.py
@@ -19,6 +19,10 @@
     LEAVING = 1
 
 
+CRASH_MARK = "crash"
+"""The first part of a crash mark's key."""
+
+
 class GossipRecord(msgspec.Struct, array_like=True, frozen=True):
     """A fact that is gossiped from node to node; a newer version replaces it."""
 
@@ -124,7 +128,7 @@
     @property
     def key(self) -> tuple[str, ...]:
         """Return the key: one mark per fingerprint and upstream."""
-        return ("crash", self.fingerprint, self.upstream)
+        return (CRASH_MARK, self.fingerprint, self.upstream)
 
     @property
     def version(self) -> tuple[int, int]:
--- a/plantainwood/links.py
+++ b/plantainwood/links.py
@@ -24,6 +24,8 @@
 from plantainwood.shares import apply_grant, grant_shares
 
 HEARTBEAT_INTERVAL_MS = 3_000
+MARKS_AGAIN_MS = 200
+"""The least time between sending a crash mark and sending it again."""
 
 
 class PeerLinks(Service):
@@ -36,6 +38,7 @@
         self._addresses: dict[str, str] = {}
         self._heard_nodes: set[str] = set()
         self._last_heartbeat_ms = -HEARTBEAT_INTERVAL_MS
+        self._marks_sent_ms = 0
         self._announced_state = node.state
         super().__init__(**kwargs)
 
@@ -99,6 +102,9 @@
             self._announced_state = node.state
             node.gossip_table.merge(node.make_heartbeat(), "")
         self._update_partners(now_ms)
+        if now_ms - self._marks_sent_ms >= MARKS_AGAIN_MS:
+            self._marks_sent_ms = now_ms
+            node.gossip_table.send_marks_again()
         # Catalogue updates go first, so that the batch confirms the new revision.
         self._send_catalogue_updates()
         for partner in self._partners:
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -41,6 +41,7 @@
 FULL_LOAD_REQUESTS = 400
 """Number of waiting and running requests that a VM reports as fully busy."""
 RELEASE_ATTEMPTS = 3
+MARKS_WAIT_MS = 1_000
 RELEASE_PAUSE_S = 0.2
 ORDERS_DUTY = "orders"
 BILLING_DUTY = "billing"
@@ -85,6 +86,7 @@
         "node_demands",
         "upstream_reachable",
         "send_now",
+        "marks_confirmed",
         "catalogue_changed",
         "background_tasks",
         "_sequence",
@@ -136,6 +138,8 @@
         """The platform's list of VMs, which lags; None if there is no list."""
         self.send_now = asyncio.Event()
         """Set to start the next gossip round at once instead of at its usual time."""
+        self.marks_confirmed = asyncio.Event()
+        """Set whenever a partner may have sent a crash mark back."""
         self.catalogue_changed = asyncio.Event()
         self.background_tasks: set[asyncio.Task] = set()
         self._sequence = 0
@@ -250,7 +254,10 @@
 
     def apply_gossip_record(self, record: AnyGossipRecord, source: str) -> None:
         """Merge a gossip record and act on it if it is newer than the known one."""
-        if not self.gossip_table.merge(record, source):
+        is_new = self.gossip_table.merge(record, source)
+        if isinstance(record, CrashMark):
+            self.marks_confirmed.set()
+        if not is_new:
             return
         now_ms = self.clock.now_ms()
         if isinstance(record, Heartbeat):
@@ -314,6 +321,19 @@
         )
         self.send_now.set()
 
+    async def wait_for_marks(self, fingerprint: str) -> None:
+        """Wait until partners have a fingerprint's crash marks, MARKS_WAIT_MS at most.
+
+        A caller may send a refused request again, to another node, at once.
+        """
+        try:
+            async with asyncio.timeout(MARKS_WAIT_MS / 1_000):
+                while not self.gossip_table.is_mark_known(fingerprint):
+                    self.marks_confirmed.clear()
+                    await self.marks_confirmed.wait()
+        except TimeoutError:
+            log_event("crash_mark_unconfirmed", fingerprint=fingerprint)
+
     def run_in_background(self, coroutine) -> None:
         """Run a coroutine as a background task, which a clean drain waits for."""
         task = asyncio.get_running_loop().create_task(coroutine)
--- a/plantainwood/pipeline/relay.py
+++ b/plantainwood/pipeline/relay.py
@@ -10,6 +10,7 @@
 from plantainwood.engines import AttemptError, EngineCall, PlainCall
 from plantainwood.pipeline.exchange import ApiKind, Exchange, Filter, Proceed
 from plantainwood.pipeline.meter import bill_tokens
+from plantainwood.pipeline.schedule import make_fingerprint
 from plantainwood.traces import make_traceparent
 
 FORWARDED_HEADERS = ("Content-Type", "Accept", "Accept-Language", "Idempotency-Key")
@@ -54,6 +55,11 @@
         super().__init__(exchange.node.broker, exchange.active_request)
         self._exchange = exchange
 
+    async def prepare_refusal(self) -> None:
+        """Wait until other nodes know what the request's attempts have crashed."""
+        if self._exchange.attempts:
+            await self._exchange.node.wait_for_marks(make_fingerprint(self._exchange))
+
     async def perform_attempt(self, dispatch: ev.Dispatch) -> None:
         """Call the upstream and forward its answer."""
         exchange = self._exchange
--- a/plantainwood/pipeline/schedule.py
+++ b/plantainwood/pipeline/schedule.py
@@ -40,12 +40,17 @@
         customer=customer,
         class_name=exchange.class_name,
         pool=exchange.pool,
-        fingerprint=_hash(customer, exchange.body),
+        fingerprint=make_fingerprint(exchange),
         prefix=prefix,
         repeatable=exchange.repeatable,
     )
 
 
+def make_fingerprint(exchange: Exchange) -> str:
+    """Return what names a customer's requests with the same body."""
+    return _hash(exchange.identity.customer, exchange.body)
+
+
 def _hash(customer: str, data: bytes) -> str:
     digest = hashlib.sha256(customer.encode() + b"\0" + data)
     return digest.hexdigest()[:FINGERPRINT_CHARS]
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -64,6 +64,8 @@
         self.nodes = [f"vm-{index + 1}" for index in range(nodes)]
         self.engines = [f"engine-{index + 1}" for index in range(engines)]
         self.processes: dict[str, subprocess.Popen] = {}
+        self.roots: dict[str, Path] = {}
+        """The source trees of processes that don't run this one, by name."""
         self.overrides = overrides
         ports = iter(find_ports(3 + engines + 3 * nodes))
         self.ports: dict[str, int] = {}
@@ -86,7 +88,7 @@
         with open(self.folder / f"{name}.log", "ab") as log:
             self.processes[name] = subprocess.Popen(
                 [sys.executable, "-m", *arguments],
-                cwd=ROOT,
+                cwd=self.roots.get(name, ROOT),
                 env={**os.environ, "PYTHONUNBUFFERED": "1"},
                 stdout=log,
                 stderr=log,
--- a/tests/test_two_builds.py
+++ b/tests/test_two_builds.py
@@ -19,12 +19,10 @@
 landing before this build."""
 
 
-@pytest.fixture(scope="module", params=EARLIER_BUILDS)
-def earlier_root(tmp_path_factory, request) -> Path:
-    """Return the source tree of an earlier build, from the repository's history."""
-    root = tmp_path_factory.mktemp("earlier")
+def unpack_build(root: Path, commit: str) -> Path:
+    """Unpack the source tree of an earlier build from the repository's history."""
     archive = subprocess.run(
-        ["git", "archive", request.param, "plantainwood", "platform"],
+        ["git", "archive", commit, "plantainwood", "platform"],
         cwd=ROOT,
         check=True,
         stdout=subprocess.PIPE,
@@ -33,6 +31,12 @@
     return root
 
 
+@pytest.fixture(scope="module", params=EARLIER_BUILDS)
+def earlier_root(tmp_path_factory, request) -> Path:
+    """Return the source tree of an earlier build."""
+    return unpack_build(tmp_path_factory.mktemp("earlier"), request.param)
+
+
 def assert_all_understood(site: ProcessSite) -> None:
     """Assert that no VM dropped or could not read what another one sent."""
     for vm in site.vms:
