--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -24,9 +24,6 @@
 from plantainwood.core.mirror import Item
 from plantainwood.core.relays import find_targets, is_mesh
 from plantainwood.core.servingvms import make_load_name
-from plantainwood.core.storecopies import keep_kept_items
-from plantainwood.core.storeeras import get_era
-from plantainwood.core.storereaders import compute_takeover_ms, find_rank
 from plantainwood.core.vms import (
     HeartbeatStatus,
     compute_heartbeat_interval_ms,
@@ -36,17 +33,15 @@
 from plantainwood.guardedtask import contain_errors, guarded_task
 from plantainwood.logs import log_event
 from plantainwood.messenger import Messenger, make_messenger
+from plantainwood.mirrorlinks import MirrorLinks
 from plantainwood.notices import (
     apply_brittleness_reports,
     apply_limit_reports,
     apply_notice,
     list_notices,
 )
-from plantainwood.reader import MirrorPublisher
 from plantainwood.relaying import HeartbeatRelay
 
-MIRROR_REQUEST_PAUSE_MS = 400
-
 
 def find_serving_vms(heartbeats: list[VmHeartbeat]) -> dict[str, ServingVm]:
     """Return the VMs that take calls from others, by the names of their loads."""
@@ -69,7 +64,7 @@
     return found
 
 
-class FleetLinks(Service, MirrorPublisher):
+class FleetLinks(Service):
     """Exchange soft state with all other VMs."""
 
     def __init__(
@@ -81,11 +76,10 @@
     ) -> None:
         self.edge = edge
         self._messenger = messenger
-        self._on_items = on_items
         self._heartbeat_triggered = asyncio.Event()
-        self._mirror_requested_ms = -MIRROR_REQUEST_PAUSE_MS
         self._live_names: set[str] = set()
         self._relay = HeartbeatRelay(edge, self._send_to_names)
+        self.mirror_links = MirrorLinks(edge, on_items, self._send, self.broadcast)
         super().__init__(**kwargs)
 
     async def on_start(self) -> None:
@@ -243,11 +237,11 @@
                 for item in message.heartbeats:
                     self._handle_heartbeat(item.heartbeat, item.age_ms)
             case StoreUpdate():
-                self._handle_update(message)
+                self.mirror_links.apply_update(message)
             case MirrorRequest():
-                self._handle_mirror_request(message)
+                self.mirror_links.answer_request(message)
             case MirrorSnapshot():
-                self._handle_snapshot(message)
+                self.mirror_links.apply_snapshot(message)
             case (
                 CrashNotice()
                 | PartCrashNotice()
@@ -285,7 +279,7 @@
             heartbeat.begun_streams, now_ms
         )
         if heartbeat.revision > edge.mirror.revision and edge.mirror.revision == 0:
-            self._request_mirror(heartbeat.sender)
+            self.mirror_links.request_mirror(heartbeat.sender)
 
     def _note_path(self, heartbeat: VmHeartbeat, now_ms: int) -> None:
         """Apply at once that a VM reaches fewer or more of the upstreams."""
@@ -296,83 +290,3 @@
         before = (known.path_lost, known.unreached_pools)
         if before != (heartbeat.path_lost, heartbeat.unreached_pools):
             self._update_serving_vms(now_ms)
-
-    def _request_mirror(self, name: str) -> None:
-        """Request a VM's whole mirror, at most once in MIRROR_REQUEST_PAUSE_MS."""
-        edge = self.edge
-        now_ms = edge.clock.now_ms()
-        if now_ms - self._mirror_requested_ms < MIRROR_REQUEST_PAUSE_MS:
-            return
-        self._mirror_requested_ms = now_ms
-        addresses = edge.settings.addresses
-        self.send(
-            name,
-            MirrorRequest(
-                edge.settings.node, f"tcp://{addresses.links}", edge.mirror.revision
-            ),
-        )
-
-    def _handle_update(self, update: StoreUpdate) -> None:
-        edge = self.edge
-        changed_items = edge.mirror.apply(update.base, update.revision, update.items)
-        if changed_items is None:
-            self._request_mirror(update.sender)
-            return
-        edge.mirror.confirm(update.revision, edge.clock.now_ms() - update.age_ms)
-        self._on_items(changed_items)
-        if update.sent_ms:
-            edge.note_update(update.sent_ms, update.age_ms)
-
-    def _handle_mirror_request(self, request: MirrorRequest) -> None:
-        edge = self.edge
-        if edge.mirror.revision <= request.revision:
-            return
-        age_ms = edge.mirror.compute_age_ms(edge.clock.now_ms())
-        if age_ms is None:
-            return
-        snapshot = MirrorSnapshot(
-            edge.settings.node, edge.mirror.revision, age_ms, edge.mirror.list_items()
-        )
-        self._send([request.link_address], snapshot)
-
-    def publish_snapshot(self) -> None:
-        """Send the whole mirror to all VMs."""
-        edge = self.edge
-        age_ms = edge.mirror.compute_age_ms(edge.clock.now_ms()) or 0
-        self.broadcast(
-            MirrorSnapshot(
-                edge.settings.node,
-                edge.mirror.revision,
-                age_ms,
-                edge.mirror.list_items(),
-            )
-        )
-
-    def _handle_snapshot(self, snapshot: MirrorSnapshot) -> None:
-        edge = self.edge
-        now_ms = edge.clock.now_ms()
-        items = snapshot.items
-        if edge.second_read.is_awaited(now_ms):
-            items = keep_kept_items(edge.mirror, items)
-        changed_items = edge.mirror.replace(snapshot.revision, items)
-        if changed_items is None:
-            return
-        edge.mirror.confirm(snapshot.revision, now_ms - snapshot.age_ms)
-        rank = find_rank(edge.settings.node, edge.find_weights())
-        era = get_era(edge.mirror.revision)
-        edge.second_read.note_whole(era, now_ms, compute_takeover_ms(rank))
-        self._on_items(changed_items)
-
-    def publish_update(self, base: int, items: list[Item], age_ms: int) -> None:
-        """Send the changes that were just read from the store to all VMs."""
-        edge = self.edge
-        self.broadcast(
-            StoreUpdate(
-                edge.settings.node,
-                base,
-                edge.mirror.revision,
-                age_ms,
-                items,
-                edge.agreed_time.now(edge.clock.now_ms()),
-            )
-        )
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -94,7 +94,7 @@
     reader.mirror.replace(9, [old_items[1]])
     reader.mirror.confirm(9, fleet.clock.now_ms())
     link_address = f"tcp://{reader.settings.addresses.links}"
-    fleet.network.fleet_links[link_address].publish_snapshot()
+    fleet.network.fleet_links[link_address].mirror_links.publish_snapshot()
     fleet.network.deliver()
     for edge in fleet.edges.values():
         assert set(edge.mirror.items) == {"servers/i-2"}
