Store copies: VMs read the store again one after the other

Each rank now waits 0.2 s longer than the one before it; whoever reads first spares the others the read. Found in reading; a test of the delays.

--- a/plantainwood/core/storecopies.py
+++ b/plantainwood/core/storecopies.py
@@ -13,6 +13,16 @@
 """How long the writers of a lost key have to write it again."""
 SNAPSHOT_LEEWAY_MS = 500
 """How much of that time may pass until another VM's first snapshot arrives."""
+SECOND_READ_DELAY_MS = 1_000
+SECOND_READ_STEP_MS = 200
+
+
+def compute_second_read_delay_ms(rank: int) -> int:
+    """Return how long the VM at this rank waits for others to read the store again.
+
+    One after the other, since each sends what it has read to all.
+    """
+    return SECOND_READ_DELAY_MS + SECOND_READ_STEP_MS * rank
 
 
 class SecondRead:
--- a/plantainwood/mirrorlinks.py
+++ b/plantainwood/mirrorlinks.py
@@ -9,9 +9,9 @@
     StoreUpdate,
 )
 from plantainwood.core.mirror import Item
-from plantainwood.core.storecopies import keep_kept_items
+from plantainwood.core.storecopies import compute_second_read_delay_ms, keep_kept_items
 from plantainwood.core.storeeras import get_era
-from plantainwood.core.storereaders import compute_takeover_ms, find_rank
+from plantainwood.core.storereaders import find_rank
 from plantainwood.edge import Edge
 from plantainwood.reader import MirrorPublisher
 
@@ -91,7 +91,7 @@
         edge.mirror.confirm(snapshot.revision, now_ms - snapshot.age_ms)
         rank = find_rank(edge.settings.node, edge.find_weights())
         era = get_era(edge.mirror.revision)
-        edge.second_read.note_whole(era, now_ms, compute_takeover_ms(rank))
+        edge.second_read.note_whole(era, now_ms, compute_second_read_delay_ms(rank))
         self._on_items(changed_items)
 
     def publish_update(self, base: int, items: list[Item], age_ms: int) -> None:
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -6,9 +6,11 @@
 from plantainwood.core.errors import StoreError
 from plantainwood.core.fleetmessages import MirrorSnapshot
 from plantainwood.core.mirror import Item, Mirror
-from plantainwood.core.storecopies import REWRITE_GRACE_MS
+from plantainwood.core.storecopies import (
+    REWRITE_GRACE_MS,
+    compute_second_read_delay_ms,
+)
 from plantainwood.core.storeeras import make_revision
-from plantainwood.core.storereaders import MAX_TAKEOVER_MS
 from plantainwood.edge import Edge
 from plantainwood.fleet import FleetLinks
 from plantainwood.metrics import Metrics
@@ -19,6 +21,8 @@
 from tests.test_reader import RecordingPublisher
 
 KEY = "servers/i-1"
+VMS = 4
+LONGEST_DELAY_MS = compute_second_read_delay_ms(VMS - 1)
 DRAINING = Item(KEY, 6, b"draining")
 COPIED = Item(KEY, make_revision(1, 5), b"ready")
 WRITTEN_AGAIN = Item(KEY, make_revision(1, 7), b"draining")
@@ -96,13 +100,18 @@
     source.has_lost_history = False
     reader, _ = make_reader(edge, source)
     links.handle_message(MirrorSnapshot("vm-2", COPY_REVISION, 0, [KEPT]))
-    clock.advance(REWRITE_GRACE_MS + MAX_TAKEOVER_MS)
+    clock.advance(REWRITE_GRACE_MS + LONGEST_DELAY_MS)
     assert reader._should_read()
     asyncio.run(reader._read_once())
     assert source.whole_reads == 1
     assert edge.mirror.items[KEY].value == b"ready"
 
 
+def test_vms_read_the_store_again_one_after_the_other():
+    delays_ms = [compute_second_read_delay_ms(rank) for rank in range(200)]
+    assert sorted(set(delays_ms)) == delays_ms
+
+
 def test_a_vm_told_what_was_written_again_does_not_read_the_store_too():
     clock = VirtualClock()
     edge, links = make_survivor(clock)
@@ -113,7 +122,7 @@
     clock.advance(REWRITE_GRACE_MS)
     settled = MirrorSnapshot("vm-2", WRITTEN_AGAIN.revision, 0, [WRITTEN_AGAIN])
     links.handle_message(settled)
-    clock.advance(MAX_TAKEOVER_MS)
+    clock.advance(LONGEST_DELAY_MS)
     asyncio.run(reader._read_once())
     assert source.whole_reads == 0
 
@@ -204,11 +213,11 @@
         first = find_first_readers(site)
         for vm in first:
             await vm.kill()
-        await asyncio.sleep((REWRITE_GRACE_MS + MAX_TAKEOVER_MS) / 1_000 + 1)
+        await asyncio.sleep((REWRITE_GRACE_MS + LONGEST_DELAY_MS) / 1_000 + 1)
         others = [vm for vm in site.vms if vm not in first]
         assert others
         for vm in others:
             last = vm.list_events("upstream")[-1]
             assert "upstream=i-2 state=gone" in last, vm.name
 
-    run_processes(scenario, answer, tmp_path, runners=2, vms=4)
+    run_processes(scenario, answer, tmp_path, runners=2, vms=VMS)
