Soak: the operator does not write again what it removed after the store's return

Cause: the operator removed the runner just after the store had come back from a copy that did not hold it, so nothing was removed; then it wrote the lost entry again as it had been. It asked only whether the store's item had changed since the return, and a key that is missing twice has not. Evidence: the runner counts as removed at 15:46:31.98, the store is back by 31.91, and all VMs read its entry as "ready" at revision 36 of era 1, beside those of the other entries that were written again. So the calls were right. The check is as strict: what the operator removes stays removed.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -124,7 +124,7 @@
         name = self._take_ready_runner()
         if name is None:
             return
-        self.site.store.remove(f"servers/{name}")
+        self._store_faults.remove(f"servers/{name}")
         self.left_s[name] = asyncio.get_running_loop().time()
         await self.add_runner()
 
@@ -152,7 +152,7 @@
         self.left_s[name] = math.inf
         await self.runners[name].stop()
         await asyncio.sleep(self._source.uniform(*RESTART_S))
-        self.site.store.remove(f"servers/{name}")
+        self._store_faults.remove(f"servers/{name}")
         await self.add_runner()
 
     async def _write_an_odd_entry(self) -> None:
--- a/soak/storefaults.py
+++ b/soak/storefaults.py
@@ -22,6 +22,13 @@
         self._source = source
         self._disturbances = disturbances
         self._is_disturbed = False
+        self._removed: set[str] = set()
+        """The keys that the operator has removed since the store last came back."""
+
+    def remove(self, key: str) -> None:
+        """Remove a key for good, though the store may have lost it already."""
+        self._removed.add(key)
+        self._store.remove(key)
 
     async def disturb(self) -> None:
         """Let the store be down or slow, or forget its history, one at a time."""
@@ -57,6 +64,7 @@
         await asyncio.sleep(self._source.uniform(0.1, 0.8))
         written = dict(store.items)
         store.come_back(copy)
+        self._removed.clear()
         copied = dict(store.items)
         store.faults.down = False
         await asyncio.sleep(self._source.uniform(0.1, REWRITE_S))
@@ -65,12 +73,12 @@
         self._is_disturbed = False
 
     def _write_again(self, written: dict[str, dict], copied: dict[str, dict]) -> None:
-        """Write what the store has lost; leave what was written since it came back."""
+        """Write what the store has lost; leave what was changed since it came back."""
         store = self._store
         for key in sorted({*written, *copied}):
             if not key.startswith(("op/", "servers/")):
                 continue
-            if store.items.get(key) is not copied.get(key):
+            if key in self._removed or store.items.get(key) is not copied.get(key):
                 continue
             item = written.get(key)
             if item is None:
