Tests of duties: a path is cut though one of its connections has just ended

Cause: the path keeps a connection in its set until the task that copies it ends; its socket may be closed by then. Evidence: the traceback, and test_tcppath.py, red both ways on the code before. Why this works: a socket that is closed carries nothing and gets no filter; any other error of the filter still fails the test.

--- a/tests/tcppath.py
+++ b/tests/tcppath.py
@@ -122,7 +122,9 @@
     def _attach(self, instructions: tuple) -> None:
         self._dropped = instructions
         for sock in [self._listener, *self._sockets]:
-            attach_filter(sock, instructions)
+            # A connection may have ended that is still in the set.
+            if sock.fileno() >= 0:
+                attach_filter(sock, instructions)
 
     def hold_answers(self) -> None:
         """Hold back the answers to the sender."""
@@ -156,7 +158,7 @@
         self._tasks.add(task)
         near = writer.get_extra_info("socket")
         self._sockets.add(near)
-        if self._dropped:
+        if self._dropped and near.fileno() >= 0:
             # The connection may have been opened just before the filter was attached.
             attach_filter(near, self._dropped)
         try:
--- /dev/null
+++ b/tests/test_tcppath.py
@@ -0,0 +1,52 @@
+"""The path whose network tests cut."""
+
+import asyncio
+import socket
+
+import pytest
+
+from tests.tcppath import TcpPath
+
+HEARD_S = 0.3
+RESENT_S = 1.5
+"""Within this the kernel sends again what was lost."""
+
+
+async def listen() -> tuple[asyncio.Server, list[bytes]]:
+    """Start a server; return it and what it has read."""
+    heard: list[bytes] = []
+
+    async def read(reader, writer) -> None:
+        heard.append(await reader.read(10))
+        writer.close()
+
+    return await asyncio.start_server(read, "127.0.0.1", 0), heard
+
+
+# Guards against a test that fails since a connection ends just when its path is cut.
+@pytest.mark.parametrize("how", [TcpPath.cut, TcpPath.cut_after_connecting])
+def test_a_path_is_cut_though_one_of_its_connections_has_ended(how):
+    async def scenario() -> None:
+        server, heard = await listen()
+        port = server.sockets[0].getsockname()[1]
+        path = TcpPath(f"127.0.0.1:{port}")
+        await path.start()
+        _, writer = await asyncio.open_connection("127.0.0.1", path.port)
+        try:
+            await asyncio.sleep(HEARD_S)
+            ended = socket.socket()
+            ended.close()
+            path._sockets.add(ended)
+            how(path)
+            writer.write(b"lost")
+            await asyncio.sleep(HEARD_S)
+            assert not heard
+            path.heal()
+            await asyncio.sleep(RESENT_S)
+            assert heard == [b"lost"]
+        finally:
+            writer.transport.abort()
+            await path.stop()
+            server.close()
+
+    asyncio.run(scenario())
