Tests of duties: the delays of a path do not add up over the pieces of a call

Cause: the test's path read the next piece only when the one before it had been delivered. A long report goes in two pieces, so its last bytes took 2 x 0.65 s, where the path says 0.65 s, behind a handshake that takes no time. Evidence: the report began at 16:15:37.39, was given up at 38.09, released at 38.11; its second piece was read by the path at 38.04 and delivered at 38.69; the next holder's call came at 38.23. test_tcppath.py: 1.90 s for a delay of 1.0 s before, less than 1.5 s now. Ruled out: an early release (0.7 s after the last bytes, as the handshake lets expect). Why this works: each piece arrives its delay after it was read; what was read before a reset still arrives, as on a network. Bounds, cases and rules are as they were.

--- a/tests/tcppath.py
+++ b/tests/tcppath.py
@@ -50,6 +50,15 @@
     queued_bytes: int
 
 
+class Piece(msgspec.Struct, frozen=True):
+    """What was read at once, and when it arrives, on the event loop's clock."""
+
+    due_s: float
+    data: bytes
+    counted_bytes: int
+    """The part of `bytes_under_way` that it is."""
+
+
 class TcpPath:
     """Forward the connections of one sender to a target, unless the path is cut.
 
@@ -183,21 +192,50 @@
         writer: asyncio.StreamWriter,
         is_back: bool = False,
     ) -> None:
-        """Copy bytes in order; end without the rest if the sender resets."""
+        """Copy bytes in order; end without the rest if the sender resets.
+
+        What was read before that is under way, and arrives all the same.
+        """
+        under_way: asyncio.Queue[Piece] = asyncio.Queue()
+        delivery = asyncio.create_task(self._deliver(under_way, writer))
+        loop = asyncio.get_running_loop()
+        data = b"-"
+        try:
+            while data:
+                await self._passing.wait()
+                data = await reader.read(CHUNK_BYTES)
+                await self._passing.wait()
+                if is_back:
+                    await self._answering.wait()
+                delay_s = 0.0 if is_back else self.delay_s
+                counted_bytes = len(data) if delay_s else 0
+                self.bytes_under_way += counted_bytes
+                piece = Piece(loop.time() + delay_s, data, counted_bytes)
+                under_way.put_nowait(piece)
+            await delivery
+        except OSError:
+            await under_way.join()
+            raise
+        finally:
+            delivery.cancel()
+
+    async def _deliver(
+        self,
+        under_way: asyncio.Queue[Piece],
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        """Write each piece when it is due; end after the empty one."""
+        loop = asyncio.get_running_loop()
         data = b"-"
         while data:
-            await self._passing.wait()
-            data = await reader.read(CHUNK_BYTES)
-            await self._passing.wait()
-            if is_back:
-                await self._answering.wait()
-            if self.delay_s and not is_back:
-                self.bytes_under_way += len(data)
-                await asyncio.sleep(self.delay_s)
-                self.bytes_under_way -= len(data)
+            piece = await under_way.get()
+            await asyncio.sleep(max(0.0, piece.due_s - loop.time()))
+            self.bytes_under_way -= piece.counted_bytes
+            data = piece.data
             if data:
                 writer.write(data)
                 await writer.drain()
+            under_way.task_done()
         writer.write_eof()
 
 
--- a/tests/test_tcppath.py
+++ b/tests/test_tcppath.py
@@ -50,3 +50,35 @@
             server.close()
 
     asyncio.run(scenario())
+
+
+# Guards against a call that arrives later than its path's delay says: the delays of two
+# pieces of one request added up.
+def test_the_delays_of_two_pieces_do_not_add_up():
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        arrived: asyncio.Future[float] = loop.create_future()
+
+        async def read(reader, writer) -> None:
+            await reader.readexactly(2)
+            arrived.set_result(loop.time())
+            writer.close()
+
+        server = await asyncio.start_server(read, "127.0.0.1", 0)
+        path = TcpPath(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        path.delay_s = 1.0
+        await path.start()
+        _, writer = await asyncio.open_connection("127.0.0.1", path.port)
+        try:
+            writer.write(b"a")
+            await asyncio.sleep(0.1)
+            began_s = loop.time()
+            writer.write(b"b")
+            took_s = await arrived - began_s
+            assert 1.0 <= took_s < 1.5
+        finally:
+            writer.transport.abort()
+            await path.stop()
+            server.close()
+
+    asyncio.run(scenario())
