--- a/plantainwood/core/fleetmessages.py
+++ b/plantainwood/core/fleetmessages.py
@@ -51,6 +51,11 @@
     the newest answer that said so."""
     unreached_pools: tuple[str, ...] = ()
     """Pools of which the sender reaches no upstream."""
+    cold_ms: dict[str, int] = {}
+    """How much longer upstreams are cold, in ms, as the sender found out itself."""
+    engine_timings: dict[str, tuple[int, int, int]] = {}
+    """Prefills that the sender saw end since the last heartbeat, by engine: tokens,
+    milliseconds and count."""
 
 
 class StoreUpdate(msgspec.Struct, tag=31, array_like=True, frozen=True):
