Backlogs that other VMs report: one sum for each engine

Cause: each choice of an engine added up the reports of all VMs for each engine, and a prompt that waits is tried again at each tick. Reading the backlogs of 95 engines as 90 VMs report them took 1.46 ms of processor time, which is most of the choice. Change: the sums are kept up to date with each report and each expiry. Measured: 0.03 ms; a report takes 5.3 us instead of 3.4.

--- a/plantainwood/core/enginestates.py
+++ b/plantainwood/core/enginestates.py
@@ -29,6 +29,57 @@
     """The parts that the engine had not cached when the prompt was sent."""
 
 
+class RemoteBacklogs:
+    """The backlogs that other nodes report, and their sum for each engine.
+
+    The sums are updated with each report, because every choice of an engine reads those
+    of all engines, and adding up the reports of all nodes each time took most of it.
+    """
+
+    __slots__ = ("_by_node", "_totals", "_next_expiry_ms")
+
+    def __init__(self) -> None:
+        self._by_node: dict[str, RemoteBacklog] = {}
+        self._totals: dict[str, int] = {}
+        self._next_expiry_ms = 0
+        """No report expires before this time."""
+
+    def record(self, node: str, pending_tokens: dict[str, int], now_ms: int) -> None:
+        """Replace another node's backlog."""
+        self._remove(node)
+        if not self._by_node:
+            self._next_expiry_ms = now_ms + REMOTE_LIFETIME_MS
+        self._by_node[node] = RemoteBacklog(pending_tokens, now_ms)
+        for engine, tokens in pending_tokens.items():
+            self._totals[engine] = self._totals.get(engine, 0) + tokens
+
+    def count_tokens(self, engine: str, now_ms: int) -> int:
+        """Return an engine's tokens; reports past their lifetime are deleted."""
+        if now_ms > self._next_expiry_ms:
+            self._expire(now_ms)
+        return self._totals.get(engine, 0)
+
+    def _expire(self, now_ms: int) -> None:
+        oldest_ms = now_ms
+        for node, backlog in list(self._by_node.items()):
+            if now_ms - backlog.heard_ms > REMOTE_LIFETIME_MS:
+                self._remove(node)
+                continue
+            oldest_ms = min(oldest_ms, backlog.heard_ms)
+        self._next_expiry_ms = oldest_ms + REMOTE_LIFETIME_MS
+
+    def _remove(self, node: str) -> None:
+        backlog = self._by_node.pop(node, None)
+        if backlog is None:
+            return
+        for engine, tokens in backlog.pending_tokens.items():
+            left = self._totals.get(engine, 0) - tokens
+            if left:
+                self._totals[engine] = left
+            else:
+                self._totals.pop(engine, None)
+
+
 class EngineState:
     """This node's prompts awaiting prefill at an engine, and the parts cached there."""
 
@@ -63,7 +114,7 @@
 
     def __init__(self) -> None:
         self._states: dict[str, EngineState] = {}
-        self._remote: dict[str, RemoteBacklog] = {}
+        self._remote = RemoteBacklogs()
         self._sent_parts: dict[str, list[Part]] = {}
         """Parts sent to each engine since the last call of `take_sent_parts`."""
         self._sent_part_count = 0
@@ -125,7 +176,7 @@
         now_ms: int,
     ) -> None:
         """Replace another node's backlog, and treat the parts it sent as cached."""
-        self._remote[node] = RemoteBacklog(pending_tokens, now_ms)
+        self._remote.record(node, pending_tokens, now_ms)
         for engine, parts in sent_parts.items():
             self._get_state(engine).cache.add(parts)
 
@@ -161,10 +212,5 @@
         Reports older than REMOTE_LIFETIME_MS are deleted.
         """
         state = self._states.get(engine)
-        total = state.count_pending_tokens() if state is not None else 0
-        for node, backlog in list(self._remote.items()):
-            if now_ms - backlog.heard_ms > REMOTE_LIFETIME_MS:
-                del self._remote[node]
-                continue
-            total += backlog.pending_tokens.get(engine, 0)
-        return total
+        own = state.count_pending_tokens() if state is not None else 0
+        return own + self._remote.count_tokens(engine, now_ms)
