Evacuation of a failure domain by the key op/evacuate/ZONE

While the key exists, no VM sends a request, retry, resumed stream or KV fetch to the domain's upstreams; running attempts go on. When it is removed, a part of the requests that grows over 4 s may go there, chosen by request id, so that the VMs' parts add up without messages. Sizing leaves the domain out until that ramp is over and orders nothing there. A retry that avoids the only domain left may go there again, and a request that the ramp does not admit yet does not block those behind it (both with tests that fail without).

--- a/plantainwood/autoscaler.py
+++ b/plantainwood/autoscaler.py
@@ -58,8 +58,12 @@
         engine_counts = edge.view.engine_counts.get(service, {})
         scaler = self._scalers.setdefault(service, EngineScaler(service))
         target = await self._compute_target(service, engine_counts, now_ms)
-        domains = edge.settings.domains
-        for order in scaler.plan(scaling, domains, engine_counts, target, now_ms):
+        evacuations = edge.broker.dispatcher.state.evacuations
+        domains = evacuations.list_in_service(edge.settings.domains, now_ms)
+        counts = {
+            name: engine_counts[name] for name in domains if name in engine_counts
+        }
+        for order in scaler.plan(scaling, domains, counts, target, now_ms):
             if not order.spot and not target.baseline_known:
                 continue
             key = (order.service, order.domain, order.spot)
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -1,6 +1,6 @@
 """The dispatcher: turns events into decisions by applying the request policies."""
 
-from typing import Callable
+from typing import Callable, Iterable
 
 from plantainwood.core import events as ev
 from plantainwood.core.admission import (
@@ -13,6 +13,7 @@
 from plantainwood.core.crashes import enforce_mark, enforce_part_marks
 from plantainwood.core.dispatcheroptions import Options
 from plantainwood.core.dispatcherstate import DispatcherState
+from plantainwood.core.evacuations import EvacuationChange
 from plantainwood.core.outcomes import (
     handle_authorization_lost,
     handle_caller_left,
@@ -75,6 +76,13 @@
         """Set the VMs that may serve for this node, by the names of their loads."""
         self.state.set_serving_vms(vms)
 
+    def set_evacuated(self, domains: Iterable[str], now_ms: int) -> EvacuationChange:
+        """Set the failure domains that are sent nothing; return what changed.
+
+        Attempts that run there go on.
+        """
+        return self.state.set_evacuated(domains, now_ms)
+
     def set_versions(self, versions: dict[str, set[str]], now_ms: int) -> None:
         """Set the software versions of each pool's upstreams."""
         self.state.stream_versions.set_versions(versions, now_ms)
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -1,11 +1,13 @@
 """The dispatcher's state, and the operations on it that its policies share."""
 
 import heapq
+from typing import Iterable
 
 from plantainwood.core import events as ev
 from plantainwood.core.catalogue import Catalogue, Customer
 from plantainwood.core.dispatcheroptions import Options
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
+from plantainwood.core.evacuations import EvacuationChange
 from plantainwood.core.fairness import TokenCounters
 from plantainwood.core.limits import CustomerLimit
 from plantainwood.core.partquarantine import PartQuarantine
@@ -72,6 +74,19 @@
                 self.limits[name].set_customer(customer)
             self.counters.set_weight(name, customer.weight)
 
+    def set_evacuated(self, domains: Iterable[str], now_ms: int) -> EvacuationChange:
+        """Replace the failure domains that are sent nothing; return what changed.
+
+        A retry that avoids the only domain left to it may go there again.
+        """
+        change = super().set_evacuated(domains, now_ms)
+        if change.begun:
+            for request in self.requests.values():
+                group = self.pools[request.pool].group
+                if all(load.entry.domain == request.avoid_domain for load in group):
+                    request.avoid_domain = ""
+        return change
+
     def get_or_create_limit(
         self, name: str, customer: Customer, now_ms: int
     ) -> CustomerLimit:
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from plantainwood.core.catalogue import Upstream
+from plantainwood.core.evacuations import ReturnRamp
 from plantainwood.core.upstreamlimits import NodeRate
 
 TIERS = 10
@@ -31,6 +32,8 @@
         "max_own_in_flight",
         "rate",
         "room",
+        "evacuated",
+        "ramp",
         "_reported",
         "_reported_ms",
         "_own_by_tier",
@@ -61,6 +64,10 @@
         """This node's part of the request rate that the upstream named, if any."""
         self.room: int | None = None
         """This node's part of the slots while the pool is brittle; None otherwise."""
+        self.evacuated = False
+        """Whether nothing may be sent to the upstream's failure domain."""
+        self.ramp: ReturnRamp | None = None
+        """Which requests it takes while its failure domain returns to service."""
         self._reported: list[int] | None = None
         self._reported_ms = 0
         self._own_by_tier = [0] * TIERS
@@ -109,6 +116,12 @@
         """Tell whether the upstream counts as out of this node's reach."""
         return now_ms < self.unreached_until_ms
 
+    def admits(self, request_id: str, now_ms: int) -> bool:
+        """Tell whether the upstream's failure domain is in service for a request."""
+        if self.evacuated:
+            return False
+        return self.ramp is None or self.ramp.admits(request_id, now_ms)
+
     def is_at_connection_limit(self) -> bool:
         """Tell whether this node uses its full share of the upstream's connections."""
         return (
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -195,7 +195,7 @@
         best = PrefixHolder()
         second = PrefixHolder()
         for load in self._pool_upstreams.get(request.pool, ()):
-            if now_ms < load.paused_until_ms:
+            if now_ms < load.paused_until_ms or load.evacuated:
                 continue
             tokens = self.engine_states.count_fetchable_tokens(
                 load.name, request.prompt
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -41,7 +41,7 @@
         if load is None:
             request.on_min_share = False
             skipped.append((tier, request))
-            if not _is_constrained(state, request, now_ms):
+            if not _is_constrained(state, pool, request, now_ms):
                 break
             continue
         if state.is_suspect(request, now_ms):
@@ -53,10 +53,14 @@
         tier.queue.push(request, front=True)
 
 
-def _is_constrained(state: DispatcherState, request: Request, now_ms: int) -> bool:
+def _is_constrained(
+    state: DispatcherState, pool: Pool, request: Request, now_ms: int
+) -> bool:
     """Tell whether other requests may find a slot where this one found none."""
     if request.avoid_upstream or request.avoid_domain or request.version:
         return True
+    if any(not load.admits(request.id, now_ms) for load in pool.group):
+        return True
     return state.is_suspect(request, now_ms)
 
 
--- a/plantainwood/core/sizing.py
+++ b/plantainwood/core/sizing.py
@@ -172,7 +172,13 @@
         target: EngineTarget,
         now_ms: int,
     ) -> list[CountOrder]:
-        """Return the orders that lead to the target, those for spot engines first."""
+        """Return the orders that lead to the target, those for spot engines first.
+
+        `domains` and `engine_counts` are those in service. Nothing is ordered for
+        others, so the platform goes on with what was last ordered there.
+        """
+        if not domains:
+            return []
         spots = dict.fromkeys(domains, 0)
         if scaling.spot_price:
             spots = _spread(target.spot, scaling, domains)
--- a/plantainwood/core/upstreamset.py
+++ b/plantainwood/core/upstreamset.py
@@ -1,6 +1,7 @@
 """The upstreams that a node knows, and which of them it may use."""
 
 import random
+from typing import Iterable
 
 from plantainwood.core.affinity import PrefixHints
 from plantainwood.core.brittleness import BrittlePools, SlotDivision
@@ -12,6 +13,7 @@
     UpstreamKind,
 )
 from plantainwood.core.dispatcheroptions import Options
+from plantainwood.core.evacuations import EvacuationChange, Evacuations
 from plantainwood.core.hashing import pick_subset
 from plantainwood.core.leavingupstreams import ANY_ADDRESS, LeavingUpstreams
 from plantainwood.core.loads import UpstreamLoad
@@ -48,6 +50,7 @@
         "pauses_until_ms",
         "path_lost",
         "serving_vms",
+        "evacuations",
         "_connection_share",
         "_own_domain",
         "_domains",
@@ -78,6 +81,7 @@
         """Whether this node reaches no upstreams."""
         self.serving_vms: dict[str, ServingVm] = {}
         """The VMs that serve for this node while its path is lost, by load name."""
+        self.evacuations = Evacuations()
         self._connection_share = 1.0
         self._own_domain = ""
         self._domains: list[str] = []
@@ -108,6 +112,7 @@
                 load.rate = self.upstream_limits.find_rate(name)
             load.entry = entry
             load.leaving = self._is_leaving(name, entry)
+            load.evacuated = self.evacuations.is_evacuated(entry.domain)
             load.max_own_in_flight = compute_max_own_in_flight(
                 entry, self._connection_share
             )
@@ -118,6 +123,18 @@
         for pool in self.pools.values():
             self.choose_subset(pool)
 
+    def set_evacuated(self, domains: Iterable[str], now_ms: int) -> EvacuationChange:
+        """Replace the failure domains that are sent nothing; return what changed."""
+        change = self.evacuations.update(domains, now_ms)
+        if not change.begun and not change.ended:
+            return change
+        for name, load in self.loads.items():
+            if name not in self.serving_vms:
+                load.evacuated = self.evacuations.is_evacuated(load.entry.domain)
+        for pool in self.pools.values():
+            self.choose_subset(pool)
+        return change
+
     def set_serving_vms(self, vms: dict[str, ServingVm]) -> None:
         """Replace the VMs that may serve for this node; loads are kept by name."""
         for name in self.serving_vms.keys() - vms.keys():
@@ -205,7 +222,7 @@
             if not _serves_pool(entry, pool.name):
                 continue
             members.append(self.loads[upstream])
-            if self.loads[upstream].leaving:
+            if self.loads[upstream].leaving or self.loads[upstream].evacuated:
                 continue
             if self._domains and entry.kind is UpstreamKind.ENGINE:
                 if self._own_domain not in select_serving_domains(
@@ -215,8 +232,19 @@
             domains[upstream] = entry.domain
         subset = pick_subset(self.node, domains, self.options.subset_size)
         pool.group = [self.loads[upstream] for upstream in subset]
+        self._set_ramps(pool)
         self.router.set_pool_upstreams(pool.name, members)
 
+    def _set_ramps(self, pool: Pool) -> None:
+        """Set how much the failure domains that return to service take of a pool."""
+        slots: dict[str, int] = {}
+        for load in pool.group:
+            domain = load.entry.domain
+            slots[domain] = slots.get(domain, 0) + load.entry.slots
+        ramps = self.evacuations.make_ramps(slots)
+        for load in pool.group:
+            load.ramp = ramps.get(load.entry.domain)
+
     def update_rate(self, upstream: str) -> None:
         """Apply what is known of an upstream's limit to what this node may send."""
         load = self.loads.get(upstream)
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -45,6 +45,7 @@
 from plantainwood.core.vms import AgreedTime, VmTable
 from plantainwood.core.windows import StartCounter, WindowTotals
 from plantainwood.edgesettings import EdgeSettings
+from plantainwood.evacuationlogs import record_evacuations
 from plantainwood.logs import log_event
 from plantainwood.metrics import Metrics
 from plantainwood.pathprobe import PathProber
@@ -74,7 +75,14 @@
 class PlatformView:
     """The store's items, parsed: catalogue, routes, scaling limits, engine counts."""
 
-    __slots__ = ("catalogue", "routes", "scaling", "engine_counts", "limits")
+    __slots__ = (
+        "catalogue",
+        "routes",
+        "scaling",
+        "engine_counts",
+        "limits",
+        "evacuated",
+    )
 
     def __init__(self) -> None:
         self.catalogue = Catalogue()
@@ -85,6 +93,8 @@
         self.engine_counts: dict[str, dict[str, EngineCounts]] = {}
         """By service, then by failure domain."""
         self.limits = CallerLimits()
+        self.evacuated: dict[str, int] = {}
+        """The revisions at which the evacuated failure domains became so."""
 
     def list_stream_pools(self) -> list[str]:
         """Return the pools that resumable streams are routed to, sorted."""
@@ -275,6 +285,7 @@
         """Apply a newer configuration and set of upstreams."""
         self.view = view
         dispatcher = self.broker.dispatcher
+        self._apply_evacuations(view)
         dispatcher.apply_catalogue(view.catalogue)
         dispatcher.set_versions(find_versions(view.catalogue), self.clock.now_ms())
         self.driver.catalogue = view.catalogue
@@ -293,6 +304,15 @@
             self.router.set_first_token_target(pool, first_token_targets_ms[pool])
         self._close_unused_connections()
 
+    def _apply_evacuations(self, view: PlatformView) -> None:
+        """Apply which failure domains are evacuated; log what changed."""
+        change = self.broker.dispatcher.set_evacuated(
+            view.evacuated, self.clock.now_ms()
+        )
+        known = {entry.domain for entry in view.catalogue.upstreams.values()}
+        known.update(self.settings.domains)
+        record_evacuations(change, view.evacuated, known, self.metrics)
+
     def _close_unused_connections(self) -> None:
         """Close the idle connections to addresses without an upstream."""
         used = {
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -28,6 +28,7 @@
         "store_calls",
         "link_bytes",
         "link_messages",
+        "evacuated",
     )
 
     def __init__(self) -> None:
@@ -80,6 +81,10 @@
             "pw_link_messages_total", "Messages between daemons by direction."
         )
 
+        self.evacuated = self._make_gauge(
+            "pw_evacuated", "1 for each failure domain that is evacuated."
+        )
+
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
 
