Allowed regions of routes and tenants

A request whose route or tenant has allowedRegions reaches only upstreams in failure domains of these regions (settings regions, rendered from the platform's zones); both lists apply if both are there. Bodies go to other VMs only in these regions or in the region of the VM that took them, KV caches are fetched only there. A domain of unknown region is in none.

--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -10,6 +10,7 @@
 from plantainwood.core.catalogue import DiscoveredUpstream
 from plantainwood.core.events import Arrival
 from plantainwood.core.prompts import Prompt
+from plantainwood.core.regions import Regions
 from plantainwood.core.routes import RetrySafety, Route, make_service_pool
 
 
@@ -41,6 +42,8 @@
     """The id of the caller's request that began the stream which this one continues."""
     from_vm: str = ""
     """The VM that sent the call, if another one has taken it from the caller."""
+    allowed_regions: Regions | None = None
+    """Where it may be served, by its route and its customer; None: everywhere."""
 
 
 def make_arrival(call: Call) -> Arrival:
@@ -60,6 +63,7 @@
         stream=(call.resumes or call.request_id) if is_stream else "",
         resumed=is_stream and bool(call.resumes),
         from_vm=bool(call.from_vm),
+        allowed_regions=call.allowed_regions,
     )
 
 
--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -55,11 +55,14 @@
     parts = make_part_names(event)
     _check_suspicion(state, event, parts, now_ms)
     pool = state.get_or_create_pool(event.pool)
-    if not any(not load.leaving for load in pool.group):
+    domains = state.regions.find_domains(event.allowed_regions)
+    if not pool.list_serving(domains=domains):
         message = "no upstream serves this"
         raise _make_refusal(ErrorCode.NO_UPSTREAM, message, RETRY_NO_UPSTREAM_MS)
-    version = _find_version(state, pool, event, now_ms) if event.resumed else ""
-    if event.from_vm and state.lacks_path(pool, version, now_ms):
+    version = ""
+    if event.resumed:
+        version = _find_version(state, pool, event, domains, now_ms)
+    if event.from_vm and state.lacks_path(pool, version, now_ms, domains):
         message = "this VM reaches no upstreams either"
         raise _make_refusal(ErrorCode.UPSTREAM_UNAVAILABLE, message, RETRY_NOT_RUN_MS)
     limit = state.get_or_create_limit(event.customer, customer, now_ms)
@@ -70,6 +73,7 @@
     is_engine = event.pool.startswith("model/")
     request = Request(event, service_class, is_engine, now_ms)
     request.version = version
+    request.domains = domains
     try:
         _make_room(state, pool, request, now_ms, decisions)
     except RequestError:
@@ -102,14 +106,18 @@
 
 
 def _find_version(
-    state: DispatcherState, pool: Pool, event: ev.Arrival, now_ms: int
+    state: DispatcherState,
+    pool: Pool,
+    event: ev.Arrival,
+    domains: frozenset[str] | None,
+    now_ms: int,
 ) -> str:
     """Return the version that may continue a stream; raise RequestError without one."""
     version = state.stream_versions.find(event.stream, event.pool, now_ms)
     if version is None:
         message = "it is not known which version began the stream"
         raise _make_refusal(ErrorCode.NO_UPSTREAM, message, RETRY_NO_VERSION_MS)
-    if not pool.serves_version(version):
+    if not pool.list_serving(version, domains):
         message = "no upstream of the version that began the stream serves"
         raise _make_refusal(ErrorCode.NO_UPSTREAM, message, RETRY_NO_VERSION_MS)
     return version
@@ -125,6 +133,8 @@
     late = wait_ms > request.compute_remaining_wait_ms(now_ms)
     if not full and not late:
         return
+    if _passes_others(state, pool, request, now_ms):
+        return
     victim = pool.find_least_urgent(request.tier)
     if victim is None and full:
         victim = tier.queue.find_excess_request(request.customer)
@@ -139,6 +149,20 @@
     state.refuse_waiting(victim, ErrorCode.OVERLOADED, retry_ms, decisions)
 
 
+def _passes_others(
+    state: DispatcherState, pool: Pool, request: Request, now_ms: int
+) -> bool:
+    """Tell whether a request finds a slot now that those which wait may not use.
+
+    Only requests that are bound to some failure domains leave such slots free.
+    """
+    for other in state.requests.values():
+        if other.domains is None or other.pool != pool.name or other.is_running:
+            continue
+        return state.router.choose(request, pool.group, now_ms) is not None
+    return False
+
+
 def _make_refusal(
     code: ErrorCode, message: str, retry_ms: int | None = None
 ) -> RequestError:
@@ -187,7 +211,8 @@
             continue
         if not request.version:
             continue
-        if not state.pools[request.pool].serves_version(request.version):
+        pool = state.pools[request.pool]
+        if not pool.list_serving(request.version, request.domains):
             _refuse_unservable(state, request, RETRY_NO_VERSION_MS, decisions)
 
 
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -23,6 +23,7 @@
     handle_tokens,
     handle_upstream_probed,
 )
+from plantainwood.core.regions import DomainRegions
 from plantainwood.core.routes import make_service_pool
 from plantainwood.core.scheduling import (
     dispatch_waiting,
@@ -83,6 +84,10 @@
         """
         return self.state.set_evacuated(domains, now_ms)
 
+    def set_regions(self, own_domain: str, regions: dict[str, str]) -> None:
+        """Set this node's failure domain and the regions of the domains."""
+        self.state.regions = DomainRegions(own_domain, regions)
+
     def set_versions(self, versions: dict[str, set[str]], now_ms: int) -> None:
         """Set the software versions of each pool's upstreams."""
         self.state.stream_versions.set_versions(versions, now_ms)
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -82,8 +82,9 @@
         change = super().set_evacuated(domains, now_ms)
         if change.begun:
             for request in self.requests.values():
-                group = self.pools[request.pool].group
-                if all(load.entry.domain == request.avoid_domain for load in group):
+                pool = self.pools[request.pool]
+                serving = pool.list_serving(request.version, request.domains)
+                if all(load.entry.domain == request.avoid_domain for load in serving):
                     request.avoid_domain = ""
         return change
 
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -5,6 +5,7 @@
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.core.partquarantine import PartCrash
 from plantainwood.core.prompts import Prompt
+from plantainwood.core.regions import Regions
 from plantainwood.core.retries import MAX_ATTEMPTS
 from plantainwood.core.upstreamlimits import LimitReport
 
@@ -35,6 +36,8 @@
     """Whether the stream began in an earlier request."""
     from_vm: bool = False
     """Whether another VM sent the request, so that it goes to no further VM."""
+    allowed_regions: Regions | None = None
+    """Where it may be served; None: everywhere."""
 
 
 class AttemptStarted(msgspec.Struct, frozen=True):
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -13,7 +13,7 @@
 from plantainwood.core.quarantine import make_blocked_error
 from plantainwood.core.requests import Request
 from plantainwood.core.retries import MAX_ATTEMPTS
-from plantainwood.core.router import has_version
+from plantainwood.core.router import can_serve
 from plantainwood.core.scheduling import dispatch_waiting, stop_request
 from plantainwood.core.servingvms import is_serving_vm
 from plantainwood.core.suspects import judge_request
@@ -168,7 +168,9 @@
     if verdict is Verdict.HOLD:
         return make_failed_error(outcome)
     pool = state.pools[request.pool]
-    if request.from_vm and state.lacks_path(pool, request.version, now_ms):
+    if request.from_vm and state.lacks_path(
+        pool, request.version, now_ms, request.domains
+    ):
         return make_failed_error(outcome)
     exhausted = request.attempts_made >= request.max_attempts
     if request.attempt >= MAX_ATTEMPTS or exhausted:
@@ -202,7 +204,7 @@
     for load in state.pools[request.pool].group:
         if load.leaving or load is failed:
             continue
-        if has_version(request, load):
+        if can_serve(request, load):
             return True
     return False
 
@@ -214,7 +216,7 @@
     request.avoid_upstream = load.name
     request.avoid_domain = ""
     for other in state.pools[request.pool].group:
-        if other.leaving or not has_version(request, other):
+        if other.leaving or not can_serve(request, other):
             continue
         if other.entry.domain != load.entry.domain:
             request.avoid_domain = load.entry.domain
--- a/plantainwood/core/pools.py
+++ b/plantainwood/core/pools.py
@@ -90,31 +90,33 @@
         self.awaiting_reservation: dict[str, Request] = {}
         """Suspects that wait for a reservation, outside of the queues."""
 
-    def serves_version(self, version: str) -> bool:
-        """Tell whether an upstream that stays can continue a version's streams.
+    def list_serving(
+        self, version: str = "", domains: frozenset[str] | None = None
+    ) -> list[UpstreamLoad]:
+        """Return the upstreams that stay, of a version and in some domains.
 
-        Any can if the version is empty.
+        Any version counts if it is empty, and any domain if there are none given.
         """
+        found: list[UpstreamLoad] = []
         for load in self.group:
-            if load.leaving:
+            if load.leaving or version not in ("", load.entry.software_version):
                 continue
-            if not version or load.entry.software_version == version:
-                return True
-        return False
+            if domains is None or load.entry.domain in domains:
+                found.append(load)
+        return found
 
-    def is_unreached(self, now_ms: int, version: str = "") -> bool:
+    def is_unreached(
+        self,
+        now_ms: int,
+        version: str = "",
+        domains: frozenset[str] | None = None,
+    ) -> bool:
         """Tell whether this node reaches none of the upstreams that could serve.
 
-        Only those count that can continue a version's streams; all if it is empty.
+        Only those count that `list_serving` returns, if there are any.
         """
-        found = False
-        for load in self.group:
-            if load.leaving or version not in ("", load.entry.software_version):
-                continue
-            if not load.is_unreached(now_ms):
-                return False
-            found = True
-        return found
+        serving = self.list_serving(version, domains)
+        return bool(serving) and all(load.is_unreached(now_ms) for load in serving)
 
     def compute_pause_ms(self, now_ms: int) -> int:
         """Return how long all upstreams that stay want no attempts; 0 if one does."""
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -197,6 +197,8 @@
         for load in self._pool_upstreams.get(request.pool, ()):
             if now_ms < load.paused_until_ms or load.evacuated:
                 continue
+            if not request.may_use_domain(load.entry.domain):
+                continue
             tokens = self.engine_states.count_fetchable_tokens(
                 load.name, request.prompt
             )
--- a/plantainwood/core/requests.py
+++ b/plantainwood/core/requests.py
@@ -47,6 +47,7 @@
         "version",
         "version_unknown",
         "from_vm",
+        "domains",
         "_tier",
     )
 
@@ -100,6 +101,8 @@
         self.version_unknown = False
         """Whether the stream has begun at an upstream that is not known here."""
         self.from_vm = arrival.from_vm
+        self.domains: frozenset[str] | None = None
+        """The failure domains that may serve it; None: all."""
         self._tier = service_class.tier if arrival.tier is None else arrival.tier
 
     @property
@@ -114,6 +117,10 @@
             return max(0, min(timeout_ms, self.queue_deadline_ms - now_ms))
         return timeout_ms
 
+    def may_use_domain(self, domain: str) -> bool:
+        """Tell whether the upstreams of a failure domain may serve the request."""
+        return self.domains is None or domain in self.domains
+
     @property
     def priority(self) -> int:
         """Return the priority that engines see."""
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -63,9 +63,9 @@
     A leaving, paused, unreached or unwilling upstream takes none, nor does one on which
     this node uses its full share of connections, its part of a brittle upstream's slots
     or of the rate that it named, nor one of another version than began the request's
-    stream, nor one in a failure domain that is evacuated, or that is returning and does
-    not take the request yet. A retry never goes to the upstream or failure domain that
-    just failed it.
+    stream or outside of the request's regions, nor one in a failure domain that is
+    evacuated, or that is returning and does not take the request yet. A retry never
+    goes to the upstream or failure domain that just failed it.
     """
     if load.leaving or load.is_unreached(now_ms) or load.is_at_connection_limit():
         return False
@@ -75,16 +75,18 @@
         return False
     if load.rate is not None and not load.rate.may_send(now_ms):
         return False
-    if load.name == request.avoid_upstream or not has_version(request, load):
+    if load.name == request.avoid_upstream or not can_serve(request, load):
         return False
     if load.entry.domain == request.avoid_domain:
         return False
     return load.admits(request.id, now_ms)
 
 
-def has_version(request: Request, load: UpstreamLoad) -> bool:
-    """Tell whether an upstream's software can continue a request's stream."""
-    return not request.version or load.entry.software_version == request.version
+def can_serve(request: Request, load: UpstreamLoad) -> bool:
+    """Tell whether an upstream is of the version and region that a request needs."""
+    if request.version and load.entry.software_version != request.version:
+        return False
+    return request.may_use_domain(load.entry.domain)
 
 
 class FewChoicesRouter(Router):
--- a/plantainwood/core/routes.py
+++ b/plantainwood/core/routes.py
@@ -7,6 +7,7 @@
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.core.hashing import compute_rank
 from plantainwood.core.loads import TIERS
+from plantainwood.core.regions import Regions
 
 SERVICE_POOL_PREFIX = "service/"
 
@@ -50,6 +51,8 @@
     weighted_services: tuple[WeightedService, ...]
     priority: int = 0
     """The operator's priority, from which the tier is ranked; 0 is the most urgent."""
+    allowed_regions: Regions | None = None
+    """Where its requests may be served; None: everywhere."""
 
     @property
     def repeatable(self) -> bool:
@@ -77,6 +80,8 @@
     name: str
     tiers: dict[int, int] = {}
     """The tiers of its requests, by the priority of their route."""
+    allowed_regions: Regions | None = None
+    """Where its requests may be served; None: everywhere."""
 
     def find_tier(self, route: Route) -> int:
         """Return the tier of this customer's requests on a route."""
@@ -152,6 +157,13 @@
             raise RequestError(ErrorCode.UNKNOWN_KEY, "the key is not known")
         return customer
 
+    def list_regions(self) -> list[str]:
+        """Return the regions that routes or customers name, sorted."""
+        found: set[str] = set()
+        for source in (*self.list_routes(), *self._keys.values()):
+            found.update(source.allowed_regions or ())
+        return sorted(found)
+
     def list_routes(self) -> list[Route]:
         """Return all routes, grouped by host."""
         found: list[Route] = []
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -14,6 +14,7 @@
 )
 
 MAX_SKIPPED = 4
+MAX_SKIPPED_BY_DOMAIN = 400
 RESERVATION_RETRY_MS = 500
 MAX_MOVES = 2
 MIN_MOVE_MS = 250
@@ -26,9 +27,13 @@
 
     A request that may have no upstream only because of its own constraints is skipped,
     up to MAX_SKIPPED of them; skipped requests return to the front of their queues.
+    Those that are bound to failure domains where another request has just found no slot
+    are skipped beyond that, up to MAX_SKIPPED_BY_DOMAIN in all.
     """
     skipped: list[tuple[TierQueue, Request]] = []
-    while len(skipped) < MAX_SKIPPED:
+    full: set[frozenset[str]] = set()
+    tried = 0
+    while tried < MAX_SKIPPED and len(skipped) < MAX_SKIPPED_BY_DOMAIN:
         found = pool.choose_tier(now_ms, state.options.guard_starvation)
         if found is None:
             break
@@ -36,13 +41,20 @@
         request = tier.queue.pop()
         if request is None:
             break
+        if request.domains in full:
+            skipped.append((tier, request))
+            continue
         request.on_min_share = on_min_share
         load = _choose(state, pool.group, request, now_ms)
         if load is None:
             request.on_min_share = False
             skipped.append((tier, request))
-            if not _is_constrained(state, pool, request, now_ms):
+            if _is_constrained(state, pool, request, now_ms):
+                tried += 1
+                continue
+            if request.domains is None:
                 break
+            full.add(request.domains)
             continue
         if state.is_suspect(request, now_ms):
             _request_reservation(pool, request, load, decisions)
@@ -56,7 +68,7 @@
 def _is_constrained(
     state: DispatcherState, pool: Pool, request: Request, now_ms: int
 ) -> bool:
-    """Tell whether other requests may find a slot where this one found none."""
+    """Tell whether others of its domains may find a slot where it found none."""
     if request.avoid_upstream or request.avoid_domain or request.version:
         return True
     if any(not load.admits(request.id, now_ms) for load in pool.group):
@@ -71,8 +83,11 @@
     if now_ms < request.retry_at_ms:
         return None
     pool = state.pools[request.pool]
-    if not request.from_vm and state.lacks_path(pool, request.version, now_ms):
-        usable = list_usable_vms(state.list_serving_vms(), request.pool)
+    if not request.from_vm and state.lacks_path(
+        pool, request.version, now_ms, request.domains
+    ):
+        own_domains = state.regions.list_own()
+        usable = list_usable_vms(state.list_serving_vms(), request, own_domains)
         if usable:
             return choose_serving_vm(request, usable, now_ms)
     if state.is_suspect(request, now_ms):
--- a/plantainwood/core/servingvms.py
+++ b/plantainwood/core/servingvms.py
@@ -18,13 +18,22 @@
     return isinstance(load.entry, ServingVm)
 
 
-def list_usable_vms(loads: list[UpstreamLoad], pool: str) -> list[UpstreamLoad]:
-    """Return the VMs that have a path to the upstreams of a pool."""
+def list_usable_vms(
+    loads: list[UpstreamLoad], request: Request, own_domains: frozenset[str]
+) -> list[UpstreamLoad]:
+    """Return the VMs that have a path to the upstreams of a request's pool.
+
+    Its body goes only to VMs that are in its regions, or in the region of this node,
+    which has taken it from its caller; `own_domains` has the domains of that.
+    """
     found: list[UpstreamLoad] = []
     for load in loads:
         if load.leaving or load.entry.path_lost:
             continue
-        if pool in load.entry.unreached_pools:
+        if request.pool in load.entry.unreached_pools:
+            continue
+        domain = load.entry.domain
+        if domain not in own_domains and not request.may_use_domain(domain):
             continue
         found.append(load)
     return found
--- a/plantainwood/core/upstreamset.py
+++ b/plantainwood/core/upstreamset.py
@@ -19,6 +19,7 @@
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.membership import select_serving_domains
 from plantainwood.core.pools import Pool
+from plantainwood.core.regions import DomainRegions
 from plantainwood.core.requests import Request
 from plantainwood.core.streamversions import StreamVersions
 from plantainwood.core.upstreamlimits import UpstreamLimits
@@ -51,6 +52,7 @@
         "path_lost",
         "serving_vms",
         "evacuations",
+        "regions",
         "_connection_share",
         "_own_domain",
         "_domains",
@@ -82,6 +84,7 @@
         self.serving_vms: dict[str, ServingVm] = {}
         """The VMs that serve for this node while its path is lost, by load name."""
         self.evacuations = Evacuations()
+        self.regions = DomainRegions("", {})
         self._connection_share = 1.0
         self._own_domain = ""
         self._domains: list[str] = []
@@ -155,12 +158,19 @@
                 found.append(name)
         return tuple(sorted(found))
 
-    def lacks_path(self, pool: Pool, version: str, now_ms: int) -> bool:
+    def lacks_path(
+        self,
+        pool: Pool,
+        version: str,
+        now_ms: int,
+        domains: frozenset[str] | None = None,
+    ) -> bool:
         """Tell whether only other VMs can serve a pool's requests.
 
-        `version` is that of the upstreams which a resumed stream needs, if any.
+        `version` is that of the upstreams which a resumed stream needs, if any, and
+        `domains` has the failure domains that may serve, if not all may.
         """
-        return self.path_lost or pool.is_unreached(now_ms, version)
+        return self.path_lost or pool.is_unreached(now_ms, version, domains)
 
     def list_serving_vms(self) -> list[UpstreamLoad]:
         """Return the loads of the VMs that may serve for this node."""
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 import secrets
 from typing import Iterable
 
@@ -138,6 +139,7 @@
             subset_size=SUBSET_SIZE,
         )
         dispatcher = Dispatcher(settings.node, secrets.randbits(32), options)
+        dispatcher.set_regions(settings.domain, settings.regions)
         self.broker = RequestBroker(dispatcher, clock, self._queue_notice)
         self.connection_pool = ConnectionPool(clock)
         self.path_prober = PathProber(self.broker, self.connection_pool, clock)
@@ -166,6 +168,7 @@
         self.body_room = BodyRoom()
         self.open_call_count = 0
         self._heartbeat_sequence = 0
+        self._unknown_regions: list[str] = []
         self._registry_read_ms: int | None = None
         """When the newest read of the store that is known here began; None before."""
 
@@ -302,8 +305,23 @@
         for pool, targets_ms in gap_targets_ms.items():
             self.router.set_gap_targets(pool, targets_ms)
             self.router.set_first_token_target(pool, first_token_targets_ms[pool])
+        self._check_regions(view)
         self._close_unused_connections()
 
+    def _check_regions(self, view: PlatformView) -> None:
+        """Log the regions of the configuration that no failure domain is in."""
+        named = view.routes.list_regions() if view.routes is not None else []
+        known = self.settings.regions.values()
+        unknown = [name for name in named if name not in known]
+        if unknown == self._unknown_regions:
+            return
+        self._unknown_regions = unknown
+        log_event(
+            "regions_unknown",
+            logging.WARNING if unknown else logging.INFO,
+            regions=_format_names(unknown) or "-",
+        )
+
     def _apply_evacuations(self, view: PlatformView) -> None:
         """Apply which failure domains are evacuated; log what changed."""
         change = self.broker.dispatcher.set_evacuated(
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -94,6 +94,8 @@
     duties: EdgeDuties = EdgeDuties()
     retries: EdgeRetries = EdgeRetries()
     drain: EdgeDrain = EdgeDrain()
+    regions: dict[str, str] = {}
+    """The regions of the failure domains; a domain without one is in no region."""
     logs: Logs = Logs()
     traces: Traces = Traces()
 
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -68,6 +68,7 @@
         assert f"{name}:" in text
     filled = (
         text.replace('[{{#zones}}"{{@}}"{{,}}{{/zones}}]', '["a"]')
+        .replace('{{#zones}}"{{@}}": "{{.}}"{{,}}{{/zones}}', '"a": "north"')
         .replace('[{{#seeds}}"{{.}}"{{,}}{{/seeds}}]', "[]")
         .replace("{{cloud.duties|json}}{{^cloud.duties}}[]{{/cloud.duties}}", "[]")
         .replace("{{#bootstrap}}true{{/bootstrap}}", "")
