Readers of the store and lease candidates are not all in one failure domain

If the strongest VMs that have the part share a domain, the strongest of another one joins them. The first ones stay, so builds side by side agree on them. Relays are per domain already.

--- a/plantainwood/core/hashing.py
+++ b/plantainwood/core/hashing.py
@@ -40,6 +40,24 @@
     return sorted(ranked, key=lambda member: -weights.get(member, 0))
 
 
+def pick_across_domains(
+    ranked: list[str], count: int, domains: dict[str, str]
+) -> list[str]:
+    """Return the first `count` members, and one more if they are all in one domain.
+
+    That is the first member of another domain, if there is any. The first `count` are
+    always among them, so nodes that know nothing of domains agree on those.
+    """
+    chosen = ranked[:count]
+    found = {domains.get(member) for member in chosen}
+    if len(found) != 1:
+        return chosen
+    for member in ranked[count:]:
+        if domains.get(member) not in found:
+            return [*chosen, member]
+    return chosen
+
+
 def pick_subset(node: str, domains: dict[str, str], size: int) -> list[str]:
     """Return a node's bounded subset of members, spread evenly over domains.
 
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -238,6 +238,13 @@
             weights[heartbeat.sender] = heartbeat.weight
         return weights
 
+    def find_domains(self) -> dict[str, str]:
+        """Return the failure domain of each VM that `find_weights` has."""
+        domains = {self.settings.node: self.settings.domain}
+        for heartbeat in self.vms.list_staying(self.clock.now_ms()):
+            domains[heartbeat.sender] = heartbeat.domain
+        return domains
+
     def is_registry_current(self) -> bool:
         """Return whether no change of the registry can have passed this node by.
 
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -8,7 +8,7 @@
 from plantainwood.calls import Call, StartObserver
 from plantainwood.core.decoding import MalformedError, decode_json
 from plantainwood.core.fleetmessages import CountsReport, FrozenReportNotice
-from plantainwood.core.hashing import rank_by_weight
+from plantainwood.core.hashing import pick_across_domains, rank_by_weight
 from plantainwood.core.leaserecords import LEASE_PREFIX, LeaseRecord
 from plantainwood.core.messages import NodeState
 from plantainwood.core.reports import report_window
@@ -62,10 +62,13 @@
 
 
 def find_lease_candidates(edge: Edge) -> list[str]:
-    """Return the live VMs that try to acquire the lease, the strongest first."""
+    """Return the live VMs that try to acquire the lease, the strongest first.
+
+    One more does if those are all in one failure domain.
+    """
     weights = edge.find_weights()
     ranked = rank_by_weight(f"duty\0{FLEET_DUTY}", sorted(weights), weights)
-    return ranked[:LEASE_CANDIDATES]
+    return pick_across_domains(ranked, LEASE_CANDIDATES, edge.find_domains())
 
 
 def find_holder(edge: Edge) -> str:
--- a/plantainwood/reader.py
+++ b/plantainwood/reader.py
@@ -99,6 +99,7 @@
                 edge.settings.node,
                 edge.find_weights(),
                 edge.mirror.compute_age_ms(now_ms),
+                edge.find_domains(),
             )
         )
         if should_read != self._is_reader:
