--- a/plantainwood/core/upstreamlimits.py
+++ b/plantainwood/core/upstreamlimits.py
@@ -31,13 +31,13 @@
 
 
 class NodeRate:
-    """A node's part of an upstream's rate, as a token bucket that starts empty."""
+    """A node's part of an upstream's rate, as a token bucket; empty by default."""
 
     __slots__ = ("_per_s", "_level", "_updated_ms")
 
-    def __init__(self, now_ms: int) -> None:
+    def __init__(self, now_ms: int, level: float = 0.0) -> None:
         self._per_s = 0.0
-        self._level = 0.0
+        self._level = level
         self._updated_ms = now_ms
 
     def set_rate(self, per_s: float, now_ms: int) -> None:
