Dispatcher: a cold upstream takes only this VM's share of its rate

is_allowed refuses a cold upstream without a token of this VM's share. Failed attempts tell whether the upstream broke or refused the connection, which makes it suspected of a restart.

--- a/plantainwood/attempts.py
+++ b/plantainwood/attempts.py
@@ -79,6 +79,7 @@
                     error.proved_not_run,
                     error.pause_ms,
                     error.reached,
+                    error.broken,
                 )
             )
             return
--- a/plantainwood/core/catalogue.py
+++ b/plantainwood/core/catalogue.py
@@ -102,6 +102,10 @@
     """Whether it finishes its running requests and accepts no new ones."""
     version: str = ""
     """The version of its software; empty if not known."""
+    cold_start_ms: int = 0
+    """How long it is cold after its start; 0: never."""
+    cold_per_s: float = 0.0
+    """Requests per second that it takes from all nodes while cold; 0: no bound."""
 
     @property
     def software_version(self) -> str:
--- a/plantainwood/core/decoding.py
+++ b/plantainwood/core/decoding.py
@@ -5,6 +5,7 @@
 Whoever reads such data calls these functions, so that one kind of error covers all.
 """
 
+import math
 from typing import Any
 
 import msgspec
@@ -48,3 +49,16 @@
     if not (text.isascii() and text.isdigit()) or len(text) > MAX_DIGITS:
         raise MalformedError(f"not a count of at most {MAX_DIGITS} digits")
     return int(text)
+
+
+def parse_amount(data: bytes, most: float) -> float:
+    """Return the number from 0 in JSON, at most `most`; 0 for no data.
+
+    Raise MalformedError for anything else.
+    """
+    if not data:
+        return 0.0
+    amount = decode_json(data, float)
+    if not math.isfinite(amount) or amount < 0:
+        raise MalformedError(f"not a number from 0: {amount}")
+    return min(amount, most)
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -10,6 +10,7 @@
     refuse_unservable,
 )
 from plantainwood.core.catalogue import Catalogue, ServingVm
+from plantainwood.core.coldupstreams import ColdLimit, ColdSource
 from plantainwood.core.crashes import enforce_mark, enforce_part_marks
 from plantainwood.core.dispatcheroptions import Options
 from plantainwood.core.dispatcherstate import DispatcherState
@@ -66,11 +67,29 @@
         """Set this node's failure domain and the live ones."""
         self.state.set_domains(own, domains)
 
-    def set_nodes(self, nodes: set[str], now_ms: int) -> None:
-        """Set the live nodes, which divide upstreams' request rates and slots."""
+    def set_nodes(
+        self, nodes: set[str], now_ms: int, known: frozenset[str] = frozenset()
+    ) -> None:
+        """Set the live nodes, which divide upstreams' request rates and slots.
+
+        `known` are those that are known or registered, live or not.
+        """
         self.state.upstream_limits.set_nodes(nodes, now_ms)
+        self.state.cold_upstreams.set_members(nodes, known, now_ms)
         self.state.nodes = sorted(nodes | {self.state.node})
 
+    def set_cold_limits(
+        self, limits: dict[str, ColdLimit], new_are_cold: bool, now_ms: int
+    ) -> None:
+        """Set the limits of the catalogue's upstreams that are cold after their start.
+
+        `new_are_cold` is whether an upstream not known before has just started.
+        """
+        state = self.state
+        names = set(state.catalogue.upstreams)
+        state.cold_upstreams.set_limits(names, limits, new_are_cold, now_ms)
+        state.update_cold(now_ms)
+
     def set_serving_vms(self, vms: dict[str, ServingVm]) -> None:
         """Set the VMs that may serve for this node, by the names of their loads."""
         self.state.set_serving_vms(vms)
@@ -137,6 +156,22 @@
     state.brittle_pools.record_report(event.pool, event.age_ms, now_ms)
 
 
+def handle_cold(
+    state: DispatcherState, event: ev.ColdNamed, now_ms: int, decisions: list
+) -> None:
+    """Record how much longer an upstream is cold, or that it is warm."""
+    cold = state.cold_upstreams
+    if event.source is ColdSource.RESPONSE:
+        cold.record_response(event.upstream, event.remaining_ms, now_ms)
+    elif event.source is ColdSource.ENTRY:
+        cold.record_entry(event.upstream, event.remaining_ms or 0, now_ms)
+    else:
+        cold.record_report(event.upstream, event.remaining_ms or 0, now_ms)
+        if event.upstream in state.cold_sources:
+            return
+    state.update_cold(now_ms)
+
+
 def handle_pause(
     state: DispatcherState, event: ev.PauseNamed, now_ms: int, decisions: list
 ) -> None:
@@ -185,6 +220,7 @@
     refuse_unservable(state, now_ms, decisions)
     expire_waiting(state, now_ms, decisions)
     state.update_rooms(now_ms)
+    state.update_cold(now_ms)
     for upstream in state.upstream_limits.expire(now_ms):
         state.update_rate(upstream)
     for pool in state.pools.values():
@@ -209,6 +245,7 @@
     ev.LimitReported: handle_limit_report,
     ev.BrittlenessNamed: handle_brittleness,
     ev.BrittlenessReported: handle_brittleness_report,
+    ev.ColdNamed: handle_cold,
     ev.PauseNamed: handle_pause,
     ev.UpstreamLeaving: handle_upstream_leaving,
     ev.CrashMarkReceived: handle_crash_mark,
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from plantainwood.core.coldupstreams import ColdSource
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.core.partquarantine import PartCrash
 from plantainwood.core.prompts import Prompt
@@ -74,6 +75,8 @@
     """How long the upstream gets no new attempts, if `proved_not_run`."""
     reached: bool = True
     """Whether any byte of the attempt may have arrived at the upstream."""
+    broken: bool = False
+    """Whether the upstream broke the connection or refused it."""
 
 
 class CallerLeft(msgspec.Struct, frozen=True):
@@ -124,6 +127,15 @@
     age_ms: int
 
 
+class ColdNamed(msgspec.Struct, frozen=True):
+    """A source said how much longer an upstream is cold."""
+
+    upstream: str
+    source: ColdSource
+    remaining_ms: int | None
+    """0 if it is warm; None for a response that doesn't say."""
+
+
 class PauseNamed(msgspec.Struct, frozen=True):
     """An upstream wants no requests from this node for some time."""
 
@@ -211,6 +223,7 @@
     | LimitReported
     | BrittlenessNamed
     | BrittlenessReported
+    | ColdNamed
     | PauseNamed
     | UpstreamLeaving
     | CrashMarkReceived
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -30,6 +30,7 @@
         "unreached_until_ms",
         "max_own_in_flight",
         "rate",
+        "cold_rate",
         "room",
         "_reported",
         "_reported_ms",
@@ -59,6 +60,8 @@
         """How many attempts of this node may run at once; 0: no bound."""
         self.rate: NodeRate | None = None
         """This node's part of the request rate that the upstream named, if any."""
+        self.cold_rate: NodeRate | None = None
+        """This node's part of the rate of a cold upstream; None while it is warm."""
         self.room: int | None = None
         """This node's part of the slots while the pool is brittle; None otherwise."""
         self._reported: list[int] | None = None
@@ -145,6 +148,15 @@
                 prefill_tokens - self.mean_prefill_tokens
             )
 
+    def end_cold(self) -> None:
+        """Forget the timings of a cold upstream, which say nothing of a warm one."""
+        self.cold_rate = None
+        self.ejected = False
+        self.samples = 0
+        self.first_token_ms = 0.0
+        self.mean_prefill_tokens = 0.0
+        self.between_tokens_ms = 0.0
+
     def record_between_tokens(self, took_ms: float) -> None:
         """Update the mean with an attempt's mean time between tokens."""
         if self.between_tokens_ms == 0.0:
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -112,6 +112,10 @@
     if request is None:
         return
     load = state.loads[request.upstream]
+    if (event.broken or event.crashed) and not state.path_lost:
+        is_down = event.crashed or not event.reached
+        state.cold_upstreams.record_broken(load.name, is_down, now_ms)
+        state.update_cold(now_ms)
     if event.crashed:
         record_crash(state, request, load, now_ms, decisions)
     if event.proved_not_run:
@@ -143,6 +147,8 @@
     if load is None:
         return
     load.unreached_until_ms = 0 if event.reached else now_ms + UNREACHED_MS
+    if event.reached:
+        state.cold_upstreams.record_response(load.name, None, now_ms)
     for pool in state.pools.values():
         if load in pool.group:
             dispatch_waiting(state, pool, now_ms, decisions)
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -61,9 +61,10 @@
     """Tell whether an upstream may take a request at all.
 
     A leaving, paused, unreached or unwilling upstream takes none, nor does one on which
-    this node uses its full share of connections, its part of a brittle upstream's slots
-    or of the rate that it named, nor one of another version than began the request's
-    stream. A retry never goes to the upstream or failure domain that just failed it.
+    this node uses its full share of connections, its part of a brittle upstream's
+    slots, of a cold upstream's rate or of the rate that it named, nor one of another
+    version than began the request's stream. A retry never goes to the upstream or
+    failure domain that just failed it.
     """
     if load.leaving or load.is_unreached(now_ms) or load.is_at_connection_limit():
         return False
@@ -73,6 +74,8 @@
         return False
     if load.rate is not None and not load.rate.may_send(now_ms):
         return False
+    if load.cold_rate is not None and not load.cold_rate.may_send(now_ms):
+        return False
     if load.name == request.avoid_upstream or not has_version(request, load):
         return False
     return load.entry.domain != request.avoid_domain
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -114,6 +114,7 @@
     request.dispatched_ms = now_ms
     request.first_token_ms = 0
     load.record_dispatch(request.priority, now_ms)
+    state.cold_upstreams.record_sent(load.entry.address, now_ms)
     load.unstarted_attempts += 1
     pool.running[request.id] = request
     state.running_by_upstream.setdefault(load.name, {})[request.id] = request
--- a/plantainwood/core/upstreamset.py
+++ b/plantainwood/core/upstreamset.py
@@ -11,6 +11,7 @@
     Upstream,
     UpstreamKind,
 )
+from plantainwood.core.coldupstreams import ColdSource, ColdUpstreams
 from plantainwood.core.dispatcheroptions import Options
 from plantainwood.core.hashing import pick_subset
 from plantainwood.core.leavingupstreams import ANY_ADDRESS, LeavingUpstreams
@@ -36,6 +37,8 @@
         "pools",
         "loads",
         "upstream_limits",
+        "cold_upstreams",
+        "cold_sources",
         "brittle_pools",
         "slot_divisions",
         "nodes",
@@ -60,6 +63,9 @@
         self.pools: dict[str, Pool] = {}
         self.loads: dict[str, UpstreamLoad] = {}
         self.upstream_limits = UpstreamLimits(node)
+        self.cold_upstreams = ColdUpstreams(node)
+        self.cold_sources: dict[str, ColdSource] = {}
+        """The upstreams that are cold now, with the source of the knowledge."""
         self.brittle_pools = BrittlePools()
         self.slot_divisions: dict[str, SlotDivision] = {}
         """By pool, for those that were brittle."""
@@ -223,6 +229,17 @@
         if load is not None:
             load.rate = self.upstream_limits.find_rate(upstream)
 
+    def update_cold(self, now_ms: int) -> None:
+        """Apply which upstreams are cold to what this node may send them."""
+        cold = self.cold_upstreams.list_cold(now_ms)
+        for name in self.cold_sources.keys() - cold.keys():
+            if name in self.loads:
+                self.loads[name].end_cold()
+        for name in cold.keys() & self.loads.keys():
+            self.loads[name].cold_rate = self.cold_upstreams.find_rate(name, now_ms)
+        self.cold_upstreams.forget_rates(set(cold))
+        self.cold_sources = cold
+
     def update_rooms(self, now_ms: int) -> None:
         """Apply which pools are brittle to what this node may send their upstreams."""
         for pool in self.pools.values():
--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -102,6 +102,19 @@
         if name not in self._vms:
             self._addresses.pop(name, None)
 
+    def list_current_names(self, now_ms: int) -> set[str]:
+        """Return the other VMs that are known or registered, as far as they may exist.
+
+        One at whose address another VM is live is gone.
+        """
+        live = {vm.sender: vm.link_address for vm in self.list_live(now_ms)}
+        reused = set(live.values())
+        found = set(live)
+        for name, address in self._addresses.items():
+            if address not in reused:
+                found.add(name)
+        return found
+
     def record(self, heartbeat: VmHeartbeat, made_ms: int) -> HeartbeatStatus:
         """Record a heartbeat that was made at `made_ms` on this node's clock."""
         if heartbeat.sender == self.node:
--- a/plantainwood/engines.py
+++ b/plantainwood/engines.py
@@ -71,6 +71,8 @@
     ) -> None:
         super().__init__(reason)
         self.reached = reached
+        self.broken = False
+        """Whether the upstream broke the connection or refused it."""
         self.crashed = crashed
         self.proved_not_run = proved_not_run
         self.pause_ms = pause_ms
