Cold upstreams: configuration, entries, header, heartbeats, settings and tests

coldStartS and coldPerS of a service, coldRemainingMs of an entry, the header Cold-Remaining, bounds.coldOverage and bounds.coldSlack. Heartbeats carry cold_ms, what the sender found out itself.

--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -139,6 +139,13 @@
     def is_leaving(self, response: ResponseHead) -> bool:
         """Return whether a response says that its upstream is leaving."""
 
+    @abstractmethod
+    def read_cold_ms(self, response: ResponseHead) -> int | None:
+        """Return how much longer, in ms, the upstream is cold; 0 if it is warm.
+
+        None if the response doesn't say so.
+        """
+
     @abstractmethod
     def read_pause_ms(self, response: ResponseHead) -> int | None:
         """Return for how long, in ms, the upstream wants no request from this node.
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -15,8 +15,10 @@
 from plantainwood.broker import RequestBroker
 from plantainwood.connectionpool import ConnectionPool
 from plantainwood.core import events as ev
-from plantainwood.core.catalogue import Catalogue
+from plantainwood.core.catalogue import Catalogue, DiscoveredUpstream
 from plantainwood.core.clock import Clock, make_clock, make_incarnation
+from plantainwood.core.coldshares import ColdBounds
+from plantainwood.core.coldupstreams import ColdLimit
 from plantainwood.core.confirmation import MAX_CONFIRM_AGE_MS, hears_quorum
 from plantainwood.core.dispatcher import Dispatcher
 from plantainwood.core.dispatcheroptions import Options
@@ -129,6 +131,7 @@
         )
         dispatcher = Dispatcher(settings.node, secrets.randbits(32), options)
         self.broker = RequestBroker(dispatcher, clock, self._queue_notice)
+        self._apply_cold_bounds()
         self.connection_pool = ConnectionPool(clock)
         self.path_prober = PathProber(self.broker, self.connection_pool, clock)
         self.start_counter = StartCounter(
@@ -155,6 +158,8 @@
         """Messages to all VMs."""
         self.body_room = BodyRoom()
         self.open_call_count = 0
+        self.has_heard_demand = False
+        """Whether another VM has sent requests to upstreams."""
         self._heartbeat_sequence = 0
         self._registry_read_ms: int | None = None
         """When the newest read of the store that is known here began; None before."""
@@ -162,11 +167,17 @@
     def apply_settings(self, settings: EdgeSettings) -> None:
         """Apply changed settings to the running node."""
         self.settings = settings
+        self._apply_cold_bounds()
         self.retry_budget.set_limits(
             settings.retries.ratio * RETRY_BUDGET_SHARE,
             settings.retries.slack * RETRY_BUDGET_SHARE,
         )
 
+    def _apply_cold_bounds(self) -> None:
+        cold = self.settings.cold
+        bounds = ColdBounds(cold.overage, cold.slack)
+        self.broker.dispatcher.state.cold_upstreams.set_bounds(bounds)
+
     def get_demand_peak(self, service: str) -> DemandPeak:
         """Return the record of a service's peak demand over the whole fleet."""
         return self.demand_peaks.setdefault(service, DemandPeak())
@@ -216,6 +227,7 @@
             path_lost=state.path_lost,
             unreached_pools=state.list_unreached_pools(now_ms),
             brittle_pools=state.brittle_pools.list_reports(now_ms),
+            cold_ms=state.cold_upstreams.list_reports(now_ms),
         )
 
     def find_weights(self) -> dict[str, int]:
@@ -273,9 +285,13 @@
 
     def apply_view(self, view: PlatformView) -> None:
         """Apply a newer configuration and set of upstreams."""
+        new_are_cold = self.has_traffic_begun() and self.is_registry_current()
         self.view = view
         dispatcher = self.broker.dispatcher
         dispatcher.apply_catalogue(view.catalogue)
+        dispatcher.set_cold_limits(
+            find_cold_limits(view.catalogue), new_are_cold, self.clock.now_ms()
+        )
         dispatcher.set_versions(find_versions(view.catalogue), self.clock.now_ms())
         self.driver.catalogue = view.catalogue
         gap_targets_ms: dict[str, set[int]] = {}
@@ -293,6 +309,17 @@
             self.router.set_first_token_target(pool, first_token_targets_ms[pool])
         self._close_unused_connections()
 
+    def has_traffic_begun(self) -> bool:
+        """Tell whether this VM knows upstreams that already serve requests.
+
+        In a fleet that starts for the first time that is so once requests are sent.
+        """
+        if self.view.routes is None:
+            return False
+        if not self.settings.bootstrap or self.has_heard_demand:
+            return True
+        return self.broker.dispatcher.state.cold_upstreams.has_sent
+
     def _close_unused_connections(self) -> None:
         """Close the idle connections to addresses without an upstream."""
         used = {
@@ -339,6 +366,19 @@
     return found
 
 
+def find_cold_limits(catalogue: Catalogue) -> dict[str, ColdLimit]:
+    """Return the limits of the upstreams that are cold after their start, by name."""
+    found: dict[str, ColdLimit] = {}
+    for name, entry in catalogue.upstreams.items():
+        if not isinstance(entry, DiscoveredUpstream):
+            continue
+        if entry.cold_start_ms and entry.cold_per_s:
+            found[name] = ColdLimit(
+                entry.address, entry.cold_start_ms, entry.cold_per_s
+            )
+    return found
+
+
 def _format_names(names: Iterable[str]) -> str:
     """Return a bounded list of names for a log line."""
     return ",".join(sorted(names)[:MAX_LOGGED_NAMES])
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -74,6 +74,17 @@
     address_lifetime_ms: Millis = 1_000
 
 
+Overage = Annotated[float, msgspec.Meta(ge=0, le=1_000)]
+Requests = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
+
+
+class EdgeCold(Section, frozen=True):
+    """What a cold upstream may receive from the fleet beyond its rate in a second."""
+
+    overage: Overage = 1.0
+    slack: Requests = 0.0
+
+
 class EdgeSettings(Section, frozen=True):
     """All settings that an edge node reads at its start."""
 
@@ -94,6 +105,7 @@
     duties: EdgeDuties = EdgeDuties()
     retries: EdgeRetries = EdgeRetries()
     drain: EdgeDrain = EdgeDrain()
+    cold: EdgeCold = EdgeCold()
     logs: Logs = Logs()
     traces: Traces = Traces()
 
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -5,6 +5,7 @@
 
 from mode import Service
 
+from plantainwood.coldwatch import ColdWatch, apply_cold_reports
 from plantainwood.core.catalogue import ServingVm, UpstreamKind
 from plantainwood.core.fleetmessages import (
     BegunStreamsNotice,
@@ -79,6 +80,7 @@
         self._heartbeat_triggered = asyncio.Event()
         self._live_names: set[str] = set()
         self._relay = HeartbeatRelay(edge, self._send_to_names)
+        self._cold_watch = ColdWatch(edge)
         self.mirror_links = MirrorLinks(edge, on_items, self._send, self.broadcast)
         super().__init__(**kwargs)
 
@@ -161,8 +163,11 @@
         stream_versions = edge.broker.dispatcher.state.stream_versions
         stream_versions.is_registry_current = edge.is_registry_current()
         edge.broker.dispatcher.set_nodes(
-            {heartbeat.sender for heartbeat in live}, now_ms
+            {heartbeat.sender for heartbeat in live},
+            now_ms,
+            frozenset(edge.vms.list_current_names(now_ms)),
         )
+        self._cold_watch.check()
         self._update_serving_vms(now_ms)
         edge.broker.dispatcher.set_connection_share(
             compute_share(edge.settings.capacity_percent, live)
@@ -275,6 +280,7 @@
         )
         apply_limit_reports(edge, heartbeat, age_ms)
         apply_brittleness_reports(edge, heartbeat, age_ms)
+        apply_cold_reports(edge, heartbeat, age_ms)
         edge.broker.dispatcher.state.stream_versions.record_remote(
             heartbeat.begun_streams, now_ms
         )
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -272,8 +272,9 @@
         fresh = upstream in self._refused_by
         try:
             return await self.forwarder.connection_pool.acquire(address, fresh)
-        except AttemptError:
+        except AttemptError as error:
             if not self._via_vm:
+                error.broken = isinstance(error.__cause__, ConnectionRefusedError)
                 await self.forwarder.path_prober.has_path(address)
             raise
 
@@ -333,6 +334,8 @@
             raise AttemptError(reason, False, proved_not_run=False) from error
         except AttemptError as error:
             prober = self.forwarder.path_prober
+            lost = error.crashed and not connection.timed_out
+            error.broken = lost and not self._via_vm
             error.crashed = not self._via_vm and await prober.has_crashed(connection)
             raise
 
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -28,6 +28,8 @@
         "store_calls",
         "link_bytes",
         "link_messages",
+        "cold_upstreams",
+        "cold_requests",
     )
 
     def __init__(self) -> None:
@@ -80,6 +82,13 @@
             "pw_link_messages_total", "Messages between daemons by direction."
         )
 
+        self.cold_upstreams = self._make_gauge(
+            "pw_cold_upstreams", "Upstreams that are known here to be cold."
+        )
+        self.cold_requests = self._make_counter(
+            "pw_cold_requests_total", "Requests sent from here to cold upstreams."
+        )
+
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
 
--- a/plantainwood/settingswatch.py
+++ b/plantainwood/settingswatch.py
@@ -15,7 +15,17 @@
 
 CHECK_PAUSE_MS = 1_000
 RELOADABLE_FIELDS = frozenset(
-    ("store", "seeds", "cpu_share", "cores", "link_mbps", "retries", "drain", "logs")
+    (
+        "store",
+        "seeds",
+        "cpu_share",
+        "cores",
+        "link_mbps",
+        "retries",
+        "drain",
+        "cold",
+        "logs",
+    )
 )
 """Fields that can change in a running node; the others need a restart."""
 
--- a/plantainwood/upstreamreports.py
+++ b/plantainwood/upstreamreports.py
@@ -4,6 +4,7 @@
 from plantainwood.calls import AttemptResult, Codec
 from plantainwood.connections import ResponseHead
 from plantainwood.core import events as ev
+from plantainwood.core.coldupstreams import ColdSource
 from plantainwood.core.loads import TIERS
 from plantainwood.logs import log_event
 
@@ -36,6 +37,7 @@
         self._record_load(upstream, response)
         self._record_limit(upstream, request_id, response)
         self._record_brittleness(upstream, request_id, response)
+        self._record_cold(upstream, response)
         self._record_leaving(upstream, request_id, response)
         self._record_pause(upstream, request_id, response)
         return result
@@ -52,6 +54,7 @@
             return
         self._record_limit(upstream, request_id, response)
         self._record_brittleness(upstream, request_id, response)
+        self._record_cold(upstream, response)
 
     def _record_load(self, upstream: str, response: ResponseHead) -> None:
         load = self._codec.read_load(response)
@@ -96,6 +99,15 @@
                 room=load.room,
             )
 
+    def _record_cold(self, upstream: str, response: ResponseHead) -> None:
+        """Record how much longer an upstream is cold; a change is logged for all."""
+        remaining_ms = self._codec.read_cold_ms(response)
+        event = ev.ColdNamed(upstream, ColdSource.RESPONSE, remaining_ms)
+        if remaining_ms is not None:
+            self._broker.feed(event)
+        elif upstream in self._broker.dispatcher.state.cold_sources:
+            self._broker.feed(event)
+
     def _record_leaving(
         self, upstream: str, request_id: str, response: ResponseHead
     ) -> None:
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -1,13 +1,14 @@
 """Settings of an edge node: validation and the platform's template."""
 
 import os
+import re
 import subprocess
 import sys
 from pathlib import Path
 
 import pytest
 
-from plantainwood.edgesettings import parse_edge_settings
+from plantainwood.edgesettings import EdgeCold, parse_edge_settings
 from plantainwood.settings import SettingsError
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -61,9 +62,33 @@
     assert result.returncode == code, result.stderr
 
 
-def test_the_template_names_only_settings_that_exist():
+def render_sections(text: str, values: dict[str, str]) -> str:
+    """Return a template with the sections of all bounds of cold upstreams rendered.
+
+    A section without a value is left out, and an inverted one is left out with it.
+    """
+    for name in ("bounds.coldOverage", "bounds.coldSlack"):
+        value = values.get(name)
+        for kind, is_kept in (("#", value is not None), ("^", value is None)):
+            start, end = re.escape("{{%s%s}}" % (kind, name)), "{{/%s}}" % name
+            pattern = f"{start}(.*?){re.escape(end)}"
+            text = re.sub(pattern, r"\1" if is_kept else "", text)
+        text = text.replace("{{%s}}" % name, value or "")
+    return text
+
+
+@pytest.mark.parametrize(
+    ("values", "expected"),
+    [
+        ({}, EdgeCold(1.0, 0.0)),
+        ({"bounds.coldOverage": "1.5"}, EdgeCold(1.5, 0.0)),
+        ({"bounds.coldSlack": "5"}, EdgeCold(1.0, 5.0)),
+        ({"bounds.coldOverage": "1.5", "bounds.coldSlack": "5"}, EdgeCold(1.5, 5.0)),
+    ],
+)
+def test_the_template_names_only_settings_that_exist(values, expected):
     lines = (ROOT / "deploy/settings.yaml").read_text().splitlines()
-    text = "\n".join(lines)
+    text = render_sections("\n".join(lines), values)
     for name in ("node", "domain", "domains", "addresses", "store", "fleet", "duties"):
         assert f"{name}:" in text
     filled = (
@@ -96,3 +121,13 @@
     assert "{{" not in filled
     assert parse_edge_settings(filled).node == "vm-1"
     assert not parse_edge_settings(filled).bootstrap
+    assert parse_edge_settings(filled).cold == expected
+
+
+# Guards against a bound that is no number, which would break the division of rates.
+@pytest.mark.parametrize("value", ["-1", ".nan", ".inf", "1e9", "true", '"5"'])
+@pytest.mark.parametrize("name", ["overage", "slack"])
+def test_a_bound_of_cold_upstreams_out_of_range_is_named(name, value):
+    with pytest.raises(SettingsError) as caught:
+        parse_edge_settings(VALID + f"cold: {{{name}: {value}}}\n")
+    assert f"cold.{name}" in "\n".join(caught.value.problems)
