Cold upstreams: a broken connection never counts for ever; shares are cached by limit

A VM that is no sender of an upstream which broke a connection got no response of it, so the upstream stayed cold for that VM for ever. Only after a refused connection, which is probed, does the time start with the next response.

--- a/plantainwood/core/coldshares.py
+++ b/plantainwood/core/coldshares.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from plantainwood.core.hashing import rank_members
+from plantainwood.core.hashing import compute_rank
 
 WINDOW_S = 1.35
 """The second over which requests are counted, plus the differences in how long requests
@@ -84,7 +84,11 @@
     node, and a rate at which it stays within it.
     """
     count = count_cold_senders(most, len(names))
-    if node not in rank_members(address, names)[:count]:
+    own_rank = (compute_rank(address, node), node)
+    ahead = 0
+    for name in names:
+        ahead += (compute_rank(address, name), name) > own_rank
+    if ahead >= count:
         return 0.0
     quota = max(1, int(most / (count + 1)))
     return min(per_s / count, BELOW_QUOTA * quota / WINDOW_S)
--- a/plantainwood/core/coldupstreams.py
+++ b/plantainwood/core/coldupstreams.py
@@ -61,7 +61,7 @@
         self.until_ms: dict[ColdSource, int] = {}
         self.broken_ms = 0
         self.responded_ms: int | None = None
-        """When it first responded after its connection broke; None before."""
+        """Since when it listens again after its connection broke; None if unknown."""
         self.was_down = False
         """Whether nothing listened at its address when its connection broke."""
 
@@ -111,8 +111,8 @@
         self._seen_names: dict[str, None] = {}
         self._rates: dict[str, NodeRate] = {}
         """This node's part of the rates of cold upstreams, by address."""
-        self._shares: dict[str, float] = {}
-        """This node's requests per second, by upstream, until an input changes."""
+        self._shares: dict[ColdLimit, float] = {}
+        """This node's requests per second, until the bounds or the nodes change."""
         self._addresses: set[str] = set()
         """The addresses with a limit."""
         self._sent_ms: dict[str, int] = {}
@@ -141,7 +141,6 @@
         upstream that has just started.
         """
         self._limits = limits
-        self._shares.clear()
         for name in sorted(names):
             is_new = self._seen_names.pop(name, True)
             self._seen_names[name] = None
@@ -191,18 +190,22 @@
         state.responded_ms = now_ms
         state.until_ms[ColdSource.BROKEN] = now_ms + self._limits[name].start_ms
 
-    def record_broken(self, name: str, is_down: bool, now_ms: int) -> None:
-        """Record that a connection to an upstream broke or was refused.
+    def record_broken(
+        self, name: str, refused: bool, crashed: bool, now_ms: int
+    ) -> None:
+        """Record that an upstream broke a connection, or refused one.
 
-        `is_down` is whether nothing listens at its address any more.
+        `crashed` is whether nothing listened at its address just afterwards. One that
+        refused a connection is probed, so its next response will be known here.
         """
         if name not in self._limits:
             return
         state = self._get_state(name)
-        state.until_ms[ColdSource.BROKEN] = UNTIL_RESPONSE_MS
+        until_ms = now_ms + self._limits[name].start_ms
+        state.until_ms[ColdSource.BROKEN] = UNTIL_RESPONSE_MS if refused else until_ms
         state.broken_ms = now_ms
-        state.responded_ms = None
-        state.was_down = is_down
+        state.responded_ms = None if refused or crashed else now_ms
+        state.was_down = refused or crashed
 
     def record_report(self, name: str, remaining_ms: int, now_ms: int) -> None:
         """Record that an upstream is cold as another node found out itself."""
@@ -273,14 +276,16 @@
 
     def compute_share(self, name: str) -> float:
         """Return the requests per second that this node may send to an upstream."""
-        share = self._shares.get(name)
-        if share is None:
-            limit = self._limits[name]
-            most = self.bounds.compute_most(limit.per_s)
-            share = compute_share(
-                self._node, self._members.names, limit.address, limit.per_s, most
-            )
-            self._shares[name] = share
+        limit = self._limits[name]
+        share = self._shares.get(limit)
+        if share is not None:
+            return share
+        if len(self._shares) >= MAX_NAMES:
+            self._shares.clear()
+        most = self.bounds.compute_most(limit.per_s)
+        share = self._shares[limit] = compute_share(
+            self._node, self._members.names, limit.address, limit.per_s, most
+        )
         return share
 
     def record_sent(self, address: str, now_ms: int) -> None:
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -113,8 +113,9 @@
         return
     load = state.loads[request.upstream]
     if (event.broken or event.crashed) and not state.path_lost:
-        is_down = event.crashed or not event.reached
-        state.cold_upstreams.record_broken(load.name, is_down, now_ms)
+        state.cold_upstreams.record_broken(
+            load.name, not event.reached, event.crashed, now_ms
+        )
         state.update_cold(now_ms)
     if event.crashed:
         record_crash(state, request, load, now_ms, decisions)
