--- a/tests/coldfleet.py
+++ b/tests/coldfleet.py
@@ -206,13 +206,13 @@
                 self._handle(vm, event)
         self._updates = later
 
-    def replace_vms(self, vms: list[int]) -> None:
-        """Replace VMs by new ones, which know only the former ones as registered.
+    def replace_vms(self, vms: list[int], registered: bool) -> None:
+        """Replace VMs by new ones, which know the former ones if those are registered.
 
         `share_views` tells the fleet of them.
         """
         for vm in vms:
-            former = set(self.names)
+            former = set(self.names) if registered else set()
             for key in [key for key in self.attempts if key[0] == vm]:
                 del self.attempts[key]
             self.names[vm] = f"{self.names[vm]}-new"
--- a/tests/test_cold_upstreams.py
+++ b/tests/test_cold_upstreams.py
@@ -195,6 +195,7 @@
     alone = make_cold_upstreams("vm-9", set(), set())
     assert cold.compute_share(UPSTREAM) <= COLD_PER_S / 6
     assert alone.compute_share(UPSTREAM) > 0.9 * COLD_PER_S
+    assert not cold.find_rate(UPSTREAM, 0).may_send(0)
     assert not cold.find_rate(UPSTREAM, SETTLE_MS - 1).may_send(SETTLE_MS - 1)
     assert cold.find_rate(UPSTREAM, SETTLE_MS).may_send(SETTLE_MS)
     for now_ms in range(0, 60_000, 1_000):
@@ -230,13 +231,16 @@
 
 
 # Guards against many new VMs that each count themselves in before the others know it.
-@pytest.mark.parametrize(("vms", "replaced"), [(6, 3), (88, 30), (88, 88)])
-def test_vms_that_start_together_keep_the_bound(vms, replaced):
+@pytest.mark.parametrize(
+    ("vms", "replaced", "registered"),
+    [(6, 3, True), (88, 30, True), (88, 88, True), (88, 88, False)],
+)
+def test_vms_that_start_together_keep_the_bound(vms, replaced, registered):
     fleet = ColdFleet(vms, {"1": 3, "2": 3}, seed=11)
     fleet.run(SETTLED_MS, 400)
     started = return_zone(fleet, "1", 3)
     fleet.run(1_000, 400)
-    fleet.replace_vms(list(range(replaced)))
+    fleet.replace_vms(list(range(replaced)), registered)
     fleet.run(500, 400)
     fleet.share_views()
     fleet.run(COLD_START_MS, 400)
