--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -10,6 +10,7 @@
 from plantainwood.core.catalogue import DiscoveredUpstream
 from plantainwood.core.events import Arrival
 from plantainwood.core.prompts import Prompt
+from plantainwood.core.regions import Regions
 from plantainwood.core.routes import RetrySafety, Route, make_service_pool
 
 
@@ -41,6 +42,8 @@
     """The id of the caller's request that began the stream which this one continues."""
     from_vm: str = ""
     """The VM that sent the call, if another one has taken it from the caller."""
+    allowed_regions: Regions | None = None
+    """Where it may be served, by its route and its customer; None: everywhere."""
 
 
 def make_arrival(call: Call) -> Arrival:
@@ -60,6 +63,7 @@
         stream=(call.resumes or call.request_id) if is_stream else "",
         resumed=is_stream and bool(call.resumes),
         from_vm=bool(call.from_vm),
+        allowed_regions=call.allowed_regions,
     )
 
 
@@ -139,6 +143,13 @@
     def is_leaving(self, response: ResponseHead) -> bool:
         """Return whether a response says that its upstream is leaving."""
 
+    @abstractmethod
+    def read_cold_ms(self, response: ResponseHead) -> int | None:
+        """Return how much longer, in ms, the upstream is cold; 0 if it is warm.
+
+        None if the response doesn't say so.
+        """
+
     @abstractmethod
     def read_pause_ms(self, response: ResponseHead) -> int | None:
         """Return for how long, in ms, the upstream wants no request from this node.
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -1,11 +1,13 @@
 """The dispatcher's state, and the operations on it that its policies share."""
 
 import heapq
+from typing import Iterable
 
 from plantainwood.core import events as ev
 from plantainwood.core.catalogue import Catalogue, Customer
 from plantainwood.core.dispatcheroptions import Options
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
+from plantainwood.core.evacuations import EvacuationChange
 from plantainwood.core.fairness import TokenCounters
 from plantainwood.core.limits import CustomerLimit
 from plantainwood.core.partquarantine import PartQuarantine
@@ -84,6 +86,20 @@
         self._judging_due_ms = now_ms + JUDGING_INTERVAL_MS
         return True
 
+    def set_evacuated(self, domains: Iterable[str], now_ms: int) -> EvacuationChange:
+        """Replace the failure domains that are sent nothing; return what changed.
+
+        A retry that avoids the only domain left to it may go there again.
+        """
+        change = super().set_evacuated(domains, now_ms)
+        if change.begun:
+            for request in self.requests.values():
+                pool = self.pools[request.pool]
+                serving = pool.list_serving(request.version, request.domains)
+                if all(load.entry.domain == request.avoid_domain for load in serving):
+                    request.avoid_domain = ""
+        return change
+
     def get_or_create_limit(
         self, name: str, customer: Customer, now_ms: int
     ) -> CustomerLimit:
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -2,9 +2,11 @@
 
 import msgspec
 
+from plantainwood.core.coldupstreams import ColdSource
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.core.partquarantine import PartCrash
 from plantainwood.core.prompts import Prompt
+from plantainwood.core.regions import Regions
 from plantainwood.core.retries import MAX_ATTEMPTS
 from plantainwood.core.upstreamlimits import LimitReport
 
@@ -35,6 +37,8 @@
     """Whether the stream began in an earlier request."""
     from_vm: bool = False
     """Whether another VM sent the request, so that it goes to no further VM."""
+    allowed_regions: Regions | None = None
+    """Where it may be served; None: everywhere."""
 
 
 class AttemptStarted(msgspec.Struct, frozen=True):
@@ -74,6 +78,8 @@
     """How long the upstream gets no new attempts, if `proved_not_run`."""
     reached: bool = True
     """Whether any byte of the attempt may have arrived at the upstream."""
+    broken: bool = False
+    """Whether the upstream broke the connection or refused it."""
 
 
 class CallerLeft(msgspec.Struct, frozen=True):
@@ -124,6 +130,15 @@
     age_ms: int
 
 
+class ColdNamed(msgspec.Struct, frozen=True):
+    """A source said how much longer an upstream is cold."""
+
+    upstream: str
+    source: ColdSource
+    remaining_ms: int | None
+    """0 if it is warm; None for a response that doesn't say."""
+
+
 class PauseNamed(msgspec.Struct, frozen=True):
     """An upstream wants no requests from this node for some time."""
 
@@ -211,6 +226,7 @@
     | LimitReported
     | BrittlenessNamed
     | BrittlenessReported
+    | ColdNamed
     | PauseNamed
     | UpstreamLeaving
     | CrashMarkReceived
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -3,6 +3,7 @@
 from collections import deque
 
 from plantainwood.core.catalogue import Upstream
+from plantainwood.core.evacuations import ReturnRamp
 from plantainwood.core.upstreamlimits import NodeRate
 
 TIERS = 10
@@ -30,7 +31,10 @@
         "unreached_until_ms",
         "max_own_in_flight",
         "rate",
+        "cold_rate",
         "room",
+        "evacuated",
+        "ramp",
         "_reported",
         "_reported_ms",
         "_own_by_tier",
@@ -59,8 +63,14 @@
         """How many attempts of this node may run at once; 0: no bound."""
         self.rate: NodeRate | None = None
         """This node's part of the request rate that the upstream named, if any."""
+        self.cold_rate: NodeRate | None = None
+        """This node's part of the rate of a cold upstream; None while it is warm."""
         self.room: int | None = None
         """This node's part of the slots while the pool is brittle; None otherwise."""
+        self.evacuated = False
+        """Whether nothing may be sent to the upstream's failure domain."""
+        self.ramp: ReturnRamp | None = None
+        """Which requests it takes while its failure domain returns to service."""
         self._reported: list[int] | None = None
         self._reported_ms = 0
         self._own_by_tier = [0] * TIERS
@@ -109,6 +119,12 @@
         """Tell whether the upstream counts as out of this node's reach."""
         return now_ms < self.unreached_until_ms
 
+    def admits(self, request_id: str, now_ms: int) -> bool:
+        """Tell whether the upstream's failure domain is in service for a request."""
+        if self.evacuated:
+            return False
+        return self.ramp is None or self.ramp.admits(request_id, now_ms)
+
     def is_at_connection_limit(self) -> bool:
         """Tell whether this node uses its full share of the upstream's connections."""
         return (
@@ -145,6 +161,15 @@
                 prefill_tokens - self.mean_prefill_tokens
             )
 
+    def end_cold(self) -> None:
+        """Forget the timings of a cold upstream, which say nothing of a warm one."""
+        self.cold_rate = None
+        self.ejected = False
+        self.samples = 0
+        self.first_token_ms = 0.0
+        self.mean_prefill_tokens = 0.0
+        self.between_tokens_ms = 0.0
+
     def record_between_tokens(self, took_ms: float) -> None:
         """Update the mean with an attempt's mean time between tokens."""
         if self.between_tokens_ms == 0.0:
--- a/plantainwood/core/upstreamset.py
+++ b/plantainwood/core/upstreamset.py
@@ -1,6 +1,7 @@
 """The upstreams that a node knows, and which of them it may use."""
 
 import random
+from typing import Iterable
 
 from plantainwood.core.affinity import PrefixHints
 from plantainwood.core.brittleness import BrittlePools, SlotDivision
@@ -11,12 +12,15 @@
     Upstream,
     UpstreamKind,
 )
+from plantainwood.core.coldupstreams import ColdSource, ColdUpstreams
 from plantainwood.core.dispatcheroptions import Options
+from plantainwood.core.evacuations import EvacuationChange, Evacuations
 from plantainwood.core.hashing import pick_subset
 from plantainwood.core.leavingupstreams import ANY_ADDRESS, LeavingUpstreams
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.membership import select_serving_domains
 from plantainwood.core.pools import Pool
+from plantainwood.core.regions import DomainRegions
 from plantainwood.core.requests import Request
 from plantainwood.core.streamversions import StreamVersions
 from plantainwood.core.upstreamlimits import UpstreamLimits
@@ -36,6 +40,8 @@
         "pools",
         "loads",
         "upstream_limits",
+        "cold_upstreams",
+        "cold_sources",
         "brittle_pools",
         "slot_divisions",
         "nodes",
@@ -48,6 +54,8 @@
         "pauses_until_ms",
         "path_lost",
         "serving_vms",
+        "evacuations",
+        "regions",
         "_connection_share",
         "_own_domain",
         "_domains",
@@ -60,6 +68,9 @@
         self.pools: dict[str, Pool] = {}
         self.loads: dict[str, UpstreamLoad] = {}
         self.upstream_limits = UpstreamLimits(node)
+        self.cold_upstreams = ColdUpstreams(node)
+        self.cold_sources: dict[str, ColdSource] = {}
+        """The upstreams that are cold now, with the source of the knowledge."""
         self.brittle_pools = BrittlePools()
         self.slot_divisions: dict[str, SlotDivision] = {}
         """By pool, for those that were brittle."""
@@ -78,6 +89,8 @@
         """Whether this node reaches no upstreams."""
         self.serving_vms: dict[str, ServingVm] = {}
         """The VMs that serve for this node while its path is lost, by load name."""
+        self.evacuations = Evacuations()
+        self.regions = DomainRegions("", {})
         self._connection_share = 1.0
         self._own_domain = ""
         self._domains: list[str] = []
@@ -108,6 +121,7 @@
                 load.rate = self.upstream_limits.find_rate(name)
             load.entry = entry
             load.leaving = self._is_leaving(name, entry)
+            load.evacuated = self.evacuations.is_evacuated(entry.domain)
             load.max_own_in_flight = compute_max_own_in_flight(
                 entry, self._connection_share
             )
@@ -118,6 +132,18 @@
         for pool in self.pools.values():
             self.choose_subset(pool)
 
+    def set_evacuated(self, domains: Iterable[str], now_ms: int) -> EvacuationChange:
+        """Replace the failure domains that are sent nothing; return what changed."""
+        change = self.evacuations.update(domains, now_ms)
+        if not change.begun and not change.ended:
+            return change
+        for name, load in self.loads.items():
+            if name not in self.serving_vms:
+                load.evacuated = self.evacuations.is_evacuated(load.entry.domain)
+        for pool in self.pools.values():
+            self.choose_subset(pool)
+        return change
+
     def set_serving_vms(self, vms: dict[str, ServingVm]) -> None:
         """Replace the VMs that may serve for this node; loads are kept by name."""
         for name in self.serving_vms.keys() - vms.keys():
@@ -138,12 +164,19 @@
                 found.append(name)
         return tuple(sorted(found))
 
-    def lacks_path(self, pool: Pool, version: str, now_ms: int) -> bool:
+    def lacks_path(
+        self,
+        pool: Pool,
+        version: str,
+        now_ms: int,
+        domains: frozenset[str] | None = None,
+    ) -> bool:
         """Tell whether only other VMs can serve a pool's requests.
 
-        `version` is that of the upstreams which a resumed stream needs, if any.
+        `version` is that of the upstreams which a resumed stream needs, if any, and
+        `domains` has the failure domains that may serve, if not all may.
         """
-        return self.path_lost or pool.is_unreached(now_ms, version)
+        return self.path_lost or pool.is_unreached(now_ms, version, domains)
 
     def list_serving_vms(self) -> list[UpstreamLoad]:
         """Return the loads of the VMs that may serve for this node."""
@@ -205,7 +238,7 @@
             if not _serves_pool(entry, pool.name):
                 continue
             members.append(self.loads[upstream])
-            if self.loads[upstream].leaving:
+            if self.loads[upstream].leaving or self.loads[upstream].evacuated:
                 continue
             if self._domains and entry.kind is UpstreamKind.ENGINE:
                 if self._own_domain not in select_serving_domains(
@@ -215,14 +248,36 @@
             domains[upstream] = entry.domain
         subset = pick_subset(self.node, domains, self.options.subset_size)
         pool.group = [self.loads[upstream] for upstream in subset]
+        self._set_ramps(pool)
         self.router.set_pool_upstreams(pool.name, members)
 
+    def _set_ramps(self, pool: Pool) -> None:
+        """Set how much the failure domains that return to service take of a pool."""
+        slots: dict[str, int] = {}
+        for load in pool.group:
+            domain = load.entry.domain
+            slots[domain] = slots.get(domain, 0) + load.entry.slots
+        ramps = self.evacuations.make_ramps(slots)
+        for load in pool.group:
+            load.ramp = ramps.get(load.entry.domain)
+
     def update_rate(self, upstream: str) -> None:
         """Apply what is known of an upstream's limit to what this node may send."""
         load = self.loads.get(upstream)
         if load is not None:
             load.rate = self.upstream_limits.find_rate(upstream)
 
+    def update_cold(self, now_ms: int) -> None:
+        """Apply which upstreams are cold to what this node may send them."""
+        cold = self.cold_upstreams.list_cold(now_ms)
+        for name in self.cold_sources.keys() - cold.keys():
+            if name in self.loads:
+                self.loads[name].end_cold()
+        for name in cold.keys() & self.loads.keys():
+            self.loads[name].cold_rate = self.cold_upstreams.find_rate(name, now_ms)
+        self.cold_upstreams.forget_rates(set(cold))
+        self.cold_sources = cold
+
     def update_rooms(self, now_ms: int) -> None:
         """Apply which pools are brittle to what this node may send their upstreams."""
         for pool in self.pools.values():
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import logging
 import secrets
 from typing import Iterable
 
@@ -15,8 +16,10 @@
 from plantainwood.broker import RequestBroker
 from plantainwood.connectionpool import ConnectionPool
 from plantainwood.core import events as ev
-from plantainwood.core.catalogue import Catalogue
+from plantainwood.core.catalogue import Catalogue, DiscoveredUpstream
 from plantainwood.core.clock import Clock, make_clock, make_incarnation
+from plantainwood.core.coldshares import ColdBounds
+from plantainwood.core.coldupstreams import ColdLimit
 from plantainwood.core.confirmation import MAX_CONFIRM_AGE_MS, hears_quorum
 from plantainwood.core.dispatcher import Dispatcher
 from plantainwood.core.dispatcheroptions import Options
@@ -45,6 +48,7 @@
 from plantainwood.core.vms import AgreedTime, VmTable
 from plantainwood.core.windows import StartCounter, WindowTotals
 from plantainwood.edgesettings import EdgeSettings
+from plantainwood.evacuationlogs import record_evacuations
 from plantainwood.logs import log_event
 from plantainwood.metrics import Metrics
 from plantainwood.pathprobe import PathProber
@@ -74,7 +78,14 @@
 class PlatformView:
     """The store's items, parsed: catalogue, routes, scaling limits, engine counts."""
 
-    __slots__ = ("catalogue", "routes", "scaling", "engine_counts", "limits")
+    __slots__ = (
+        "catalogue",
+        "routes",
+        "scaling",
+        "engine_counts",
+        "limits",
+        "evacuated",
+    )
 
     def __init__(self) -> None:
         self.catalogue = Catalogue()
@@ -85,6 +96,8 @@
         self.engine_counts: dict[str, dict[str, EngineCounts]] = {}
         """By service, then by failure domain."""
         self.limits = CallerLimits()
+        self.evacuated: dict[str, int] = {}
+        """The revisions at which the evacuated failure domains became so."""
 
     def list_stream_pools(self) -> list[str]:
         """Return the pools that resumable streams are routed to, sorted."""
@@ -128,7 +141,9 @@
             subset_size=SUBSET_SIZE,
         )
         dispatcher = Dispatcher(settings.node, secrets.randbits(32), options)
+        dispatcher.set_regions(settings.domain, settings.regions)
         self.broker = RequestBroker(dispatcher, clock, self._queue_notice)
+        self._apply_cold_bounds()
         self.connection_pool = ConnectionPool(clock)
         self.path_prober = PathProber(self.broker, self.connection_pool, clock)
         self.start_counter = StartCounter(
@@ -155,18 +170,27 @@
         """Messages to all VMs."""
         self.body_room = BodyRoom()
         self.open_call_count = 0
+        self.has_heard_demand = False
+        """Whether another VM has sent requests to upstreams."""
         self._heartbeat_sequence = 0
+        self._unknown_regions: list[str] = []
         self._registry_read_ms: int | None = None
         """When the newest read of the store that is known here began; None before."""
 
     def apply_settings(self, settings: EdgeSettings) -> None:
         """Apply changed settings to the running node."""
         self.settings = settings
+        self._apply_cold_bounds()
         self.retry_budget.set_limits(
             settings.retries.ratio * RETRY_BUDGET_SHARE,
             settings.retries.slack * RETRY_BUDGET_SHARE,
         )
 
+    def _apply_cold_bounds(self) -> None:
+        cold = self.settings.cold
+        bounds = ColdBounds(cold.overage, cold.slack)
+        self.broker.dispatcher.state.cold_upstreams.set_bounds(bounds)
+
     def get_demand_peak(self, service: str) -> DemandPeak:
         """Return the record of a service's peak demand over the whole fleet."""
         return self.demand_peaks.setdefault(service, DemandPeak())
@@ -216,6 +240,7 @@
             path_lost=state.path_lost,
             unreached_pools=state.list_unreached_pools(now_ms),
             brittle_pools=state.brittle_pools.list_reports(now_ms),
+            cold_ms=state.cold_upstreams.list_reports(now_ms),
         )
 
     def find_weights(self) -> dict[str, int]:
@@ -225,6 +250,13 @@
             weights[heartbeat.sender] = heartbeat.weight
         return weights
 
+    def find_domains(self) -> dict[str, str]:
+        """Return the failure domain of each VM that `find_weights` has."""
+        domains = {self.settings.node: self.settings.domain}
+        for heartbeat in self.vms.list_staying(self.clock.now_ms()):
+            domains[heartbeat.sender] = heartbeat.domain
+        return domains
+
     def is_registry_current(self) -> bool:
         """Return whether no change of the registry can have passed this node by.
 
@@ -273,9 +305,14 @@
 
     def apply_view(self, view: PlatformView) -> None:
         """Apply a newer configuration and set of upstreams."""
+        new_are_cold = self.has_traffic_begun() and self.is_registry_current()
         self.view = view
         dispatcher = self.broker.dispatcher
+        self._apply_evacuations(view)
         dispatcher.apply_catalogue(view.catalogue)
+        dispatcher.set_cold_limits(
+            find_cold_limits(view.catalogue), new_are_cold, self.clock.now_ms()
+        )
         dispatcher.set_versions(find_versions(view.catalogue), self.clock.now_ms())
         self.driver.catalogue = view.catalogue
         gap_targets_ms: dict[str, set[int]] = {}
@@ -291,8 +328,43 @@
         for pool, targets_ms in gap_targets_ms.items():
             self.router.set_gap_targets(pool, targets_ms)
             self.router.set_first_token_target(pool, first_token_targets_ms[pool])
+        self._check_regions(view)
         self._close_unused_connections()
 
+    def _check_regions(self, view: PlatformView) -> None:
+        """Log the regions of the configuration that no failure domain is in."""
+        named = view.routes.list_regions() if view.routes is not None else []
+        known = self.settings.regions.values()
+        unknown = [name for name in named if name not in known]
+        if unknown == self._unknown_regions:
+            return
+        self._unknown_regions = unknown
+        log_event(
+            "regions_unknown",
+            logging.WARNING if unknown else logging.INFO,
+            regions=_format_names(unknown) or "-",
+        )
+
+    def _apply_evacuations(self, view: PlatformView) -> None:
+        """Apply which failure domains are evacuated; log what changed."""
+        change = self.broker.dispatcher.set_evacuated(
+            view.evacuated, self.clock.now_ms()
+        )
+        known = {entry.domain for entry in view.catalogue.upstreams.values()}
+        known.update(self.settings.domains)
+        record_evacuations(change, view.evacuated, known, self.metrics)
+
+    def has_traffic_begun(self) -> bool:
+        """Tell whether this VM knows upstreams that already serve requests.
+
+        In a fleet that starts for the first time that is so once requests are sent.
+        """
+        if self.view.routes is None:
+            return False
+        if not self.settings.bootstrap or self.has_heard_demand:
+            return True
+        return self.broker.dispatcher.state.cold_upstreams.has_sent
+
     def _close_unused_connections(self) -> None:
         """Close the idle connections to addresses without an upstream."""
         used = {
@@ -339,6 +411,19 @@
     return found
 
 
+def find_cold_limits(catalogue: Catalogue) -> dict[str, ColdLimit]:
+    """Return the limits of the upstreams that are cold after their start, by name."""
+    found: dict[str, ColdLimit] = {}
+    for name, entry in catalogue.upstreams.items():
+        if not isinstance(entry, DiscoveredUpstream):
+            continue
+        if entry.cold_start_ms and entry.cold_per_s:
+            found[name] = ColdLimit(
+                entry.address, entry.cold_start_ms, entry.cold_per_s
+            )
+    return found
+
+
 def _format_names(names: Iterable[str]) -> str:
     """Return a bounded list of names for a log line."""
     return ",".join(sorted(names)[:MAX_LOGGED_NAMES])
