--- a/plantainwood/core/hashing.py
+++ b/plantainwood/core/hashing.py
@@ -1,10 +1,14 @@
 """Rendezvous hashing: every node computes the same ranking without coordination."""
 
 import math
+from functools import lru_cache
 
 import xxhash
 
 HASH_RANGE = 2**64
+MAX_KEPT_RANKINGS = 32
+"""Rankings of whole fleets and pools under fixed keys, which are asked for many times a
+second and change only when a member joins or leaves."""
 
 
 def compute_rank(key: str, member: str) -> int:
@@ -31,12 +35,18 @@
     return sorted(members, key=lambda member: (compute_rank(key, member), member))[::-1]
 
 
+@lru_cache(maxsize=MAX_KEPT_RANKINGS)
+def rank_stable_members(key: str, members: tuple[str, ...]) -> tuple[str, ...]:
+    """Return the same as `rank_members`, kept for members that seldom change."""
+    return tuple(rank_members(key, list(members)))
+
+
 def rank_by_weight(key: str, members: list[str], weights: dict[str, int]) -> list[str]:
     """Return the members, heaviest first; those of one weight by rank for the key.
 
     Members without a weight come last.
     """
-    ranked = rank_members(key, members)
+    ranked = rank_stable_members(key, tuple(members))
     return sorted(ranked, key=lambda member: -weights.get(member, 0))
 
 
