Engines of unequal speed: prompts go by expected time

Cause: the router counted tokens at 40 per ms for every engine, so engines at 0.6 of the usual speed got as much as those at 1.6, and the fourth figure of Server-Load was not read.

Change: core/enginepace.py learns per engine the time to first token against the tokens ahead of it, relative to the pool's median, from own samples and those in the heartbeat field engine_timings. The momentary pace decays within half a second. PromptRouter compares expected times and bounds backlogs in time; where engines differ it has the choice among a few drawn ones. FewChoicesRouter weighs by the momentary pace. The partitions by gap target and the estimates move to modules of their own.

--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -121,6 +121,13 @@
     def read_load(self, response: ResponseHead) -> tuple[int, int] | None:
         """Return (running, waiting) at the upstream; None if the response omits it."""
 
+    @abstractmethod
+    def read_pace(self, response: ResponseHead) -> int | None:
+        """Return how long work takes at the upstream now, in percent of usual.
+
+        None if the response does not say, 0 if it can't be read.
+        """
+
     @abstractmethod
     def read_rate_limit(self, response: ResponseHead) -> float | None:
         """Return the requests per second that the upstream takes from all nodes.
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -95,6 +95,8 @@
     load = state.loads.get(event.upstream)
     if load is not None:
         load.record_report(event.by_tier, event.lag_ms, now_ms)
+        if event.pace:
+            load.reported_pace.record(event.pace, now_ms)
 
 
 def handle_limit(
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -95,6 +95,8 @@
     upstream: str
     by_tier: tuple[int, ...]
     lag_ms: int
+    pace: int = 0
+    """How long its work takes at the moment, in percent of usual; 0: not reported."""
 
 
 class LimitNamed(msgspec.Struct, frozen=True):
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -3,13 +3,12 @@
 from collections import deque
 
 from plantainwood.core.catalogue import Upstream
+from plantainwood.core.enginepace import BASE_PREFILL_TOKENS, ReportedPace
 from plantainwood.core.upstreamlimits import NodeRate
 
 TIERS = 10
 SMOOTHING = 0.2
 STALE_MS = 5_000
-BASE_PREFILL_TOKENS = 1_000
-"""The fixed cost of a prompt on an idle engine, in prefill tokens."""
 
 
 class UpstreamLoad:
@@ -31,6 +30,7 @@
         "max_own_in_flight",
         "rate",
         "room",
+        "reported_pace",
         "_reported",
         "_reported_ms",
         "_own_by_tier",
@@ -61,6 +61,7 @@
         """This node's part of the request rate that the upstream named, if any."""
         self.room: int | None = None
         """This node's part of the slots while the pool is brittle; None otherwise."""
+        self.reported_pace = ReportedPace()
         self._reported: list[int] | None = None
         self._reported_ms = 0
         self._own_by_tier = [0] * TIERS
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -4,61 +4,40 @@
 it, so some engines are dedicated to the classes with the tightest gap target. Within
 each partition, the engine that a ranking shared by all nodes puts first for the
 session is preferred, and load is measured in tokens awaiting prefill, not in requests.
+Expected times follow from the tokens and from the pace of each engine.
 """
 
 import random
 
-import msgspec
-
 from plantainwood.core.affinity import PrefixHints
+from plantainwood.core.dedicatedengines import GapPartitions
+from plantainwood.core.enginepace import EnginePaces
 from plantainwood.core.enginestates import EngineStates
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.loads import UpstreamLoad
+from plantainwood.core.prefillestimates import (
+    MIN_FETCHED_TOKENS,
+    PrefillEstimate,
+    PrefixHolder,
+)
 from plantainwood.core.requests import Request
 from plantainwood.core.router import FewChoicesRouter, Router, is_allowed
 
-TIGHT_GAP_RATIO = 0.8
-"""A gap target is tight if it is below this share of the next larger one."""
-DEDICATED_SHARE = 0.2
-"""The share of the engines that is dedicated to the tightest gap target."""
 PREFILL_TOKENS_PER_MS = 40.0
 BACKLOG_SHARE = 1.0
 """The part of the first-token target that the prefill of a backlog may take."""
-MIN_BACKLOG_TOKENS = 4_000.0
+MIN_BACKLOG_MS = 100.0
 RUNNING_REQUEST_TOKENS = 60
 """The delay that each running request on the engine adds, in prefilled tokens."""
 EJECTION_PENALTY_TOKENS = 40_000
-FETCH_COST_RATIO = 0.15
-"""The cost of fetching a token from another engine's KV cache, in prefilled tokens."""
-MIN_FETCHED_TOKENS = 500
 PREFERRED_ENGINE_BONUS_TOKENS = 400
 """The advantage of the first engine in a session's ranking.
 
 It makes nodes that send a new session at the same moment choose the same engine.
 """
-
-
-class PrefillEstimate(msgspec.Struct, frozen=True):
-    """The work of an engine for a prompt before its first token."""
-
-    prefill_tokens: int
-    """Tokens that it prefills."""
-    fetched_tokens: int = 0
-    """Tokens that it fetches from the source."""
-    source: str = ""
-    """The engine to fetch from; empty if there is none."""
-
-    @property
-    def cost(self) -> float:
-        """Return the work in prefilled tokens."""
-        return self.prefill_tokens + FETCH_COST_RATIO * self.fetched_tokens
-
-
-class PrefixHolder(msgspec.Struct, frozen=True):
-    """An engine that has cached the beginning of a prompt; by default none."""
-
-    name: str = ""
-    tokens: int = 0
+DRAWN_ENGINES = 3
+"""The engines among which a prompt has the choice where they differ in pace, beside
+those with its parts; otherwise all nodes would send to the fastest idle one."""
 
 
 class PromptRouter(Router):
@@ -71,21 +50,27 @@
         "sent_tokens",
         "_plain_router",
         "engine_states",
+        "paces",
+        "_random",
         "_pool_upstreams",
-        "_tightest_gap_ms",
+        "_partitions",
         "_first_token_targets_ms",
         "_estimates",
         "_pending_work_tokens",
     )
 
-    def __init__(self, plain_router: FewChoicesRouter) -> None:
+    def __init__(
+        self, plain_router: FewChoicesRouter, generator: random.Random
+    ) -> None:
         self.sent_tokens: dict[str, int] = {}
         """Tokens to prefill, sent to each pool since the owner last reset this."""
         self._plain_router = plain_router
         self.engine_states = EngineStates()
+        self.paces = EnginePaces()
+        self._random = generator
         self._pool_upstreams: dict[str, list[UpstreamLoad]] = {}
         """Engines that may have cached prompts, leaving ones included, by pool."""
-        self._tightest_gap_ms: dict[str, int] = {}
+        self._partitions = GapPartitions()
         self._first_token_targets_ms: dict[str, int] = {}
         self._estimates: dict[str, PrefillEstimate] = {}
         """Estimates for the engines chosen last, by request id, until the dispatch."""
@@ -93,14 +78,8 @@
         """Tokens to prefill before the first token, by request id."""
 
     def set_gap_targets(self, pool: str, gap_targets_ms: set[int]) -> None:
-        """Set the gap targets of a pool's classes, and find the tight one, if any.
-
-        A target of 0 means that there is none.
-        """
-        ordered = sorted(gap_ms for gap_ms in gap_targets_ms if gap_ms > 0)
-        self._tightest_gap_ms.pop(pool, None)
-        if len(ordered) >= 2 and ordered[0] < TIGHT_GAP_RATIO * ordered[1]:
-            self._tightest_gap_ms[pool] = ordered[0]
+        """Set the gap targets of a pool's classes; 0 means that there is none."""
+        self._partitions.set_gap_targets(pool, gap_targets_ms)
 
     def set_first_token_target(self, pool: str, target_ms: int) -> None:
         """Set the shortest target for the first token among a pool's classes."""
@@ -109,6 +88,7 @@
     def set_pool_upstreams(self, pool: str, loads: list[UpstreamLoad]) -> None:
         """Set all upstreams of a pool, those that are leaving included."""
         self._pool_upstreams[pool] = loads
+        self.paces.set_pool(pool, {load.name for load in loads})
         for load in loads:
             tokens = getattr(load.entry, "memory_tokens", 0)
             self.engine_states.set_cache_tokens(load.name, tokens)
@@ -116,6 +96,7 @@
     def forget(self, upstream: str) -> None:
         """Delete the state of an engine that has stopped or restarted."""
         self.engine_states.forget(upstream)
+        self.paces.forget(upstream)
 
     def choose(
         self, request: Request, group: list[UpstreamLoad], now_ms: int
@@ -126,29 +107,72 @@
         allowed = [load for load in group if is_allowed(request, load, now_ms)]
         if not allowed:
             return None
-        partition = self._select_partition(request, group, allowed)
-        limit = self._compute_backlog_limit(request.pool)
+        partition = self._partitions.select(request, group, allowed)
         names = sorted(load.name for load in partition)
         preferred = rank_members(request.prompt.session, names)[0]
         holders = self._find_prefix_holders(request, now_ms)
+        drawn = self._draw_engines(partition, preferred, holders, now_ms)
+        best = self._choose_fastest(request, drawn, preferred, holders, now_ms)
+        if best is not None or drawn is partition:
+            return best
+        return self._choose_fastest(request, partition, preferred, holders, now_ms)
+
+    def _draw_engines(
+        self,
+        partition: list[UpstreamLoad],
+        preferred: str,
+        holders: list[PrefixHolder],
+        now_ms: int,
+    ) -> list[UpstreamLoad]:
+        """Return some engines of a partition, but all if they have the same pace."""
+        if len({self._compute_slowness(load, now_ms) for load in partition}) == 1:
+            return partition
+        count = min(DRAWN_ENGINES, len(partition))
+        names = {load.name for load in self._random.sample(partition, count)}
+        names.add(preferred)
+        names.update(holder.name for holder in holders)
+        return [load for load in partition if load.name in names]
+
+    def _choose_fastest(
+        self,
+        request: Request,
+        loads: list[UpstreamLoad],
+        preferred: str,
+        holders: list[PrefixHolder],
+        now_ms: int,
+    ) -> UpstreamLoad | None:
+        """Return the engine with the first token soonest, of those below the limit."""
+        limit_ms = self._compute_backlog_limit_ms(request.pool)
         best = None
-        best_score = 0.0
-        for load in partition:
+        best_ms = 0.0
+        for load in loads:
             backlog = self.engine_states.count_backlog_tokens(load.name, now_ms)
-            if backlog >= limit:
+            if self._estimate_ms(load, backlog, now_ms) >= limit_ms:
                 continue
             estimate = self._estimate_prefill(request, load, preferred, holders)
-            score = estimate.cost + backlog + self._estimate_delay(load, now_ms)
-            if load.name == preferred:
-                score -= PREFERRED_ENGINE_BONUS_TOKENS
-            if best is None or score < best_score:
+            bonus = PREFERRED_ENGINE_BONUS_TOKENS if load.name == preferred else 0
+            work = estimate.cost + backlog + self._estimate_delay(load, now_ms)
+            expected_ms = self._estimate_ms(load, work, now_ms, bonus)
+            if best is None or expected_ms < best_ms:
                 best = load
-                best_score = score
+                best_ms = expected_ms
                 self._estimates[request.id] = estimate
         return best
 
-    def _compute_backlog_limit(self, pool: str) -> float:
-        """Return the backlog, in tokens, at which an engine gets no further prompts.
+    def _estimate_ms(
+        self, load: UpstreamLoad, tokens: float, now_ms: int, bonus_tokens: int = 0
+    ) -> float:
+        """Return how long an engine takes to prefill tokens, less a fixed bonus."""
+        slowness = self._compute_slowness(load, now_ms)
+        return (tokens * slowness - bonus_tokens) / PREFILL_TOKENS_PER_MS
+
+    def _compute_slowness(self, load: UpstreamLoad, now_ms: int) -> float:
+        """Return how much longer an engine takes now than a typical one of its pool."""
+        learned = self.paces.compute_slowness(load.name, now_ms)
+        return learned * load.reported_pace.compute_slowness(now_ms)
+
+    def _compute_backlog_limit_ms(self, pool: str) -> float:
+        """Return the backlog, in time, at which an engine gets no further prompts.
 
         An engine prefills in its own order, so a more urgent request waits for its
         whole backlog. The limit keeps that wait below the first-token target.
@@ -156,31 +180,7 @@
         target_ms = self._first_token_targets_ms.get(pool, 0)
         if not target_ms:
             return float("inf")
-        return max(
-            MIN_BACKLOG_TOKENS, BACKLOG_SHARE * target_ms * PREFILL_TOKENS_PER_MS
-        )
-
-    def is_gap_sensitive(self, request: Request) -> bool:
-        """Tell whether a request has the tight gap target of its pool."""
-        tightest_gap_ms = self._tightest_gap_ms.get(request.pool, 0)
-        return (
-            tightest_gap_ms > 0
-            and request.service_class.between_tokens_ms <= tightest_gap_ms
-        )
-
-    def _select_partition(
-        self, request: Request, group: list[UpstreamLoad], allowed: list[UpstreamLoad]
-    ) -> list[UpstreamLoad]:
-        """Return the allowed engines of the request's partition, else all allowed."""
-        if request.pool not in self._tightest_gap_ms:
-            return allowed
-        names = sorted(load.name for load in group if not load.leaving)
-        dedicated = set(find_dedicated_engines(request.pool, names))
-        gap_sensitive = self.is_gap_sensitive(request)
-        partition = [
-            load for load in allowed if (load.name in dedicated) == gap_sensitive
-        ]
-        return partition or allowed
+        return max(MIN_BACKLOG_MS, BACKLOG_SHARE * target_ms)
 
     def _estimate_delay(self, load: UpstreamLoad, now_ms: int) -> float:
         """Return the delay by running requests and ejection, in prefilled tokens."""
@@ -255,9 +255,14 @@
             request.id, PrefillEstimate(request.prompt.tokens)
         )
         pending_tokens = round(estimate.cost)
-        self._pending_work_tokens[request.id] = (
-            pending_tokens + self.engine_states.count_backlog_tokens(load.name, now_ms)
-        )
+        backlog = self.engine_states.count_backlog_tokens(load.name, now_ms)
+        self._pending_work_tokens[request.id] = pending_tokens + backlog
+        if request.attempt == 1:
+            running = RUNNING_REQUEST_TOKENS * load.estimate_in_flight(9, now_ms)
+            factor = load.reported_pace.compute_slowness(now_ms)
+            self.paces.start_timing(
+                request.id, pending_tokens + running, backlog, factor
+            )
         self.sent_tokens[request.pool] = (
             self.sent_tokens.get(request.pool, 0) + pending_tokens
         )
@@ -272,26 +277,18 @@
     def record_started(self, request: Request, load: UpstreamLoad) -> None:
         """Remove a prompt from the backlog, since its first token has arrived."""
         self.engine_states.record_prefilled(load.name, request.id)
+        first_ms = request.first_token_ms
+        took_ms = first_ms - request.dispatched_ms
+        self.paces.end_timing(request.id, load.name, took_ms, first_ms)
 
     def record_end(self, request: Request, load: UpstreamLoad) -> None:
         """Delete the state of an attempt that has ended."""
         self._pending_work_tokens.pop(request.id, None)
+        self.paces.drop_timing(request.id)
         self._estimates.pop(request.id, None)
         self.engine_states.record_prefilled(load.name, request.id)
 
 
-def find_dedicated_engines(pool: str, names: list[str]) -> list[str]:
-    """Return the engines dedicated to the tightest gap target.
-
-    There are none if there are fewer than two engines. Every node selects the same
-    engines from the same names.
-    """
-    if len(names) < 2:
-        return []
-    count = max(1, round(DEDICATED_SHARE * len(names)))
-    return rank_members(f"paced\0{pool}", names)[:count]
-
-
 def make_prompt_router(generator: random.Random, hints: PrefixHints) -> PromptRouter:
     """Return the router for pools of engines and of plain services."""
-    return PromptRouter(FewChoicesRouter(generator, hints))
+    return PromptRouter(FewChoicesRouter(generator, hints), generator)
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -142,7 +142,8 @@
 
     `used` counts the work there at the request's priority or above. Less urgent work
     counts little, since it yields; attempts that still wait for their first token
-    count much, since they show a queue that the delayed reports do not.
+    count much, since they show a queue that the delayed reports do not. All of it and
+    the request itself take longer where the upstream is slow at the moment.
     """
     slots = load.entry.slots
     score = used / slots
@@ -150,6 +151,8 @@
         1.0, load.estimate_in_flight(TIERS - 1, now_ms) / slots
     )
     score += UNSTARTED_WEIGHT * load.unstarted_attempts / slots
+    slowness = load.reported_pace.compute_slowness(now_ms)
+    score = score * slowness + (slowness - 1.0) / slots
     if load.ejected:
         score += 1.0
     return score
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -216,6 +216,7 @@
             path_lost=state.path_lost,
             unreached_pools=state.list_unreached_pools(now_ms),
             brittle_pools=state.brittle_pools.list_reports(now_ms),
+            engine_timings=self.router.paces.take_own(),
         )
 
     def find_weights(self) -> dict[str, int]:
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -273,6 +273,7 @@
         edge.router.engine_states.record_remote(
             heartbeat.sender, heartbeat.pending_tokens, heartbeat.sent_parts, now_ms
         )
+        edge.router.paces.record_remote(heartbeat.engine_timings, now_ms)
         apply_limit_reports(edge, heartbeat, age_ms)
         apply_brittleness_reports(edge, heartbeat, age_ms)
         edge.broker.dispatcher.state.stream_versions.record_remote(
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -28,6 +28,7 @@
         "store_calls",
         "link_bytes",
         "link_messages",
+        "engine_slowness",
     )
 
     def __init__(self) -> None:
@@ -80,6 +81,11 @@
             "pw_link_messages_total", "Messages between daemons by direction."
         )
 
+        self.engine_slowness = self._make_gauge(
+            "pw_engine_slowness",
+            "Learned time per token of the fastest and slowest engine, 1 is typical.",
+        )
+
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
 
--- a/plantainwood/ticker.py
+++ b/plantainwood/ticker.py
@@ -1,4 +1,4 @@
-"""Timer ticks for the dispatcher, and the closing of idle connections."""
+"""Timer ticks for the dispatcher, and other work at regular intervals."""
 
 import asyncio
 
@@ -7,15 +7,16 @@
 from plantainwood.core import events as ev
 from plantainwood.edge import Edge
 from plantainwood.guardedtask import guarded_task
+from plantainwood.pacereports import report_paces
 
 TICK_MS = 25
 IDLE_TICK_MS = 100
 """While the node has no requests, so that idle VMs wake up less often."""
-CLOSE_IDLE_INTERVAL_MS = 500
+CHORE_INTERVAL_MS = 500
 
 
 class Ticker(Service):
-    """Send timer ticks to the dispatcher, and close idle connections to upstreams."""
+    """Send timer ticks to the dispatcher, close idle connections, report paces."""
 
     def __init__(self, edge: Edge, **kwargs) -> None:
         self.edge = edge
@@ -30,6 +31,11 @@
             await asyncio.sleep(tick_ms / 1_000)
             broker.feed(ev.Tick())
             waited_ms += tick_ms
-            if waited_ms >= CLOSE_IDLE_INTERVAL_MS:
+            if waited_ms >= CHORE_INTERVAL_MS:
                 waited_ms = 0
-                self.edge.connection_pool.close_idle()
+                self._do_chores()
+
+    def _do_chores(self) -> None:
+        edge = self.edge
+        edge.connection_pool.close_idle()
+        report_paces(edge.router.paces, edge.metrics, edge.clock.now_ms())
--- a/plantainwood/upstreamreports.py
+++ b/plantainwood/upstreamreports.py
@@ -10,15 +10,18 @@
 FOREIGN_PAUSE_MS = 5_000
 """How long this node sends nothing to an address where no upstream answered."""
 
+MAX_REMEMBERED = 1_000
+
 
 class ReportRecorder:
     """Tell the dispatcher, and the log, what answers say of their upstreams."""
 
-    __slots__ = ("_broker", "_codec")
+    __slots__ = ("_broker", "_codec", "_unreadable_paces")
 
     def __init__(self, broker: RequestBroker, codec: Codec) -> None:
         self._broker = broker
         self._codec = codec
+        self._unreadable_paces: set[str] = set()
 
     def record(
         self, upstream: str, request_id: str, response: ResponseHead
@@ -59,7 +62,21 @@
             return
         running, waiting = load
         by_tier = (0,) * (TIERS - 1) + (running + waiting,)
-        self._broker.feed(ev.LoadReported(upstream, by_tier, 0))
+        pace = self._codec.read_pace(response)
+        self._broker.feed(ev.LoadReported(upstream, by_tier, 0, pace or 0))
+        self._log_pace(upstream, pace == 0)
+
+    def _log_pace(self, upstream: str, is_unreadable: bool) -> None:
+        """Log once that an upstream's pace can't be read, until it can be again."""
+        if not is_unreadable:
+            self._unreadable_paces.discard(upstream)
+            return
+        if upstream in self._unreadable_paces:
+            return
+        if len(self._unreadable_paces) >= MAX_REMEMBERED:
+            self._unreadable_paces.clear()
+        self._unreadable_paces.add(upstream)
+        log_event("upstream_pace_unreadable", upstream=upstream)
 
     def _record_limit(
         self, upstream: str, request_id: str, response: ResponseHead
--- a/tests/test_prompt_router.py
+++ b/tests/test_prompt_router.py
@@ -8,9 +8,10 @@
     ServiceClass,
     UpstreamKind,
 )
+from plantainwood.core.dedicatedengines import find_dedicated_engines
 from plantainwood.core.events import Arrival
 from plantainwood.core.loads import UpstreamLoad
-from plantainwood.core.promptrouter import find_dedicated_engines, make_prompt_router
+from plantainwood.core.promptrouter import make_prompt_router
 from plantainwood.core.prompts import Part, PartCache, Prompt
 from plantainwood.core.requests import Request
 from plantainwood.core.stragglers import update_ejections
