--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -3,14 +3,13 @@
 from collections import deque
 
 from plantainwood.core.catalogue import Upstream
+from plantainwood.core.enginepace import BASE_PREFILL_TOKENS, ReportedPace
 from plantainwood.core.evacuations import ReturnRamp
 from plantainwood.core.upstreamlimits import NodeRate
 
 TIERS = 10
 SMOOTHING = 0.2
 STALE_MS = 5_000
-BASE_PREFILL_TOKENS = 1_000
-"""The fixed cost of a prompt on an idle engine, in prefill tokens."""
 
 
 class UpstreamLoad:
@@ -35,6 +34,7 @@
         "room",
         "evacuated",
         "ramp",
+        "reported_pace",
         "_reported",
         "_reported_ms",
         "_own_by_tier",
@@ -71,6 +71,7 @@
         """Whether nothing may be sent to the upstream's failure domain."""
         self.ramp: ReturnRamp | None = None
         """Which requests it takes while its failure domain returns to service."""
+        self.reported_pace = ReportedPace()
         self._reported: list[int] | None = None
         self._reported_ms = 0
         self._own_by_tier = [0] * TIERS
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -31,6 +31,7 @@
         "evacuated",
         "cold_upstreams",
         "cold_requests",
+        "engine_slowness",
     )
 
     def __init__(self) -> None:
@@ -92,6 +93,10 @@
         self.cold_requests = self._make_counter(
             "pw_cold_requests_total", "Requests sent from here to cold upstreams."
         )
+        self.engine_slowness = self._make_gauge(
+            "pw_engine_slowness",
+            "Learned time per token of the fastest and slowest engine, 1 is typical.",
+        )
 
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
