Routing: a prompt that finds all engines at their limit costs less

Cause: a waiting prompt is tried at each tick, and each try ranked all engines and looked for the prompt's parts on them before it compared their backlogs with the limit. Change: the limit is looked at first. The choice is the same where the paces are equal; where they differ, engines are drawn from those below the limit.

--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -108,30 +108,43 @@
         if not allowed:
             return None
         partition = self._partitions.select(request, group, allowed)
+        # A prompt that waits asks again at each tick, so what is cheap comes first.
+        candidates = self._list_below_limit(request.pool, partition, now_ms)
+        if not candidates:
+            return None
         names = sorted(load.name for load in partition)
         preferred = rank_members(request.prompt.session, names)[0]
         holders = self._find_prefix_holders(request, now_ms)
-        drawn = self._draw_engines(partition, preferred, holders, now_ms)
-        best = self._choose_fastest(request, drawn, preferred, holders, now_ms)
-        if best is not None or drawn is partition:
-            return best
-        return self._choose_fastest(request, partition, preferred, holders, now_ms)
+        drawn = self._draw_engines(candidates, preferred, holders, now_ms)
+        return self._choose_fastest(request, drawn, preferred, holders, now_ms)
+
+    def _list_below_limit(
+        self, pool: str, loads: list[UpstreamLoad], now_ms: int
+    ) -> list[UpstreamLoad]:
+        """Return the engines whose backlog is below the limit."""
+        limit_ms = self._compute_backlog_limit_ms(pool)
+        found: list[UpstreamLoad] = []
+        for load in loads:
+            backlog = self.engine_states.count_backlog_tokens(load.name, now_ms)
+            if self._estimate_ms(load, backlog, now_ms) < limit_ms:
+                found.append(load)
+        return found
 
     def _draw_engines(
         self,
-        partition: list[UpstreamLoad],
+        loads: list[UpstreamLoad],
         preferred: str,
         holders: list[PrefixHolder],
         now_ms: int,
     ) -> list[UpstreamLoad]:
-        """Return some engines of a partition, but all if they have the same pace."""
-        if len({self._compute_slowness(load, now_ms) for load in partition}) == 1:
-            return partition
-        count = min(DRAWN_ENGINES, len(partition))
-        names = {load.name for load in self._random.sample(partition, count)}
+        """Return some of the engines, but all if they have the same pace."""
+        if len({self._compute_slowness(load, now_ms) for load in loads}) == 1:
+            return loads
+        count = min(DRAWN_ENGINES, len(loads))
+        names = {load.name for load in self._random.sample(loads, count)}
         names.add(preferred)
         names.update(holder.name for holder in holders)
-        return [load for load in partition if load.name in names]
+        return [load for load in loads if load.name in names]
 
     def _choose_fastest(
         self,
@@ -141,14 +154,11 @@
         holders: list[PrefixHolder],
         now_ms: int,
     ) -> UpstreamLoad | None:
-        """Return the engine with the first token soonest, of those below the limit."""
-        limit_ms = self._compute_backlog_limit_ms(request.pool)
+        """Return the engine with the first token soonest."""
         best = None
         best_ms = 0.0
         for load in loads:
             backlog = self.engine_states.count_backlog_tokens(load.name, now_ms)
-            if self._estimate_ms(load, backlog, now_ms) >= limit_ms:
-                continue
             estimate = self._estimate_prefill(request, load, preferred, holders)
             bonus = PREFERRED_ENGINE_BONUS_TOKENS if load.name == preferred else 0
             work = estimate.cost + backlog + self._estimate_delay(load, now_ms)
