Own interface: the catalogue's list of evacuated failure domains

It has the same effect as the platform's keys; the planner neither starts nor stops engines there. Entries go in a field of their own of the document, which earlier builds ignore. plantainctl upstreams shows the revision.

--- a/experiments/reference.py
+++ b/experiments/reference.py
@@ -24,9 +24,9 @@
 CATALOGUE_HEAD = """# Catalogue
 
 Made by `make reference` from plantainwood/core/catalogue.py. A file holds the sections
-below, each a mapping of names to entries. It is accepted whole or refused whole, with
-the line and reason of each problem. Tier 0 is the most urgent. Keys are not in the
-file; see `plantainctl key`.
+below, each a mapping of names to entries, and `evacuated` a list of names. It is
+accepted whole or refused whole, with the line and reason of each problem. Tier 0 is the
+most urgent. Keys are not in the file; see `plantainctl key`.
 
 Names of entries have a revision each: an edit is refused as a conflict where somebody
 changed the same entry after the revision that the edit is based on. What a file leaves
--- a/plantainwood/admin.py
+++ b/plantainwood/admin.py
@@ -12,6 +12,7 @@
 from plantainwood.catalogue_texts import CatalogueTextError, parse_catalogue
 from plantainwood.core.catalogue import (
     EDITABLE_SECTIONS,
+    EVACUATED_SECTION,
     Catalogue,
     Change,
     Entry,
@@ -159,6 +160,7 @@
             "revision": node.catalogue.revision,
             "confirm_age_ms": node.confirmation.compute_age_ms(now_ms),
             "may_serve": node.may_serve(),
+            "evacuated": node.catalogue.evacuated,
             "copied_tokens": node.usage_copies.count_tokens(),
             "vms": sorted(vms, key=lambda vm: str(vm["node"])),
             "duties": duties,
@@ -169,10 +171,12 @@
         """Return the current catalogue, without keys, in the form of an edit."""
         await refresh_catalogue(self.node)
         catalogue = self.node.catalogue
-        sections: dict[str, dict] = {}
+        sections: dict[str, dict | list] = {}
         for entry in catalogue.entries.values():
             if entry.section in EDITABLE_SECTIONS and entry.body is not None:
                 sections.setdefault(entry.section, {})[entry.name] = entry.body
+        if catalogue.evacuated:
+            sections[EVACUATED_SECTION] = sorted(catalogue.evacuated)
         return web.json_response({"revision": catalogue.revision, **sections})
 
     async def handle_apply(self, request: web.Request) -> web.Response:
@@ -266,6 +270,7 @@
         """Return the load of each upstream as this node estimates it."""
         now_ms = self.node.clock.now_ms()
         upstreams = []
+        evacuated = self.node.catalogue.evacuated
         for name, load in self.node.broker.dispatcher.state.loads.items():
             upstreams.append(
                 {
@@ -274,6 +279,7 @@
                     "slots": load.entry.slots,
                     "load": load.estimate_in_flight(9, now_ms),
                     "leaving": load.leaving,
+                    "evacuated_at": evacuated.get(load.entry.domain, 0),
                     "straggler": load.ejected,
                     "first_token_ms": round(load.first_token_ms, 1),
                 }
--- a/plantainwood/catalogue_texts.py
+++ b/plantainwood/catalogue_texts.py
@@ -2,6 +2,7 @@
 
 from plantainwood.core.catalogue import (
     EDITABLE_SECTIONS,
+    EVACUATED_SECTION,
     SECTIONS,
     Catalogue,
     Change,
@@ -42,6 +43,7 @@
     revision = 0
     if isinstance(source.data, dict):
         revision = source.data.pop(REVISION_KEY, 0)
+        _read_evacuated(source.data)
     if not isinstance(revision, int):
         raise CatalogueTextError([f"{REVISION_KEY}: expected an integer"])
     problems = _check_entries(source)
@@ -54,6 +56,18 @@
     return CatalogueText(source.data, revision)
 
 
+def _read_evacuated(data: dict) -> None:
+    """Replace the list of evacuated failure domains by a mapping like other sections.
+
+    Anything else is left for `_check_entries`, which reports it.
+    """
+    names = data.get(EVACUATED_SECTION)
+    if names is None:
+        data.pop(EVACUATED_SECTION, None)
+    elif isinstance(names, list) and all(isinstance(name, str) for name in names):
+        data[EVACUATED_SECTION] = {name: {} for name in names}
+
+
 def _check_entries(source: YamlSource) -> list[Problem]:
     """Return the problems found in each entry on its own."""
     if not isinstance(source.data, dict):
@@ -65,6 +79,9 @@
             reason = f"unknown section; allowed are: {allowed}"
             problems.append(Problem(str(section), reason))
             continue
+        if section == EVACUATED_SECTION and not isinstance(entries, dict):
+            problems.append(Problem(section, "expected a list of failure domains"))
+            continue
         if not isinstance(entries, dict):
             problems.append(Problem(section, "expected a mapping of names to entries"))
             continue
--- a/plantainwood/core/catalogue.py
+++ b/plantainwood/core/catalogue.py
@@ -132,7 +132,14 @@
     withdrawn: bool = False
 
 
-EntryBody = ServiceClass | Customer | Model | Service | Upstream | Key
+class Evacuation(EntryBase, frozen=True):
+    """A failure domain, by name, to whose upstreams nothing is sent.
+
+    In a file, the section is a list of names.
+    """
+
+
+EntryBody = ServiceClass | Customer | Model | Service | Upstream | Key | Evacuation
 
 SECTIONS: dict[str, type] = {
     "classes": ServiceClass,
@@ -141,8 +148,17 @@
     "services": Service,
     "upstreams": Upstream,
     "keys": Key,
+    "evacuated": Evacuation,
 }
-EDITABLE_SECTIONS = ("classes", "customers", "models", "services", "upstreams")
+EVACUATED_SECTION = "evacuated"
+EDITABLE_SECTIONS = (
+    "classes",
+    "customers",
+    "models",
+    "services",
+    "upstreams",
+    EVACUATED_SECTION,
+)
 
 
 class Entry(msgspec.Struct, frozen=True):
@@ -220,6 +236,14 @@
         """Return the keys by their public id."""
         return self._typed["keys"]  # type: ignore[return-value]
 
+    @property
+    def evacuated(self) -> dict[str, int]:
+        """Return the revisions at which the evacuated failure domains became so."""
+        found: dict[str, int] = {}
+        for name in self._typed[EVACUATED_SECTION]:
+            found[name] = self.entries[f"{EVACUATED_SECTION}/{name}"].revision
+        return found
+
     def list_entries_since(self, revision: int) -> list[Entry] | None:
         """Return the entries newer than a revision.
 
@@ -256,18 +280,28 @@
     floor: int
     change_ids: tuple[str, ...]
     entries: list[Entry]
+    """All entries of the sections that earlier builds know."""
+    evacuated: list[Entry] = []
+    """Those of the section EVACUATED_SECTION, which earlier builds ignore."""
 
 
 def encode_catalogue(catalogue: Catalogue) -> bytes:
     """Return the whole catalogue as JSON bytes."""
-    document = Document(
+    return msgspec.json.encode(
+        _make_document(catalogue, 0, list(catalogue.entries.values()))
+    )
+
+
+def _make_document(catalogue: Catalogue, base: int, entries: list[Entry]) -> Document:
+    """Return the document with some of a catalogue's entries."""
+    return Document(
         revision=catalogue.revision,
-        base=0,
+        base=base,
         floor=catalogue.floor,
         change_ids=catalogue.change_ids,
-        entries=list(catalogue.entries.values()),
+        entries=[entry for entry in entries if entry.section != EVACUATED_SECTION],
+        evacuated=[entry for entry in entries if entry.section == EVACUATED_SECTION],
     )
-    return msgspec.json.encode(document)
 
 
 def decode_document(data: bytes) -> Document:
@@ -284,13 +318,7 @@
     if entries is None or base == 0:
         entries = list(catalogue.entries.values())
         base = 0
-    return Document(
-        revision=catalogue.revision,
-        base=base,
-        floor=catalogue.floor,
-        change_ids=catalogue.change_ids,
-        entries=entries,
-    )
+    return _make_document(catalogue, base, entries)
 
 
 def merge_document(current: Catalogue, document: Document) -> Catalogue | None:
@@ -306,7 +334,7 @@
     entries: dict[str, Entry] = {}
     if document.base:
         entries.update(current.entries)
-    for entry in document.entries:
+    for entry in (*document.entries, *document.evacuated):
         entries[entry.path] = entry
     merged = Catalogue(
         document.revision, entries, document.change_ids, floor=document.floor
@@ -389,6 +417,8 @@
     problems.extend(_check_classes(catalogue))
     problems.extend(_check_customers(catalogue))
     problems.extend(_check_upstreams(catalogue))
+    if "" in catalogue.evacuated:
+        problems.append(Problem(EVACUATED_SECTION, "a failure domain has a name"))
     for name, key in catalogue.keys.items():
         if key.customer not in catalogue.customers:
             reason = f"unknown customer {key.customer!r}; withdraw the key first"
--- a/plantainwood/duties.py
+++ b/plantainwood/duties.py
@@ -161,7 +161,12 @@
         return accepted
 
     def _list_upstream_states(self, model: str, now_ms: int) -> list[UpstreamState]:
-        """Return a model's upstreams; one that no node polls counts as running."""
+        """Return a model's upstreams; one that no node polls counts as running.
+
+        Those in domains that are evacuated or return are left out, so that they are
+        neither started nor stopped, and others serve in their place.
+        """
+        evacuations = self.node.broker.dispatcher.state.evacuations
         reachable_by_name: dict[str, bool] = {}
         for demand in self._list_fresh_demands(now_ms):
             for name, reachable in demand.reachable.items():
@@ -172,6 +177,8 @@
         for name, entry in self.node.catalogue.upstreams.items():
             if entry.kind is not UpstreamKind.ENGINE or model not in entry.models:
                 continue
+            if not evacuations.list_in_service([entry.domain], now_ms):
+                continue
             states.append(
                 UpstreamState(
                     name,
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -31,6 +31,7 @@
 from plantainwood.core.reservations import release_upstream, reserve_upstream
 from plantainwood.core.usage import UsageCopies, UsageLedger
 from plantainwood.engines import OpenAiEngine, PlainClient
+from plantainwood.evacuationlogs import record_evacuations
 from plantainwood.logs import log_event
 from plantainwood.metrics import Metrics
 from plantainwood.platform import Vm
@@ -183,6 +184,7 @@
         self.catalogue = merged
         self.clients.driver.catalogue = merged
         self.confirmation.record_newer_revision(merged.revision)
+        self._apply_evacuations(merged)
         self.broker.dispatcher.apply_catalogue(merged)
         self.metrics.catalogue_revision.set({}, merged.revision)
         self.end_unauthorized_requests()
@@ -191,6 +193,13 @@
         log_event("catalogue_in_force", revision=merged.revision)
         return True
 
+    def _apply_evacuations(self, catalogue: Catalogue) -> None:
+        """Apply which failure domains are evacuated; log what changed."""
+        evacuated = catalogue.evacuated
+        change = self.broker.dispatcher.set_evacuated(evacuated, self.clock.now_ms())
+        known = {entry.domain for entry in catalogue.upstreams.values()}
+        record_evacuations(change, evacuated, known, self.metrics)
+
     def list_live_nodes(self, domain: str = "") -> list[str]:
         """Return this node and the other live ones in a domain, or in all if empty."""
         names = [self.settings.node]
