--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -74,6 +74,7 @@
     request = Request(event, service_class, is_engine, now_ms)
     request.version = version
     request.domains = domains
+    state.uses_regions |= domains is not None
     try:
         _make_room(state, pool, request, now_ms, decisions)
     except RequestError:
@@ -133,7 +134,7 @@
     late = wait_ms > request.compute_remaining_wait_ms(now_ms)
     if not full and not late:
         return
-    if _passes_others(state, pool, request, now_ms):
+    if state.uses_regions and _passes_others(state, pool, request, now_ms):
         return
     victim = pool.find_least_urgent(request.tier)
     if victim is None and full:
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -41,6 +41,7 @@
         "budget",
         "deadlines",
         "counters",
+        "uses_regions",
     )
 
     def __init__(self, node: str, seed: int, options: Options) -> None:
@@ -65,6 +66,8 @@
         self.deadlines: list[tuple[int, str]] = []
         self.counters = TokenCounters()
         """Shared by all tiers: tokens served in one tier count in the others too."""
+        self.uses_regions = False
+        """Whether any request was bound to some failure domains."""
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Replace the catalogue; loads, queues and limits are kept by name."""
--- a/tests/test_evacuated_section.py
+++ b/tests/test_evacuated_section.py
@@ -20,9 +20,16 @@
     make_delta,
     merge_document,
 )
+from plantainwood.core.clock import VirtualClock
+from plantainwood.core.evacuations import RETURN_RAMP_MS
+from plantainwood.duties import OrderIssuer
+from plantainwood.metrics import Metrics
+from plantainwood.node import Node
+from plantainwood.settings import parse_settings
 from standins.fleet import Fleet
 from tests.calls import CHAT_PATH, make_chat, send
 from tests.catalogues import make_catalogue
+from tests.test_settings import ENVIRONMENT, VALID_SETTINGS
 
 TEXT = "evacuated: [ba-norte]\n"
 BOUND_S = 5.0
@@ -101,6 +108,26 @@
     assert caught.value.problems[0].startswith("line 2: evacuated")
 
 
+# Guards against engines that an evacuation of seconds stops, or orders there.
+def test_engines_of_an_evacuated_domain_are_neither_started_nor_stopped():
+    clock = VirtualClock(10_000)
+    node = Node(parse_settings(VALID_SETTINGS, ENVIRONMENT), clock, Metrics())
+    node.catalogue = evacuate(make_catalogue())
+    issuer = OrderIssuer(node, lambda name, message: None)
+
+    def list_names() -> set[str]:
+        states = issuer._list_upstream_states("rounds", clock.now_ms())
+        return {state.name for state in states}
+
+    assert list_names() == {"e1", "e2", "e3", "e4", "e5"}
+    node._apply_evacuations(node.catalogue)
+    assert list_names() == {"e3", "e4", "e5"}
+    node._apply_evacuations(make_catalogue())
+    assert list_names() == {"e3", "e4", "e5"}
+    clock.advance(RETURN_RAMP_MS)
+    assert len(list_names()) == 5
+
+
 def count_requests(fleet: Fleet, key: str) -> int:
     """Send some requests and return how many were answered with 200."""
     answered = 0
