--- a/tests/test_evacuation.py
+++ b/tests/test_evacuation.py
@@ -6,6 +6,7 @@
 import pytest
 
 from bridge.view import ViewBuilder
+from fakes.runner import reset_connection
 from plantainwood.autoscaler import Autoscaler
 from plantainwood.core import events as ev
 from plantainwood.core.affinity import PrefixHints
@@ -22,8 +23,16 @@
 from plantainwood.edge import Edge
 from plantainwood.metrics import Metrics
 from tests.catalogues import ENGINES, make_catalogue
-from tests.edgesite import STREAM, answer_stream, make_config, run
+from tests.edgesite import (
+    STREAM,
+    answer_request_line,
+    answer_stream,
+    make_config,
+    make_entry,
+    run,
+)
 from tests.fleetsite import run_fleet
+from tests.processsite import run_processes
 from tests.samples import SETTINGS
 from tests.test_autoscaler import SERVICE, make_scaling_edge
 from tests.test_prompt_router import make_request
@@ -457,3 +466,88 @@
         assert site.count_received()[b"s-0"] == 1
 
     run_fleet(scenario, slow_stream, vms=2)
+
+
+def list_known_domains(edge: Edge) -> set[str]:
+    """Return the domains of the upstreams that a VM knows."""
+    return {entry.domain for entry in edge.view.catalogue.upstreams.values()}
+
+
+# Guards against streams that break elsewhere and are resumed in the evacuated domain.
+def test_a_stream_that_breaks_is_not_resumed_in_the_domain():
+    async def scenario(site):
+        cut = asyncio.Event()
+        partial = STREAM[: STREAM.index(b"id: 4") + 9]
+
+        async def break_when_told(request, writer) -> None:
+            if b"last-event-id" in request.headers:
+                await answer_stream(request, writer)
+                return
+            writer.write(
+                b"HTTP/1.1 200 OK\r\nRequest-Id: " + request.request_id + b"\r\n"
+                b"Response-Seal: first\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"%x\r\n%s\r\n" % (len(partial), partial)
+            )
+            await writer.drain()
+            async with asyncio.timeout(BOUND_S):
+                await cut.wait()
+            reset_connection(writer)
+
+        site.runners[1].script = break_when_told
+        site.store.put("servers/i-1", make_entry(site.runners[1], zone="b"))
+        site.store.put("servers/i-2", make_entry(site.runners[2], zone="c"))
+        edge = site.daemon.edge
+        await site.wait_until(lambda: len(list_known_domains(edge)) == 3)
+        calls = []
+        for number in range(18):
+            call = site.call("POST", "/s/x", b"b", Request_Id=f"s-{number}")
+            calls.append(asyncio.ensure_future(call))
+        evacuated = site.runners[0]
+        await site.wait_until(lambda: sum(len(r.received) for r in site.runners) == 18)
+        began = len(evacuated.received)
+        broken = len(site.runners[1].received)
+        assert broken > 2
+        resumed = len(site.runners[2].received) + broken
+        site.store.put(KEY, "{}")
+        await wait_evacuated(site)
+        cut.set()
+        for status, _, body in await asyncio.gather(*calls):
+            assert status == 200
+            assert body == STREAM
+        assert len(evacuated.received) == began
+        assert len(site.runners[2].received) == resumed
+
+    run(scenario, answer, runners=3)
+
+
+# Guards against VMs that start after the loss of all and use the domain.
+def test_processes_that_start_after_the_loss_of_all_vms_keep_out_of_the_domain(
+    tmp_path,
+):
+    async def scenario(site):
+        site.store.put(KEY, "{}")
+        async with asyncio.timeout(BOUND_S):
+            while not all(vm.list_events("domain_evacuated") for vm in site.vms):
+                await asyncio.sleep(0.05)
+        for vm in site.vms:
+            await vm.kill()
+        async with asyncio.TaskGroup() as group:
+            for vm in site.vms:
+                group.create_task(vm.start())
+        for number in range(24):
+            vm = site.vms[number % len(site.vms)]
+            status, _, _ = await site.call(vm, "/r/x", f"r-{number}")
+            assert status == 200
+        assert site.runners[0].received == site.runners[2].received == []
+        assert len(site.runners[1].received) == 24
+        site.store.remove(KEY)
+        async with asyncio.timeout(BOUND_S):
+            while not all(vm.list_events("domain_returns") for vm in site.vms):
+                await asyncio.sleep(0.05)
+        await asyncio.sleep(RETURN_RAMP_MS / 1_000)
+        for number in range(24):
+            vm = site.vms[number % len(site.vms)]
+            await site.call(vm, "/r/x", f"later-{number}")
+        assert site.runners[0].received
+
+    run_processes(scenario, answer_request_line, tmp_path, runners=3, vms=2)
