--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -45,6 +45,7 @@
         "deadlines",
         "counters",
         "_judging_due_ms",
+        "uses_regions",
     )
 
     def __init__(self, node: str, seed: int, options: Options) -> None:
@@ -70,6 +71,8 @@
         self.counters = TokenCounters()
         """Shared by all tiers: tokens served in one tier count in the others too."""
         self._judging_due_ms = 0
+        self.uses_regions = False
+        """Whether any request was bound to some failure domains."""
 
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Replace the catalogue; loads, queues and limits are kept by name."""
