--- a/tests/test_cold_wire.py
+++ b/tests/test_cold_wire.py
@@ -9,6 +9,7 @@
 from bridge.view import ViewBuilder
 from fakes.runner import make_response
 from plantainwood.connections import ResponseHead
+from plantainwood.core import events as ev
 from plantainwood.core.catalogue import DiscoveredUpstream
 from plantainwood.core.coldupstreams import ColdSource
 from plantainwood.core.mirror import Item
@@ -16,6 +17,8 @@
 from plantainwood.procedures import Driver
 from tests.edgesite import make_config, make_entry, run
 from tests.samples import SETTINGS, make_heartbeat
+from tests.test_fleet import run as run_with_fleet
+from tests.test_fleet import wait_until
 from tests.test_odd_entries import ENTRY
 
 SERVICE = {"name": "pool", "coldStartS": 6, "coldPerS": 4.5}
@@ -221,3 +224,27 @@
         assert ColdSource.BROKEN in state.cold_sources.values()
 
     run(scenario, runners=2)
+
+
+# Guards against what one VM found out that the others never learn, and against a share
+# of each VM that is divided by other numbers of VMs.
+def test_what_a_vm_finds_out_is_known_to_all_and_the_rate_is_divided():
+    async def scenario(store, daemons):
+        services = [{"name": "pool", "coldStartS": 6, "coldPerS": 4}]
+        store.put("op/config", make_config(2, services=services))
+        store.put(
+            "servers/i-1", make_raw_entry(None).replace(b"10.0.0.1", b"127.0.0.1")
+        )
+        states = [daemon.edge.broker.dispatcher.state for daemon in daemons]
+        await wait_until(lambda: all(state.loads for state in states))
+        (name,) = states[0].loads
+        said = ev.ColdNamed(name, ColdSource.RESPONSE, 5_000)
+        daemons[0].edge.broker.feed(said)
+        await wait_until(lambda: all(name in state.cold_sources for state in states))
+        assert states[1].cold_sources[name] is ColdSource.REPORT
+        assert daemons[1].edge.make_heartbeat().cold_ms == {}
+        shares = [state.cold_upstreams.compute_share(name) for state in states]
+        assert sum(share > 0 for share in shares) == 3
+        assert len(set(shares)) == 1
+
+    run_with_fleet(scenario, count=3)
