--- a/tests/processsite.py
+++ b/tests/processsite.py
@@ -125,6 +125,7 @@
         self.store = FakeKvStore()
         self.runners: list[FakeRunner] = []
         self.vms: list[VmProcess] = []
+        self.more_settings = ""
         self.session: aiohttp.ClientSession
 
     async def add_runner(self, script, **entry) -> FakeRunner:
@@ -148,6 +149,7 @@
             first = PORTS_PER_VM * number
             vm = VmProcess(self, number, ports[first : first + PORTS_PER_VM])
             vm.root = roots[number % len(roots)]
+            vm.more_settings = self.more_settings
             self.vms.append(vm)
         async with asyncio.TaskGroup() as group:
             for vm in self.vms:
@@ -188,12 +190,22 @@
 
 
 def run_processes(
-    scenario, script, folder: Path, runners: int = 3, vms: int = 3, roots=(ROOT,)
+    scenario,
+    script,
+    folder: Path,
+    runners: int = 3,
+    vms: int = 3,
+    roots=(ROOT,),
+    more_settings: str = "",
 ) -> None:
-    """Run a scenario on new VMs that are ready; all processes have ended after it."""
+    """Run a scenario on new VMs that are ready; all processes have ended after it.
+
+    `more_settings` is added to the settings file of each VM, as YAML.
+    """
 
     async def main() -> None:
         site = ProcessSite(folder)
+        site.more_settings = more_settings
         async with aiohttp.ClientSession() as session:
             site.session = session
             try:
