Settings memory_mb and file_descriptors of a VM of the platform

Both are optional and state the machine's resources, from limits.memoryMb and limits.fileDescriptors of the platform's settings.

--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -21,6 +21,7 @@
 """Below 25 Mbit/s for each core, the link rather than the CPU limits long prompts."""
 
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
+MachineSize = Annotated[float, msgspec.Meta(ge=64)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^\s:]+:[0-9]{1,5}$")]
 
 
@@ -91,6 +92,10 @@
     cpu_share: NonNegativeFloat = 1.0
     cores: NonNegativeFloat = 1.0
     link_mbps: NonNegativeFloat = 1_000.0
+    memory_mb: MachineSize | None = None
+    """The machine's memory; null: bounds on clients don't follow it."""
+    file_descriptors: MachineSize | None = None
+    """The descriptors that the process may open; null: its limit when it starts."""
     duties: EdgeDuties = EdgeDuties()
     retries: EdgeRetries = EdgeRetries()
     drain: EdgeDrain = EdgeDrain()
--- a/tests/test_edge_settings.py
+++ b/tests/test_edge_settings.py
@@ -93,6 +93,8 @@
         "bounds.graceS",
     ):
         filled = filled.replace("{{%s}}" % name, "1")
+    for name in ("limits.memoryMb", "limits.fileDescriptors"):
+        filled = filled.replace("{{%s}}" % name, "1638")
     assert "{{" not in filled
     assert parse_edge_settings(filled).node == "vm-1"
     assert not parse_edge_settings(filled).bootstrap
