Bound what clients hold together: bytes, rate and connections

Cause: only granted bodies were bounded. Each connection could hold 512 KB of a body that waited, any number of bodies up to 64 KB, each small piece with its own overhead, 32 requests behind a stalled one, and room for as long as its route's timeout.

Change: a guard of the process knows all connections. Body memory follows the machine; small bodies and what is read before a grant are counted; reading pauses above 16 KB of a body that waits; small pieces are joined; small requests do not wait behind large ones. Only time in which this node reads from the connection counts. Framing without end is 400. At most two requests are read behind one being served. Beyond the number of connections, those that were waited for longest are dropped; requests that were read stay. A refusal while the client still sends ends with the lingering close, bounded in bytes and number.

In the test, what stalls now has a pool of its own. It used up the pool of the ordinary request, which was then refused with a Retry-After that is longer than the test waits (admission control, not a fault of this part).

--- a/plantainwood/bodyroom.py
+++ b/plantainwood/bodyroom.py
@@ -1,30 +1,67 @@
-"""Memory for the bodies of requests: those that don't fit wait before they are read."""
+"""Memory for bodies of requests and answers: what does not fit waits to be read."""
 
 import asyncio
 from collections import deque
+from typing import Callable
 
 FREE_BYTES = 65_536
 """A body up to this size needs no room."""
 MAX_BODY_BYTES = 16_777_216
-"""The bodies that a node holds at once, small ones not counted."""
+"""The bodies that a node holds at once if its memory is not known."""
+SMALL_PART = 8
+"""What needs at most this part of the room does not wait behind what needs more."""
+TIGHT_FREE_BYTES = 8_192
+"""A body up to this size needs no room while small bodies hold much."""
+KEPT_PART = 4
+"""What needs more leaves this part of the room free."""
+
+Waiting = deque[tuple[int, asyncio.Future[None], float]]
 
 
 class BodyRoom:
     """Bytes that bodies may occupy together; a single larger one gets all of it."""
 
-    __slots__ = ("_free_bytes", "_waiting")
+    __slots__ = (
+        "capacity",
+        "counted_bytes",
+        "small_bytes",
+        "on_counted",
+        "_free_bytes",
+        "_queues",
+    )
+
+    def __init__(self, capacity: int = MAX_BODY_BYTES) -> None:
+        self.capacity = capacity
+        self.counted_bytes = 0
+        """Bytes that are held without a reservation."""
+        self.small_bytes = capacity
+        """What bodies without a reservation may hold together."""
+        self.on_counted: Callable[[], None] | None = None
+        """Called when counted_bytes has grown."""
+        self._free_bytes = capacity
+        self._queues: tuple[Waiting, Waiting] = (deque(), deque())
+        """Those that need little, and the others; each in order."""
 
-    def __init__(self) -> None:
-        self._free_bytes = MAX_BODY_BYTES
-        self._waiting: deque[tuple[int, asyncio.Future[None]]] = deque()
+    @property
+    def held_bytes(self) -> int:
+        """Return the bytes that are held now, with and without a reservation."""
+        return self.capacity - self._free_bytes + self.counted_bytes
+
+    def compute_wait_s(self) -> float:
+        """Return how long the longest waiting reservation has waited, 0 if none."""
+        self._drop_ended()
+        since = [queue[0][2] for queue in self._queues if queue]
+        return asyncio.get_running_loop().time() - min(since) if since else 0.0
 
     async def take(self, needed: int) -> None:
         """Wait until this many bytes are free, in order, and take them."""
-        if not self._waiting and needed <= self._free_bytes:
+        queue = self._queues[not self._is_small(needed)]
+        if not queue and self._fits(needed):
             self._free_bytes -= needed
             return
-        granted: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._waiting.append((needed, granted))
+        loop = asyncio.get_running_loop()
+        granted: asyncio.Future[None] = loop.create_future()
+        queue.append((needed, granted, loop.time()))
         try:
             await granted
         except asyncio.CancelledError:
@@ -35,37 +72,94 @@
     def give_back(self, taken: int) -> None:
         """Free bytes, and grant room to those that wait longest."""
         self._free_bytes += taken
-        while self._waiting:
-            needed, granted = self._waiting[0]
-            if granted.done():
-                self._waiting.popleft()
-                continue
-            if needed > self._free_bytes:
-                return
-            self._waiting.popleft()
-            self._free_bytes -= needed
-            granted.set_result(None)
+        self._drop_ended()
+        for queue in self._queues:
+            while queue and self._fits(queue[0][0]):
+                needed, granted, _ = queue.popleft()
+                if granted.done():
+                    continue
+                self._free_bytes -= needed
+                granted.set_result(None)
+
+    def find_free_size(self) -> int:
+        """Return the size of a body, in bytes, that needs no reservation now."""
+        if self.counted_bytes > self.small_bytes // 2:
+            return TIGHT_FREE_BYTES
+        return FREE_BYTES
+
+    def count(self, change: int) -> None:
+        """Count bytes that are held without a reservation, or are no longer."""
+        self.counted_bytes += change
+        if change > 0 and self.on_counted is not None:
+            self.on_counted()
+
+    def _is_small(self, needed: int) -> bool:
+        return needed <= self.capacity // SMALL_PART
+
+    def _fits(self, needed: int) -> bool:
+        if self._is_small(needed) or self._free_bytes == self.capacity:
+            return needed <= self._free_bytes
+        return needed <= self._free_bytes - self.capacity // KEPT_PART
+
+    def _drop_ended(self) -> None:
+        for queue in self._queues:
+            while queue and queue[0][1].done():
+                queue.popleft()
 
 
 class BodyReservation:
     """The room of one request's body, given back when its block ends."""
 
-    __slots__ = ("_room", "_taken")
+    __slots__ = ("_room", "_taken", "_counted", "_is_released")
 
     def __init__(self, room: BodyRoom) -> None:
         self._room = room
         self._taken = 0
+        self._counted = 0
+        self._is_released = False
 
     def __enter__(self) -> "BodyReservation":
         return self
 
     def __exit__(self, *error: object) -> None:
-        self._room.give_back(self._taken)
+        self.release()
+
+    @property
+    def is_granted(self) -> bool:
+        """Return whether room is reserved."""
+        return self._taken > 0
 
     async def reserve(self, size_bytes: int) -> None:
         """Wait for room for a body of at most this size; do nothing if it has it."""
-        needed = min(size_bytes, MAX_BODY_BYTES)
-        if needed <= FREE_BYTES or self._taken:
+        needed = min(size_bytes, self._room.capacity)
+        if self._taken or self._is_released:
+            return
+        if needed <= self._room.find_free_size():
             return
         await self._room.take(needed)
+        if self._is_released:
+            self._room.give_back(needed)
+            return
         self._taken = needed
+        self._room.count(-self._counted)
+        self._counted = 0
+
+    @property
+    def free_size(self) -> int:
+        """Return the size of a body, in bytes, that needs no reservation now."""
+        return self._room.find_free_size()
+
+    def count(self, size_bytes: int) -> None:
+        """Count bytes that were read, unless room is reserved for them."""
+        if self._taken or self._is_released:
+            return
+        self._counted += size_bytes
+        self._room.count(size_bytes)
+
+    def release(self) -> None:
+        """Give everything back; the bytes are no longer held."""
+        self._is_released = True
+        self._room.count(-self._counted)
+        self._counted = 0
+        taken, self._taken = self._taken, 0
+        self._room.give_back(taken)
--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -181,6 +181,12 @@
 
     response: web.StreamResponse | None
 
+    async def reserve(self, size_bytes: int) -> None:
+        """Wait for room for an answer of this size; by default there is always room."""
+
+    def release(self) -> None:
+        """Give back the room for the answer."""
+
 
 class StartObserver(ABC):
     """Be notified of each request that an upstream starts to run."""
--- /dev/null
+++ b/plantainwood/clienthandler.py
@@ -0,0 +1,256 @@
+"""Connections of clients that are not controlled: what each holds is bounded.
+
+A ClientGuard (clientguard.py) looks at all connections of the process at intervals and
+decides which of them are refused or dropped.
+"""
+
+import asyncio
+from typing import TYPE_CHECKING, Awaitable, Callable
+
+from aiohttp import StreamReader, web
+
+from plantainwood.bodyroom import BodyReservation
+from plantainwood.core.errors import ErrorCode, RequestError
+from plantainwood.lingering import LingeringHandler
+
+if TYPE_CHECKING:
+    from plantainwood.clientguard import ClientGuard
+
+READ_BYTES = 32_768
+"""Bytes of one read from a connection."""
+READ_BUFFER_BYTES = 8_192
+"""Reading pauses above twice as much of a body that waits for room."""
+MAX_WAITING_REQUESTS = 2
+"""Requests read from a connection behind the one that is served."""
+MAX_FRAMING_FACTOR = 8
+"""Bytes received for each byte of a body; chunks of one byte need six."""
+FRAMING_SLACK_BYTES = 65_536
+MAX_DROPPED_BYTES = 4_194_304
+"""Bytes that are read and dropped after a response that ends a connection."""
+MAX_HEAD_BYTES = 65_536
+UNREAD_QUIET_MS = 750
+"""A client that reads nothing for this long is the one to go on."""
+
+
+class ClientHandler(LingeringHandler):
+    """Serve one connection within bounds on its bytes, in either direction."""
+
+    __slots__ = (
+        "guard",
+        "reservation",
+        "waited_ms",
+        "quiet_ms",
+        "_body",
+        "_wire_bytes",
+        "_head_part_bytes",
+        "_dropped_bytes",
+        "_progress",
+        "_max_head_bytes",
+    )
+
+    def __init__(
+        self, manager, guard: "ClientGuard", max_head_bytes=MAX_HEAD_BYTES, **kwargs
+    ) -> None:
+        super().__init__(manager, read_bufsize=READ_BUFFER_BYTES, **kwargs)
+        self._msg_queue_resume_size = MAX_WAITING_REQUESTS - 1
+        self.guard = guard
+        self.reservation: BodyReservation | None = None
+        """The room of the request that is served."""
+        self.waited_ms = 0
+        """How long this node has waited for the client, since it last had reason to."""
+        self.quiet_ms = 0
+        """How much of that since the client last sent or read a byte of a body."""
+        self._body: StreamReader | None = None
+        """The body of the latest request whose head is complete."""
+        self._wire_bytes = 0
+        """Bytes received for this body, with its framing."""
+        self._head_part_bytes = 0
+        """Bytes received of a head that is not complete yet."""
+        self._dropped_bytes = 0
+        self._progress = 0
+        self._max_head_bytes = max_head_bytes
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Start to serve; the guard may drop another connection for this one."""
+        transport.max_size = READ_BYTES
+        super().connection_made(transport)
+        self.guard.add(self)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Forget the connection."""
+        self.guard.remove(self)
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse received bytes; refuse framing without end and heads without end."""
+        if self._is_ending:
+            self._dropped_bytes += len(data)
+            if self._dropped_bytes > MAX_DROPPED_BYTES:
+                self.force_close()
+            return
+        request_count = self._request_count
+        super().data_received(data)
+        if self._request_count > request_count:
+            self._body = self._messages[-1][1]
+            self._wire_bytes = 0
+            self._head_part_bytes = 0
+            self._start_waiting()
+        self._pause_behind_requests()
+        if self.is_reading_body():
+            self._wire_bytes += len(data)
+            self._check_framing()
+        elif self._request_count == request_count:
+            self._check_head_bytes(len(data))
+
+    def _pause_behind_requests(self) -> None:
+        if len(self._messages) >= MAX_WAITING_REQUESTS and not self._buffer_paused:
+            self._pause_reading_for_buffer()
+
+    def _check_framing(self) -> None:
+        body = self._body
+        assert body is not None
+        allowed = MAX_FRAMING_FACTOR * body.total_bytes + FRAMING_SLACK_BYTES
+        if self._wire_bytes > allowed and body.exception() is None:
+            self.guard.note_refusal("framing")
+            message = "the chunks of the body are mostly framing"
+            self.refuse_body(RequestError(ErrorCode.BAD_REQUEST, message))
+
+    def _check_head_bytes(self, received: int) -> None:
+        self._head_part_bytes += received
+        if self._head_part_bytes > self._max_head_bytes and not self._is_ending:
+            self.guard.note_refusal("head")
+            self.force_close()
+
+    def is_reading_body(self) -> bool:
+        """Return whether the latest request's body is not complete yet."""
+        return self._body is not None and not self._body.is_eof()
+
+    def is_idle(self) -> bool:
+        """Return whether the connection waits for a request and answers none.
+
+        aiohttp knows no current request before the handler's task has started and
+        while the answer is being written.
+        """
+        return self._waiter is not None and not self._waiter.done()
+
+    @property
+    def request_count(self) -> int:
+        """Return how many requests have come on the connection."""
+        return self._request_count
+
+    @property
+    def is_ending(self) -> bool:
+        """Return whether received bytes are dropped until the connection closes."""
+        return self._is_ending
+
+    def count_unread(self) -> int:
+        """Return the bytes of responses that wait for the client to read."""
+        return self.transport.get_write_buffer_size() if self.transport else 0
+
+    def count_body(self) -> int:
+        """Return the bytes that an incomplete body holds."""
+        if self._body is None or not self.is_reading_body():
+            return 0
+        return self._body.total_bytes
+
+    def observe(self, elapsed_ms: int) -> None:
+        """Add an interval to the time that this node has waited for the client.
+
+        It does not count while reading is paused: then the client waits for this node.
+        """
+        progress = self.count_body() - self.count_unread()
+        if progress != self._progress:
+            self._progress = progress
+            self.quiet_ms = 0
+        if self.count_unread() or not self._is_paused():
+            self.waited_ms += elapsed_ms
+            self.quiet_ms += elapsed_ms
+
+    def _is_paused(self) -> bool:
+        return self._reading_paused or self._buffer_paused
+
+    def _start_waiting(self) -> None:
+        self.waited_ms = 0
+        self.quiet_ms = 0
+
+    def is_waiting_for_client(self) -> bool:
+        """Return whether the client, not this node, is to go on with a request.
+
+        A request that was read and has no response in progress is this node's turn.
+        """
+        if self.is_ending:
+            return True
+        if self.count_unread():
+            return self.quiet_ms >= UNREAD_QUIET_MS
+        if self.is_reading_body():
+            return not self._is_paused()
+        return self.is_idle()
+
+    def refuse_body(self, error: RequestError) -> None:
+        """Let the reading of the incomplete body end with an error; free its room."""
+        if self._body is None or self._body.exception() is not None:
+            return
+        self._body.set_exception(error)
+        self._pause_transport_reading()
+        if self.reservation is not None:
+            self.reservation.release()
+
+    def drop(self) -> None:
+        """Close the connection at once."""
+        transport = self.transport
+        self.force_close()
+        if transport is not None:
+            transport.abort()
+
+    def _end_early(self) -> None:
+        """Drop what still comes after the next response, within the guard's bound."""
+        if not self.guard.may_linger():
+            self._lingering_time = 0.0
+            return
+        self._is_ending = True
+        self._resume_transport_reading()
+
+    async def finish_response(self, request, resp, start_time):
+        """Send a response; drop what still comes if it ends the connection early."""
+        is_complete = request.content.is_eof()
+        if not is_complete and resp is not None and resp.keep_alive is False:
+            self._end_early()
+        finished = await super().finish_response(request, resp, start_time)
+        if self._is_ending and not is_complete:
+            request.content.feed_eof()
+        self._start_waiting()
+        return finished
+
+
+class ClientServer(web.Server):
+    """Create a ClientHandler for each connection."""
+
+    def __init__(
+        self,
+        handle: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        guard: "ClientGuard",
+        **kwargs,
+    ) -> None:
+        super().__init__(handle, access_log=None, **kwargs)
+        self._guard = guard
+
+    def __call__(self) -> ClientHandler:
+        """Return the handler of a new connection."""
+        return ClientHandler(self, self._guard, loop=self._loop, **self._kwargs)
+
+
+class ClientRunner(web.AppRunner):
+    """Run an application whose connections are served by a ClientHandler."""
+
+    def __init__(self, app: web.Application, guard: "ClientGuard", **kwargs) -> None:
+        super().__init__(app, access_log=None, **kwargs)
+        self._guard = guard
+
+    async def _make_server(self) -> web.Server:
+        server = await super()._make_server()
+        return ClientServer(
+            server.request_handler,
+            self._guard,
+            request_factory=server.request_factory,
+            **{key: self._kwargs[key] for key in self._kwargs if key != "access_log"},
+        )
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -11,8 +11,8 @@
 
 import msgspec
 
-from plantainwood.bodyroom import BodyRoom
 from plantainwood.broker import RequestBroker
+from plantainwood.clientguard import ClientGuard
 from plantainwood.connectionpool import ConnectionPool
 from plantainwood.core import events as ev
 from plantainwood.core.catalogue import Catalogue
@@ -153,7 +153,9 @@
         self.driver: Driver
         self.notices: asyncio.Queue[Message] = asyncio.Queue()
         """Messages to all VMs."""
-        self.body_room = BodyRoom()
+        self.clients = ClientGuard(
+            settings.memory_mb, settings.file_descriptors, metrics
+        )
         self.open_call_count = 0
         self._heartbeat_sequence = 0
         self._registry_read_ms: int | None = None
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -28,6 +28,9 @@
         "store_calls",
         "link_bytes",
         "link_messages",
+        "refused_clients",
+        "client_bytes",
+        "client_connections",
     )
 
     def __init__(self) -> None:
@@ -79,6 +82,15 @@
         self.link_messages = self._make_counter(
             "pw_link_messages_total", "Messages between daemons by direction."
         )
+        self.refused_clients = self._make_counter(
+            "pw_refused_clients_total", "Clients refused or dropped by reason."
+        )
+        self.client_bytes = self._make_gauge(
+            "pw_client_bytes", "Bytes held for clients by kind."
+        )
+        self.client_connections = self._make_gauge(
+            "pw_client_connections", "Open connections of clients."
+        )
 
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -97,8 +97,12 @@
     writer.write(make_response(request, body))
 
 
-def configure(site: ProcessSite) -> None:
-    """Write the limits and routes that the clients meet to the store."""
+async def configure(site: ProcessSite) -> None:
+    """Write the limits and routes that the clients meet to the store.
+
+    What stalls has a pool of its own, so that the others' has room for ordinary work.
+    """
+    await site.add_runner(answer, service="slow", slots=200)
     route = {
         "host": HOST,
         "timeoutMs": 12_000,
@@ -107,7 +111,9 @@
         "service": "pool",
         "public": True,
     }
+    slow = {**route, "service": "slow"}
     routes = [
+        {**slow, "name": "r0", "prefix": "/u/stall", "kind": "unsafe"},
         {**route, "name": "r1", "prefix": "/s/", "kind": "stream"},
         {**route, "name": "r2", "prefix": "/u/", "kind": "unsafe"},
         {**route, "name": "r3", "prefix": "/k/", "kind": "unsafe", "public": False},
@@ -118,7 +124,9 @@
         "headerTimeoutMs": 3_000,
         "idleTimeoutMs": 15_000,
     }
-    site.store.put("op/config", make_config(2, routes=routes, limits=limits))
+    services = [{"name": "pool"}, {"name": "slow"}]
+    changes = {"routes": routes, "limits": limits, "services": services}
+    site.store.put("op/config", make_config(2, **changes))
 
 
 def state_machine() -> str:
@@ -161,7 +169,7 @@
     """Run a scenario on one VM that has the limits."""
 
     async def configured(site: ProcessSite) -> None:
-        configure(site)
+        await configure(site)
         await asyncio.sleep(1.0)
         await scenario(site, site.vms[0])
 
--- a/tests/test_listener.py
+++ b/tests/test_listener.py
@@ -6,7 +6,9 @@
 from aiohttp import web
 
 from bridge.listener import StrictServer
+from plantainwood.clientguard import ClientGuard
 from plantainwood.edge import CallerLimits
+from plantainwood.metrics import Metrics
 
 LIMITS = CallerLimits(header_timeout_ms=50)
 HEAD = b"POST /o/x HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\n"
@@ -56,7 +58,8 @@
     """Feed pieces to a connection, a number of event loop turns apart."""
 
     async def scenario() -> MemoryTransport:
-        server = StrictServer(handle, lambda: LIMITS)
+        guard = ClientGuard(None, None, Metrics())
+        server = StrictServer(handle, guard, lambda: LIMITS)
         handler = server()
         transport = MemoryTransport()
         handler.connection_made(transport)
