Answers that are collected wait for room, and an upstream is read no further

An answer above 64 KB reserves room before more of it is read; while there is none, its upstream is not read.

--- a/plantainwood/answerreader.py
+++ b/plantainwood/answerreader.py
@@ -1,15 +1,29 @@
 """Reading of answers from an upstream's connection: complete events or a whole body."""
 
+from typing import Awaitable, Callable
+
 from plantainwood.connections import Connection
 from plantainwood.core.eventstream import EventSplitter, EventTooLong, NoContinuation
 from plantainwood.engines import AttemptError
 
 MAX_ANSWER_BYTES = 1_048_576
 """The size of an answer that is collected in memory before it is relayed."""
+UNRESERVED_BYTES = 65_536
+"""An answer up to this size needs no room."""
+
+
+async def have_room(size_bytes: int) -> None:
+    """Return at once: nothing else bounds the answers of this kind."""
+
 
+async def read_whole_answer(
+    connection: Connection, reserve: Callable[[int], Awaitable[None]] = have_room
+) -> bytes:
+    """Return the body of an answer; raise AttemptError if it fails or is too large.
 
-async def read_whole_answer(connection: Connection) -> bytes:
-    """Return the body of an answer; raise AttemptError if it fails or is too large."""
+    `reserve` waits for room for an answer that is not small; meanwhile the upstream is
+    not read.
+    """
     body = bytearray()
     while True:
         chunk = await connection.read_chunk()
@@ -19,6 +33,8 @@
         if len(body) > MAX_ANSWER_BYTES:
             message = f"the answer exceeds {MAX_ANSWER_BYTES} bytes"
             raise AttemptError(message, False, proved_not_run=False)
+        if len(body) > UNRESERVED_BYTES:
+            await reserve(MAX_ANSWER_BYTES)
 
 
 class EventReader:
--- a/plantainwood/connections.py
+++ b/plantainwood/connections.py
@@ -19,7 +19,10 @@
 DEFAULT_IDLE_MS = 4_000
 IDLE_MARGIN_MS = 600
 USER_TIMEOUT_MS = 1_500
-HIGH_WATER_BYTES = 262_144
+HIGH_WATER_BYTES = 65_536
+"""Bytes of a body that wait to be relayed; above this the upstream is not read."""
+READ_BYTES = 65_536
+"""Bytes of one read from a connection."""
 MAX_FOREIGN_RESPONSES = 4
 MAX_BYTES_BEFORE_HEAD = 131_072
 """Bytes received for a request until the end of its response's head, those of interim
@@ -86,6 +89,7 @@
         """Store the transport; limit how long sent bytes may stay unacknowledged."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        transport.max_size = READ_BYTES
         sock = transport.get_extra_info("socket")
         if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
             sock.setsockopt(
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -346,7 +346,7 @@
         if self.sink.started:
             reason = f"status {response.status} in place of the rest of a stream"
             raise AttemptError(reason, False, proved_not_run=False)
-        body = await read_whole_answer(connection)
+        body = await read_whole_answer(connection, self.sink.reserve)
         self._report_progress(dispatch, 0)
         self.summary.status = response.status
         await self.sink.send_answer(response, body)
