--- a/plantainwood/vmcallserver.py
+++ b/plantainwood/vmcallserver.py
@@ -7,7 +7,10 @@
 from aiohttp import web
 from mode import Service
 
+from plantainwood.bodyreading import read_whole_body
+from plantainwood.bodyroom import BodyReservation
 from plantainwood.calls import Call, ResponseSink
+from plantainwood.clienthandler import ClientServer
 from plantainwood.core.errors import RequestError
 from plantainwood.core.frames import FrameError
 from plantainwood.edge import Edge
@@ -18,6 +21,9 @@
 
 REFUSED_STATUS = 503
 IDLE_S = 15.0
+MAX_FRAME_FACTOR = 2
+FRAME_SLACK_BYTES = 1_048_576
+"""A frame holds a call's body, its head, and a prompt's parts."""
 
 
 class VmCallServer(Service):
@@ -42,10 +48,10 @@
         address = self.edge.settings.addresses.calls
         if address is None:
             return
-        self._server = web.Server(
+        self._server = ClientServer(
             self._handle,
+            self.edge.clients,
             handler_cancellation=True,
-            access_log=None,
             keepalive_timeout=IDLE_S,
         )
         host, _, port = address.rpartition(":")
@@ -60,10 +66,23 @@
             await self._server.shutdown(0.1)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        edge = self.edge
         if request.path != CALLS_PATH:
             return web.Response(status=404)
-        frame = await request.content.read()
+        with BodyReservation(self.edge.clients.body_room) as reservation:
+            return await self._read_and_serve(request, reservation)
+
+    async def _read_and_serve(
+        self, request: web.BaseRequest, reservation: BodyReservation
+    ) -> web.StreamResponse:
+        edge = self.edge
+        limit = MAX_FRAME_FACTOR * edge.view.limits.body_bytes + FRAME_SLACK_BYTES
+        try:
+            frame = await read_whole_body(request, limit, reservation)
+        except RequestError as error:
+            log_event("frame_dropped", logging.WARNING, reason=str(error))
+            response = web.Response(status=error.status, body=encode_refusal(error))
+            response.force_close()
+            return response
         try:
             call = decode_call(frame, edge.clock.now_ms(), edge.settings.fleet)
         except FrameError as error:
@@ -90,6 +109,8 @@
                 reason=error.message,
             )
             return self._refuse(error, sink)
+        finally:
+            sink.release()
         log_event(
             "vm_call_served",
             request=call.request_id,
