The product's own interface has the same bounds on clients

Callers' and administration addresses use the guard, with the optional settings machine.memory_mb and machine.file_descriptors. A body announced over the limit is refused before it is read.

--- a/plantainwood/admin.py
+++ b/plantainwood/admin.py
@@ -1,5 +1,6 @@
 """Administration API and metrics, served on an address and key of their own."""
 
+import asyncio
 import hmac
 import secrets
 
@@ -10,6 +11,8 @@
 from plantainwood.answers import make_error_response, render_error
 from plantainwood.callers import make_tls_context
 from plantainwood.catalogue_texts import CatalogueTextError, parse_catalogue
+from plantainwood.clienthandler import ClientRunner
+from plantainwood.clientlistener import listen_for_clients
 from plantainwood.core.catalogue import (
     EDITABLE_SECTIONS,
     Catalogue,
@@ -34,6 +37,7 @@
 
 KEY_ID_BYTES = 6
 MAX_BODY_BYTES = 4_000_000
+IDLE_S = 75.0
 
 
 class ApplyBody(msgspec.Struct, forbid_unknown_fields=True):
@@ -60,6 +64,7 @@
     def __init__(self, node: Node, **kwargs) -> None:
         self.node = node
         self._runner: web.AppRunner | None = None
+        self._listener: asyncio.Server | None = None
         super().__init__(**kwargs)
 
     async def on_start(self) -> None:
@@ -78,15 +83,19 @@
         app.router.add_post("/admin/keys/{id}/withdraw", self.handle_withdraw)
         app.router.add_get("/admin/upstreams", self.handle_upstreams)
         app.router.add_get("/admin/usage", self.handle_usage)
-        self._runner = web.AppRunner(app, access_log=None)
+        self._runner = ClientRunner(
+            app, self.node.client_guard, keepalive_timeout=IDLE_S
+        )
         await self._runner.setup()
-        context = make_tls_context(admin.tls)
-        await web.TCPSite(
-            self._runner, admin.host, admin.port, ssl_context=context
-        ).start()
+        assert self._runner.server is not None
+        self._listener = await listen_for_clients(
+            self._runner.server, admin.host, admin.port, make_tls_context(admin.tls)
+        )
 
     async def on_stop(self) -> None:
         """Stop listening."""
+        if self._listener is not None:
+            self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
--- a/plantainwood/callers.py
+++ b/plantainwood/callers.py
@@ -9,6 +9,10 @@
 from mode import Service
 
 from plantainwood.answers import JsonSink, StreamSink, make_error_response
+from plantainwood.bodyreading import read_whole_body
+from plantainwood.bodyroom import BodyReservation
+from plantainwood.clienthandler import ClientRunner
+from plantainwood.clientlistener import listen_for_clients
 from plantainwood.core.decoding import MalformedError, decode_json
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.keys import check_key
@@ -19,7 +23,6 @@
     compute_spread,
     pick_addresses,
 )
-from plantainwood.lingering import LingeringRunner
 from plantainwood.logs import log_event
 from plantainwood.node import Node
 from plantainwood.pipeline.exchange import ApiKind, Exchange
@@ -46,6 +49,7 @@
     def __init__(self, node: Node, **kwargs) -> None:
         self.node = node
         self._runner: web.AppRunner | None = None
+        self._listener: asyncio.Server | None = None
         super().__init__(**kwargs)
 
     async def on_start(self) -> None:
@@ -58,23 +62,27 @@
         app.router.add_post("/v1/chat/completions", self.handle_chat)
         app.router.add_post("/v1/completions", self.handle_completion)
         app.router.add_route("*", "/services/{service}/{path:.*}", self.handle_plain)
-        self._runner = LingeringRunner(
+        self._runner = ClientRunner(
             app,
-            access_log=None,
+            self.node.client_guard,
             handler_cancellation=True,
             max_line_size=callers.max_header_bytes,
             max_field_size=callers.max_header_bytes,
             keepalive_timeout=callers.idle_timeout_ms / 1_000,
         )
         await self._runner.setup()
-        context = make_tls_context(callers.tls)
-        site = web.TCPSite(
-            self._runner, callers.host, callers.port, ssl_context=context
+        assert self._runner.server is not None
+        self._listener = await listen_for_clients(
+            self._runner.server,
+            callers.host,
+            callers.port,
+            make_tls_context(callers.tls),
         )
-        await site.start()
 
     async def on_stop(self) -> None:
         """Stop listening."""
+        if self._listener is not None:
+            self._listener.close()
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -125,34 +133,48 @@
 
     async def _serve(self, request: web.Request, kind: ApiKind) -> web.StreamResponse:
         request_id = _make_request_id(request)
+        reservation = BodyReservation(self.node.client_guard.body_room)
         try:
-            body = await self._read_body(request)
+            body = await self._read_body(request, reservation)
         except RequestError as error:
-            return make_error_response(error, request_id)
+            response = make_error_response(error, request_id)
+            response.force_close()
+            return response
         exchange = Exchange(self.node, request, request_id, kind, body)
         if kind is ApiKind.PLAIN:
             # The call must not be cancelled halfway if the caller disconnects.
-            task = asyncio.ensure_future(self._run_and_respond(exchange))
+            task = asyncio.ensure_future(self._run_and_respond(exchange, reservation))
             self.node.background_tasks.add(task)
             task.add_done_callback(self.node.background_tasks.discard)
             return await asyncio.shield(task)
-        return await self._run_and_respond(exchange)
+        return await self._run_and_respond(exchange, reservation)
 
-    async def _read_body(self, request: web.Request) -> bytes:
-        timeout_s = self.node.settings.callers.body_timeout_ms / 1_000
+    async def _read_body(
+        self, request: web.Request, reservation: BodyReservation
+    ) -> bytes:
+        """Return the body; the reservation is released unless it is complete."""
+        callers = self.node.settings.callers
         try:
-            async with asyncio.timeout(timeout_s):
-                return await request.read()
-        except web.HTTPRequestEntityTooLarge as error:
-            limit = self.node.settings.callers.max_body_bytes
-            message = f"the body is larger than {limit} bytes"
-            raise RequestError(ErrorCode.BODY_TOO_LARGE, message) from error
+            async with asyncio.timeout(callers.body_timeout_ms / 1_000):
+                return await read_whole_body(
+                    request, callers.max_body_bytes, reservation
+                )
         except TimeoutError as error:
+            reservation.release()
             message = "the body did not come in time"
             raise RequestError(ErrorCode.BAD_REQUEST, message) from error
+        except BaseException:
+            reservation.release()
+            raise
 
-    async def _run_and_respond(self, exchange: Exchange) -> web.StreamResponse:
+    async def _run_and_respond(
+        self, exchange: Exchange, reservation: BodyReservation
+    ) -> web.StreamResponse:
         """Run the filters and return the response in the format that was asked for."""
+        with reservation:
+            return await self._run_filters(exchange)
+
+    async def _run_filters(self, exchange: Exchange) -> web.StreamResponse:
         sink = _make_sink(exchange)
         exchange.sink = sink
         context = read_context(exchange.request.headers.get("traceparent"))
--- a/plantainwood/daemon.py
+++ b/plantainwood/daemon.py
@@ -11,6 +11,7 @@
 from plantainwood import __version__
 from plantainwood.admin import AdminServer
 from plantainwood.callers import CallerServer
+from plantainwood.clientguard import ClientWatch
 from plantainwood.core.messages import NodeState
 from plantainwood.documents import InvalidYamlError
 from plantainwood.duties import Billing, NodeLeaseRenewer, OrderIssuer
@@ -71,6 +72,7 @@
             self._usage_replicator,
             OrderIssuer(node, self._links.send),
             Billing(node),
+            ClientWatch(node.client_guard),
             AdminServer(node),
             self._caller_server,
         ]
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -153,7 +153,7 @@
         self.driver: Driver
         self.notices: asyncio.Queue[Message] = asyncio.Queue()
         """Messages to all VMs."""
-        self.clients = ClientGuard(
+        self.client_guard = ClientGuard(
             settings.memory_mb, settings.file_descriptors, metrics
         )
         self.open_call_count = 0
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -9,6 +9,7 @@
 from plantainwood.documents import read_yaml
 from plantainwood.settings import (
     Logs,
+    MachineSize,
     Millis,
     Name,
     Port,
@@ -21,7 +22,6 @@
 """Below 25 Mbit/s for each core, the link rather than the CPU limits long prompts."""
 
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
-MachineSize = Annotated[float, msgspec.Meta(ge=64)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^\s:]+:[0-9]{1,5}$")]
 
 
--- a/plantainwood/lingering.py
+++ b/plantainwood/lingering.py
@@ -6,7 +6,6 @@
 
 import asyncio
 
-from aiohttp import web
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.web_protocol import RequestHandler
 
@@ -61,23 +60,3 @@
         transport = self.transport
         if transport is not None and transport.can_write_eof():
             transport.write_eof()
-
-
-class LingeringServer(web.Server):
-    """Create a LingeringHandler for each connection."""
-
-    def __call__(self) -> LingeringHandler:
-        """Return the handler of a new connection."""
-        return LingeringHandler(self, loop=self._loop, **self._kwargs)
-
-
-class LingeringRunner(web.AppRunner):
-    """Run an application whose connections are served by a LingeringHandler."""
-
-    async def _make_server(self) -> web.Server:
-        server = await super()._make_server()
-        return LingeringServer(
-            server.request_handler,
-            request_factory=server.request_factory,
-            **self._kwargs,
-        )
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -6,6 +6,7 @@
 from opentelemetry.trace import Tracer
 
 from plantainwood.broker import RequestBroker
+from plantainwood.clientguard import ClientGuard
 from plantainwood.core import events as ev
 from plantainwood.core.catalogue import Catalogue, Document, merge_document
 from plantainwood.core.clock import Clock, make_clock, make_incarnation
@@ -79,6 +80,7 @@
         "served_tokens",
         "leases",
         "metrics",
+        "client_guard",
         "tracer",
         "clients",
         "state",
@@ -127,6 +129,9 @@
                 has_eras=False,
             )
         self.metrics = metrics
+        self.client_guard = ClientGuard(
+            settings.machine.memory_mb, settings.machine.file_descriptors, metrics
+        )
         self.tracer: Tracer = make_tracer(settings.node, settings.traces.exporter)
         self.clients: Clients
         self.state = NodeState.LIVE
--- a/plantainwood/settings.py
+++ b/plantainwood/settings.py
@@ -16,6 +16,7 @@
 Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 Millis = Annotated[int, msgspec.Meta(ge=1)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
+MachineSize = Annotated[float, msgspec.Meta(ge=64)]
 Name = Annotated[str, msgspec.Meta(pattern="^[A-Za-z0-9][A-Za-z0-9.-]*$")]
 
 
@@ -91,6 +92,16 @@
     link_address: str
 
 
+class Machine(Section, frozen=True):
+    """The resources of the daemon's machine, which bounds on callers follow.
+
+    null: they don't follow its memory; the process's limit of descriptors counts.
+    """
+
+    memory_mb: MachineSize | None = None
+    file_descriptors: MachineSize | None = None
+
+
 class Store(Section, frozen=True):
     """The platform's key-value service."""
 
@@ -154,6 +165,7 @@
     links: Links
     store: Store
     platform: Platform = Platform()
+    machine: Machine = Machine()
     peers: list[Peer] = []
     duties: Duties = Duties()
     drain: Drain = Drain()
--- a/plantainwood/vmcallserver.py
+++ b/plantainwood/vmcallserver.py
@@ -11,6 +11,7 @@
 from plantainwood.bodyroom import BodyReservation
 from plantainwood.calls import Call, ResponseSink
 from plantainwood.clienthandler import ClientServer
+from plantainwood.clientlistener import listen_for_clients
 from plantainwood.core.errors import RequestError
 from plantainwood.core.frames import FrameError
 from plantainwood.edge import Edge
@@ -50,13 +51,12 @@
             return
         self._server = ClientServer(
             self._handle,
-            self.edge.clients,
+            self.edge.client_guard,
             handler_cancellation=True,
             keepalive_timeout=IDLE_S,
         )
         host, _, port = address.rpartition(":")
-        loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._server, host, int(port))
+        self._listener = await listen_for_clients(self._server, host, int(port))
 
     async def on_stop(self) -> None:
         """Close the address and all connections."""
@@ -68,7 +68,7 @@
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != CALLS_PATH:
             return web.Response(status=404)
-        with BodyReservation(self.edge.clients.body_room) as reservation:
+        with BodyReservation(self.edge.client_guard.body_room) as reservation:
             return await self._read_and_serve(request, reservation)
 
     async def _read_and_serve(
