--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -12,8 +12,8 @@
 
 import msgspec
 
-from plantainwood.bodyroom import BodyRoom
 from plantainwood.broker import RequestBroker
+from plantainwood.clientguard import ClientGuard
 from plantainwood.connectionpool import ConnectionPool
 from plantainwood.core import events as ev
 from plantainwood.core.catalogue import Catalogue, DiscoveredUpstream
@@ -168,7 +168,9 @@
         self.driver: Driver
         self.notices: asyncio.Queue[Message] = asyncio.Queue()
         """Messages to all VMs."""
-        self.body_room = BodyRoom()
+        self.client_guard = ClientGuard(
+            settings.memory_mb, settings.file_descriptors, metrics
+        )
         self.open_call_count = 0
         self.has_heard_demand = False
         """Whether another VM has sent requests to upstreams."""
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -9,6 +9,7 @@
 from plantainwood.documents import read_yaml
 from plantainwood.settings import (
     Logs,
+    MachineSize,
     Millis,
     Name,
     Port,
@@ -107,6 +108,10 @@
     cpu_share: NonNegativeFloat = 1.0
     cores: NonNegativeFloat = 1.0
     link_mbps: NonNegativeFloat = 1_000.0
+    memory_mb: MachineSize | None = None
+    """The machine's memory; null: bounds on clients don't follow it."""
+    file_descriptors: MachineSize | None = None
+    """The descriptors that the process may open; null: its limit when it starts."""
     duties: EdgeDuties = EdgeDuties()
     retries: EdgeRetries = EdgeRetries()
     drain: EdgeDrain = EdgeDrain()
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -32,6 +32,9 @@
         "cold_upstreams",
         "cold_requests",
         "engine_slowness",
+        "refused_clients",
+        "client_bytes",
+        "client_connections",
     )
 
     def __init__(self) -> None:
@@ -83,6 +86,15 @@
         self.link_messages = self._make_counter(
             "pw_link_messages_total", "Messages between daemons by direction."
         )
+        self.refused_clients = self._make_counter(
+            "pw_refused_clients_total", "Clients refused or dropped by reason."
+        )
+        self.client_bytes = self._make_gauge(
+            "pw_client_bytes", "Bytes held for clients by kind."
+        )
+        self.client_connections = self._make_gauge(
+            "pw_client_connections", "Open connections of clients."
+        )
 
         self.evacuated = self._make_gauge(
             "pw_evacuated", "1 for each failure domain that is evacuated."
