--- a/plantainwood/connectionpool.py
+++ b/plantainwood/connectionpool.py
@@ -1,6 +1,7 @@
 """A pool of idle connections to upstreams, which opens new ones on demand."""
 
 import asyncio
+from typing import Callable
 
 from plantainwood.connections import Connection
 from plantainwood.core.clock import Clock
@@ -17,6 +18,8 @@
         self._clock = clock
         self._idle: dict[str, list[Connection]] = {}
         self.opened_count = 0
+        self.on_connected: Callable[[str, float], None] | None = None
+        """Is told the address and the time in ms of each connection opened."""
 
     async def acquire(self, address: str, fresh: bool = False) -> Connection:
         """Return an idle or new connection; raise AttemptError if connecting fails.
@@ -36,6 +39,7 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.opened_count += 1
+        began_s = loop.time()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000):
                 _, connection = await loop.create_connection(
@@ -43,6 +47,8 @@
                 )
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise make_unreached_error(repr(error)) from error
+        if self.on_connected is not None:
+            self.on_connected(address, 1_000 * (loop.time() - began_s))
         return connection
 
     async def probe_refused(self, address: str) -> bool:
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -11,9 +11,11 @@
 import msgspec
 
 from plantainwood.core.affinity import PrefixHints
+from plantainwood.core.domainoverflow import DomainOverflow
 from plantainwood.core.enginestates import EngineStates
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.loads import UpstreamLoad
+from plantainwood.core.promptdomains import DomainExtras, PromptDomains
 from plantainwood.core.requests import Request
 from plantainwood.core.router import FewChoicesRouter, Router, is_allowed
 
@@ -76,6 +78,7 @@
         "_first_token_targets_ms",
         "_estimates",
         "_pending_work_tokens",
+        "_domains",
     )
 
     def __init__(self, plain_router: FewChoicesRouter) -> None:
@@ -91,6 +94,19 @@
         """Estimates for the engines chosen last, by request id, until the dispatch."""
         self._pending_work_tokens: dict[str, float] = {}
         """Tokens to prefill before the first token, by request id."""
+        self._domains: PromptDomains | None = None
+        """None while failure domains are all alike."""
+
+    def set_overflow(self, overflow: DomainOverflow) -> None:
+        """Prefer the own failure domain, as far as an overflow decides."""
+        self._plain_router.set_overflow(overflow)
+        self._domains = PromptDomains(
+            overflow,
+            self.engine_states,
+            self._estimate_wait_ms,
+            PREFILL_TOKENS_PER_MS,
+            FETCH_COST_RATIO,
+        )
 
     def set_gap_targets(self, pool: str, gap_targets_ms: set[int]) -> None:
         """Set the gap targets of a pool's classes, and find the tight one, if any.
@@ -112,10 +128,14 @@
         for load in loads:
             tokens = getattr(load.entry, "memory_tokens", 0)
             self.engine_states.set_cache_tokens(load.name, tokens)
+        if self._domains is not None:
+            self._domains.set_pool_upstreams(loads)
 
     def forget(self, upstream: str) -> None:
         """Delete the state of an engine that has stopped or restarted."""
         self.engine_states.forget(upstream)
+        if self._domains is not None:
+            self._domains.forget(upstream)
 
     def choose(
         self, request: Request, group: list[UpstreamLoad], now_ms: int
@@ -128,7 +148,13 @@
             return None
         partition = self._select_partition(request, group, allowed)
         limit = self._compute_backlog_limit(request.pool)
-        names = sorted(load.name for load in partition)
+        extras = DomainExtras()
+        if self._domains is not None:
+            key = f"{request.pool}#{int(self.is_gap_sensitive(request))}"
+            extras = self._domains.find_extras(
+                request, partition, len(allowed), key, now_ms
+            )
+        names = extras.list_preferred(partition)
         preferred = rank_members(request.prompt.session, names)[0]
         holders = self._find_prefix_holders(request, now_ms)
         best = None
@@ -141,12 +167,22 @@
             score = estimate.cost + backlog + self._estimate_delay(load, now_ms)
             if load.name == preferred:
                 score -= PREFERRED_ENGINE_BONUS_TOKENS
+            if self._domains is not None:
+                score += PREFILL_TOKENS_PER_MS * self._domains.compute_ms(
+                    extras, load, estimate.source, estimate.fetched_tokens
+                )
             if best is None or score < best_score:
                 best = load
                 best_score = score
                 self._estimates[request.id] = estimate
         return best
 
+    def _estimate_wait_ms(self, load: UpstreamLoad, now_ms: int) -> float:
+        """Return how long a prompt sent to an engine now waits there."""
+        tokens = self.engine_states.count_backlog_tokens(load.name, now_ms)
+        tokens += self._estimate_delay(load, now_ms)
+        return tokens / PREFILL_TOKENS_PER_MS
+
     def _compute_backlog_limit(self, pool: str) -> float:
         """Return the backlog, in tokens, at which an engine gets no further prompts.
 
@@ -223,15 +259,21 @@
         best, second = holders
         holder = second if best.name == load.name else best
         fetched_tokens = holder.tokens - cached
-        if fetched_tokens >= MIN_FETCHED_TOKENS:
+        if self._pays_fetch(load, holder.name, fetched_tokens):
             return PrefillEstimate(
                 prompt.tokens - holder.tokens, fetched_tokens, holder.name
             )
         if not cached and load.name != preferred:
-            source = preferred if prompt.shared_tokens >= MIN_FETCHED_TOKENS else ""
-            return PrefillEstimate(prompt.tokens, 0, source)
+            pays = self._pays_fetch(load, preferred, prompt.shared_tokens)
+            return PrefillEstimate(prompt.tokens, 0, preferred if pays else "")
         return PrefillEstimate(max(0, prompt.tokens - cached))
 
+    def _pays_fetch(self, load: UpstreamLoad, source: str, tokens: int) -> bool:
+        """Tell whether an engine should fetch tokens rather than prefill them."""
+        if tokens < MIN_FETCHED_TOKENS:
+            return False
+        return self._domains is None or self._domains.pays_fetch(load, source, tokens)
+
     def find_kv_source(self, request: Request) -> str:
         """Return the engine that the chosen engine is to fetch from; empty if none."""
         estimate = self._estimates.get(request.id)
@@ -249,6 +291,9 @@
         self, request: Request, load: UpstreamLoad, now_ms: int
     ) -> None:
         """Add a prompt to the backlog of an engine, and treat its parts as cached."""
+        if self._domains is not None:
+            source = self.find_kv_source(request)
+            self._domains.record_sent(request, load, source, now_ms)
         if not request.prompt.tokens:
             return
         estimate = self._estimates.pop(
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -4,7 +4,9 @@
 from abc import ABC, abstractmethod
 
 from plantainwood.core.affinity import PrefixHints
+from plantainwood.core.domainoverflow import DomainOverflow
 from plantainwood.core.loads import TIERS, UpstreamLoad
+from plantainwood.core.plaindomains import PlainDomains
 from plantainwood.core.requests import Request
 
 AFFINITY_BONUS = 0.35
@@ -91,11 +93,17 @@
     loaded one.
     """
 
-    __slots__ = ("_random", "_hints")
+    __slots__ = ("_random", "_hints", "_domains")
 
     def __init__(self, generator: random.Random, hints: PrefixHints) -> None:
         self._random = generator
         self._hints = hints
+        self._domains: PlainDomains | None = None
+        """None while failure domains are all alike."""
+
+    def set_overflow(self, overflow: DomainOverflow) -> None:
+        """Prefer the own failure domain, as far as an overflow decides."""
+        self._domains = PlainDomains(overflow, self._random)
 
     def choose(
         self, request: Request, group: list[UpstreamLoad], now_ms: int
@@ -109,9 +117,13 @@
         drawn = self._random.sample(group, min(CHOICES, len(group)))
         if hinted:
             drawn.extend(load for load in group if load.name == hinted)
+        if self._domains is not None:
+            drawn.extend(self._domains.draw_own(group))
         best = self._choose_best(request, drawn, hinted, now_ms)
         if best is None:
             best = self._choose_best(request, group, hinted, now_ms)
+        if best is not None and self._domains is not None:
+            self._domains.record_chosen(best, now_ms)
         return best
 
     def _choose_best(
@@ -131,6 +143,8 @@
             score = _score(load, used, now_ms)
             if load.name == hinted:
                 score -= AFFINITY_BONUS
+            if self._domains is not None:
+                score += self._domains.compute_score(request, load, now_ms)
             if best is None or score < best_score:
                 best = load
                 best_score = score
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -47,6 +47,7 @@
 from plantainwood.edgesettings import EdgeSettings
 from plantainwood.logs import log_event
 from plantainwood.metrics import Metrics
+from plantainwood.overflowreports import OverflowReporter, make_overflow
 from plantainwood.pathprobe import PathProber
 from plantainwood.procedures import Driver
 
@@ -129,7 +130,13 @@
         )
         dispatcher = Dispatcher(settings.node, secrets.randbits(32), options)
         self.broker = RequestBroker(dispatcher, clock, self._queue_notice)
+        self.overflow = make_overflow(settings)
+        if self.overflow is not None:
+            self.router.set_overflow(self.overflow)
+            self._overflow_reporter = OverflowReporter(self.overflow, metrics)
         self.connection_pool = ConnectionPool(clock)
+        if self.overflow is not None:
+            self.connection_pool.on_connected = self._record_connection
         self.path_prober = PathProber(self.broker, self.connection_pool, clock)
         self.start_counter = StartCounter(
             settings.node, self.incarnation, settings.duties.window_ms
@@ -177,6 +184,28 @@
         for service, tokens in demand.items():
             self.get_demand_peak(service).record(tokens, now_ms)
 
+    def record_domain_demand(
+        self, domain: str, demand: dict[str, int], age_ms: int
+    ) -> None:
+        """Record, for the overflow, what a VM of a failure domain sent, by service."""
+        if self.overflow is not None:
+            now_ms = self.clock.now_ms()
+            self.overflow.demands.record(domain, demand, now_ms - age_ms, now_ms)
+
+    def _record_connection(self, address: str, took_ms: float) -> None:
+        """Record, for the overflow, how long a connection took to open."""
+        assert self.overflow is not None
+        for entry in self.view.catalogue.upstreams.values():
+            if entry.address == address:
+                now_ms = self.clock.now_ms()
+                self.overflow.path_times.record(entry.domain, took_ms, now_ms)
+                return
+
+    def report_overflow(self) -> None:
+        """Update the metrics and logs of the overflow to other failure domains."""
+        if self.overflow is not None:
+            self._overflow_reporter.report(self.clock.now_ms())
+
     @property
     def router(self) -> PromptRouter:
         """Return the dispatcher's router, which is a PromptRouter on edge nodes."""
@@ -193,6 +222,7 @@
         sent, self.router.sent_tokens = self.router.sent_tokens, {}
         demand = {pool.removeprefix(SERVICE_POOL_PREFIX): sent[pool] for pool in sent}
         self.record_demand(demand)
+        self.record_domain_demand(self.settings.domain, demand, 0)
         return VmHeartbeat(
             sender=self.settings.node,
             incarnation=self.incarnation,
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -21,6 +21,10 @@
 """Below 25 Mbit/s for each core, the link rather than the CPU limits long prompts."""
 
 NonNegativeFloat = Annotated[float, msgspec.Meta(ge=0)]
+PathMillis = Annotated[float, msgspec.Meta(ge=0, le=1_000)]
+Price = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
+PositivePrice = Annotated[float, msgspec.Meta(ge=1e-9, le=1_000_000)]
+Size = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^\s:]+:[0-9]{1,5}$")]
 
 
@@ -74,6 +78,25 @@
     address_lifetime_ms: Millis = 1_000
 
 
+class EdgeOverflow(Section, frozen=True):
+    """Use of other failure domains' upstreams only when it reduces cost.
+
+    While disabled, all domains' upstreams are alike.
+    """
+
+    enabled: bool = False
+    path_ms: PathMillis = 1.0
+    """The latency between two failure domains, one way, in ms."""
+    price_per_gb: Price | None = None
+    """The price of 10^9 bytes between failure domains; null: only time counts."""
+    wait_price_per_s: PositivePrice = 0.01
+    """The price of one second that a request waits, in the same currency."""
+    request_bytes: Size = 16_384
+    """The bytes of a request without a prompt, with its answer."""
+    kv_token_bytes: Size = 0
+    """The bytes of one token's KV cache in a transfer between engines."""
+
+
 class EdgeSettings(Section, frozen=True):
     """All settings that an edge node reads at its start."""
 
@@ -94,6 +117,7 @@
     duties: EdgeDuties = EdgeDuties()
     retries: EdgeRetries = EdgeRetries()
     drain: EdgeDrain = EdgeDrain()
+    overflow: EdgeOverflow = EdgeOverflow()
     logs: Logs = Logs()
     traces: Traces = Traces()
 
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -28,6 +28,8 @@
         "store_calls",
         "link_bytes",
         "link_messages",
+        "domain_sent",
+        "domain_share",
     )
 
     def __init__(self) -> None:
@@ -79,6 +81,14 @@
         self.link_messages = self._make_counter(
             "pw_link_messages_total", "Messages between daemons by direction."
         )
+        self.domain_sent = self._make_counter(
+            "pw_domain_sent_total",
+            "Requests and KV transfers by source and target failure domain.",
+        )
+        self.domain_share = self._make_gauge(
+            "pw_domain_share",
+            "Share of what a failure domain sends, by source and target domain.",
+        )
 
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
--- a/plantainwood/ticker.py
+++ b/plantainwood/ticker.py
@@ -33,3 +33,4 @@
             if waited_ms >= CLOSE_IDLE_INTERVAL_MS:
                 waited_ms = 0
                 self.edge.connection_pool.close_idle()
+                self.edge.report_overflow()
