--- a/experiments/reference.py
+++ b/experiments/reference.py
@@ -2,12 +2,14 @@
 
 import inspect
 from pathlib import Path
-from typing import Any, get_args, get_origin
+from types import NoneType, UnionType
+from typing import Any, Union, get_args, get_origin
 
 import msgspec
 
 from experiments.figures import render_markdown
 from plantainwood.core.catalogue import EDITABLE_SECTIONS, SECTIONS
+from plantainwood.edgesettings import EdgeOverflow
 from plantainwood.settings import Secret, Settings
 
 DOCS = Path(__file__).resolve().parent.parent / "docs"
@@ -21,6 +23,16 @@
 may say `env:NAME` and are never printed.
 """
 
+OVERFLOW_HEAD = """## Overflow to other failure domains
+
+From plantainwood/edgesettings.py: the section `overflow` of the settings on the users'
+platform; a change takes effect at the next start. `path_ms` is the latency one way in
+ms, `price_per_gb` the price of 10^9 bytes between domains (null: only time counts),
+`wait_price_per_s` what one second of a request's wait is worth, in the same currency.
+`request_bytes` are those of a request without a prompt with its answer,
+`kv_token_bytes` those of one token's KV cache in a transfer between engines.
+"""
+
 CATALOGUE_HEAD = """# Catalogue
 
 Made by `make reference` from plantainwood/core/catalogue.py. A file holds the sections
@@ -47,6 +59,11 @@
         if meta.le is not None:
             bounds.append(f"to {meta.le}")
         return " ".join([base, *bounds])
+    if get_origin(annotation) in (Union, UnionType):
+        kinds: list[str] = []
+        for kind in get_args(annotation):
+            kinds.append("null" if kind is NoneType else describe_type(kind))
+        return " or ".join(kinds)
     if isinstance(annotation, type) and hasattr(annotation, "__members__"):
         return " or ".join(member.value for member in annotation)
     return getattr(annotation, "__name__", str(annotation))
@@ -63,6 +80,8 @@
         value = value.value
     if isinstance(value, Secret):
         return "***"
+    if value is None:
+        return "`null`"
     return f"`{value!r}`" if not isinstance(value, str) else f"`{value or '(empty)'}`"
 
 
@@ -85,7 +104,9 @@
 def render_settings() -> str:
     """Return the settings page as Markdown."""
     table = render_markdown(["name", "type", "default"], list_fields(Settings, ""))
-    return f"{SETTINGS_HEAD}\n{table}\n"
+    rows = list_fields(EdgeOverflow, "overflow.")
+    overflow = render_markdown(["name", "type", "default"], rows)
+    return f"{SETTINGS_HEAD}\n{table}\n\n{OVERFLOW_HEAD}\n{overflow}\n"
 
 
 def render_catalogue() -> str:
