--- a/plantainwood/core/promptdomains.py
+++ b/plantainwood/core/promptdomains.py
@@ -114,8 +114,7 @@
         if overflow.is_due(pool, request, now_ms):
             self._update_pool(pool, request, partition, usable_count, now_ms)
         domains = {load.entry.domain for load in partition}
-        session = request.prompt.session
-        mapped = overflow.map_session(pool, session, domains)
+        mapped = overflow.map_session(pool, _make_mapping_key(request), domains)
         mapped = self._keep_session(request, partition, mapped, now_ms)
         extra_ms = overflow.compute_extra_ms(pool, request, mapped, now_ms)
         unread_ms = self._find_unread_common_ms(request.prompt, partition, mapped)
@@ -217,3 +216,13 @@
         self._paid_ms.move_to_end(session)
         while len(self._paid_ms) > MAX_PAID_SESSIONS:
             self._paid_ms.popitem(last=False)
+
+
+def _make_mapping_key(request: Request) -> str:
+    """Return what maps a prompt to a domain: its session, if it has one of its own.
+
+    The only part that a prompt of two parts shares may be that of all prompts, which
+    would then all be mapped alike.
+    """
+    prompt = request.prompt
+    return prompt.session if len(prompt.parts) > 2 else request.id
--- a/tests/test_domain_overflow.py
+++ b/tests/test_domain_overflow.py
@@ -4,6 +4,7 @@
 with overflow when they are full, and the present choice among all domains alike.
 """
 
+import logging
 import random
 
 import msgspec
@@ -396,6 +397,22 @@
 # Sessions and parts
 
 
+def test_prompts_that_all_share_their_only_part_are_mapped_one_by_one():
+    """Guards against a share that moves either all such prompts or none."""
+    group = make_group("a", "b")
+    router, overflow = make_vm("a", group)
+    pool = overflow.get_or_create_pool(f"{POOL}#0", 0)
+    router.choose(make_request(0), group, 0)
+    pool.ramp.shares = {"b": 0.5}
+    away = 0
+    for serial in range(200):
+        parts = (Part("system", 1_000), Part(f"own{serial}", 200))
+        arrival = Arrival(f"q{serial}", "c", "k", POOL, prompt=Prompt(parts, 1_200, 50))
+        request = Request(arrival, ServiceClass(owner="", tier=1), True, 0)
+        away += router.choose(request, group, 0).entry.domain == "b"
+    assert 60 < away < 140
+
+
 def test_all_vms_of_a_domain_send_a_new_session_to_the_same_engine():
     group = make_group("a", "b", per_domain=4)
     first, _ = make_vm("a", group)
@@ -654,6 +671,21 @@
     assert costs["overflow"] < 0.9 * costs["equal"], costs
 
 
+@pytest.mark.parametrize("seed", [1, 2])
+def test_a_domain_of_slow_engines_costs_no_more_than_with_the_nearest_choice(seed):
+    """Guards against a plan that trusts the assumed speed: these run at 0.6 of it."""
+    costs: dict[str, float] = {}
+    for choice in ("overflow", "nearest"):
+        fleet = DomainFleet(
+            FleetOptions(choice=choice, vms_per_domain=5, heartbeat_ms=200, seed=seed)
+        )
+        for engine in fleet.engines.values():
+            engine.speed = 0.6 if engine.domain == "a" else 1.0
+        fleet.run(9_000, {"a": 110.0, "b": 60.0, "c": 60.0})
+        costs[choice] = compute_mean_cost_ms(fleet.list_since(3_000))
+    assert costs["overflow"] < costs["nearest"], costs
+
+
 def test_90_vms_that_decide_at_once_do_not_swing():
     """The share away of the hot domain in each half second, after the start."""
     fleet = DomainFleet(FleetOptions(vms_per_domain=30))
@@ -694,14 +726,16 @@
     assert edge.overflow.demands.compute_rate(POOL, "a", 0) == 1.0
 
 
-def test_shares_are_logged_when_they_change_and_counted_by_pair(capsys):
+def test_shares_are_logged_when_they_change_and_counted_by_pair(caplog):
+    caplog.set_level(logging.INFO, logger="plantainwood")
     edge = make_edge()
     pool = edge.overflow.get_or_create_pool(POOL, 0)
     for share in (0.5, 0.52, 0.0):
         pool.ramp.shares = {"b": share} if share else {}
         edge.report_overflow()
-    changes = edge.overflow.take_changes()
-    assert changes == []
+    logged = [record for record in caplog.records if record.getMessage() == "overflow"]
+    assert [record.share for record in logged] == ["0.50", "0.00"]
+    assert {(record.pool, record.domain) for record in logged} == {(POOL, "b")}
     edge.overflow.record_sent("a", "")
     edge.overflow.record_sent("b", "")
     edge.clock.advance(10_000)
@@ -711,6 +745,14 @@
     assert 'pw_domain_share{source="a",target="b"} 0.5' in text
 
 
+def test_the_time_to_connect_is_recorded_for_the_domain_of_an_address():
+    edge = make_edge()
+    edge.view.catalogue.upstreams["e0"] = make_load("e0", "b").entry
+    edge.connection_pool.on_connected("10.0.0.1:80", 9.0)
+    edge.connection_pool.on_connected("10.0.0.2:80", 1.0)
+    assert edge.overflow.path_times.find_one_way_ms("b", 0) == 4.5
+
+
 def test_only_a_change_of_a_share_is_reported():
     overflow = DomainOverflow("a", PathOptions())
     pool = overflow.get_or_create_pool(POOL, 0)
