--- a/tests/test_domain_overflow.py
+++ b/tests/test_domain_overflow.py
@@ -342,6 +342,26 @@
     assert shares["c"] > 4 * shares.get("b", 0.0)
 
 
+def test_the_plan_gives_no_share_to_a_domain_with_stale_figures():
+    figures = make_figures(a=(0.0, 130.0), b=(0.0, 20.0), c=(0.0, 20.0))
+    figures["c"] = msgspec.structs.replace(figures["c"], accepts_overflow=False)
+    shares = plan_shares("a", figures)
+    assert set(shares) == {"b"}
+    assert shares["b"] == pytest.approx(45 / 130, abs=0.05)
+
+
+def test_a_share_ends_at_once_when_its_domain_is_not_heard_any_more():
+    group = make_group("a", "b")
+    router, overflow = make_vm("a", group)
+    router.choose(make_request(0), group, 0)
+    pool = overflow.get_or_create_pool(f"{POOL}#0", 0)
+    pool.ramp.shares = {"b": 0.5}
+    router.choose(make_request(1), group, 200)
+    assert pool.ramp.shares["b"] > 0.4
+    router.choose(make_request(2), group, 2_100)
+    assert pool.ramp.shares == {}
+
+
 def test_two_domains_with_too_much_do_not_both_count_on_all_the_room_of_a_third():
     figures = make_figures(a=(0.0, 130.0), b=(0.0, 130.0), c=(0.0, 25.0))
     sent = 0.0
@@ -453,6 +473,18 @@
     assert router.choose(request, group, 0).entry.domain == "b"
 
 
+def test_a_domain_reads_common_parts_itself_where_transfers_cost_too_much():
+    group = make_group("a", "b")
+    router, _ = make_vm("b", group, price_per_gb=1.0, kv_token_bytes=100_000)
+    common = [Part("common", 6_000)]
+    router.engine_states.record_remote("vm-a", {}, {"e0-a": common, "e1-a": common}, 0)
+    parts = (*common, Part("new", 500), Part("own", 200))
+    arrival = Arrival("r1", "c", "k", POOL, prompt=Prompt(parts, 6_700, 50))
+    request = Request(arrival, ServiceClass(owner="", tier=1), True, 0)
+    assert router.choose(request, group, 0).entry.domain == "b"
+    assert router.find_kv_source(request) == ""
+
+
 def test_sessions_called_from_all_domains_are_read_less_than_once_by_each():
     reads: dict[str, float] = {}
     rates = dict.fromkeys(("a", "b", "c"), 50.0)
@@ -513,6 +545,22 @@
     assert counts["a"] >= 950
 
 
+def test_other_domains_upstreams_are_measured_with_few_requests():
+    """Guards against a slow own upstream that is compared with nothing."""
+    group = make_plain_group("a", "b", "c")
+    counts = count_plain_targets(make_plain_vm("a", group), group, 2_000)
+    for domain in ("b", "c"):
+        assert 2 <= counts[domain] <= 60
+
+
+def test_a_partly_used_own_upstream_keeps_its_requests():
+    """A request starts at once while a slot is free: another domain is no sooner."""
+    group = make_plain_group("a", "b", "c")
+    group[0].record_report((3,), 0, 0)
+    counts = count_plain_targets(make_plain_vm("a", group), group, 400)
+    assert counts["a"] > 380
+
+
 def test_plain_requests_leave_a_lost_upstream():
     group = make_plain_group("a", "b", "c")
     group[0].unreached_until_ms = 1_000_000
