--- a/plantainwood/core/dedicatedengines.py
+++ b/plantainwood/core/dedicatedengines.py
@@ -1,6 +1,6 @@
 """The engines that serve only the class with the tightest gap target."""
 
-from plantainwood.core.hashing import rank_members
+from plantainwood.core.hashing import rank_stable_members
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.requests import Request
 
@@ -60,4 +60,4 @@
     if len(names) < 2:
         return []
     count = max(1, round(DEDICATED_SHARE * len(names)))
-    return rank_members(f"paced\0{pool}", names)[:count]
+    return list(rank_stable_members(f"paced\0{pool}", tuple(names))[:count])
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -11,15 +11,18 @@
 
 from plantainwood.core.affinity import PrefixHints
 from plantainwood.core.dedicatedengines import GapPartitions
+from plantainwood.core.domainoverflow import DomainOverflow
 from plantainwood.core.enginepace import EnginePaces
 from plantainwood.core.enginestates import EngineStates
 from plantainwood.core.hashing import rank_members
 from plantainwood.core.loads import UpstreamLoad
 from plantainwood.core.prefillestimates import (
+    FETCH_COST_RATIO,
     MIN_FETCHED_TOKENS,
     PrefillEstimate,
     PrefixHolder,
 )
+from plantainwood.core.promptdomains import DomainExtras, PromptDomains
 from plantainwood.core.requests import Request
 from plantainwood.core.router import FewChoicesRouter, Router, is_allowed
 
@@ -57,6 +60,7 @@
         "_first_token_targets_ms",
         "_estimates",
         "_pending_work_tokens",
+        "_domains",
     )
 
     def __init__(
@@ -76,6 +80,19 @@
         """Estimates for the engines chosen last, by request id, until the dispatch."""
         self._pending_work_tokens: dict[str, float] = {}
         """Tokens to prefill before the first token, by request id."""
+        self._domains: PromptDomains | None = None
+        """None while failure domains are all alike."""
+
+    def set_overflow(self, overflow: DomainOverflow) -> None:
+        """Prefer the own failure domain, as far as an overflow decides."""
+        self._plain_router.set_overflow(overflow)
+        self._domains = PromptDomains(
+            overflow,
+            self.engine_states,
+            self._estimate_wait_ms,
+            PREFILL_TOKENS_PER_MS,
+            FETCH_COST_RATIO,
+        )
 
     def set_gap_targets(self, pool: str, gap_targets_ms: set[int]) -> None:
         """Set the gap targets of a pool's classes; 0 means that there is none."""
@@ -92,11 +109,15 @@
         for load in loads:
             tokens = getattr(load.entry, "memory_tokens", 0)
             self.engine_states.set_cache_tokens(load.name, tokens)
+        if self._domains is not None:
+            self._domains.set_pool_upstreams(loads)
 
     def forget(self, upstream: str) -> None:
         """Delete the state of an engine that has stopped or restarted."""
         self.engine_states.forget(upstream)
         self.paces.forget(upstream)
+        if self._domains is not None:
+            self._domains.forget(upstream)
 
     def choose(
         self, request: Request, group: list[UpstreamLoad], now_ms: int
@@ -112,11 +133,17 @@
         candidates = self._list_below_limit(request.pool, partition, now_ms)
         if not candidates:
             return None
-        names = sorted(load.name for load in partition)
+        extras = DomainExtras()
+        if self._domains is not None:
+            key = f"{request.pool}#{int(self._partitions.is_gap_sensitive(request))}"
+            extras = self._domains.find_extras(
+                request, partition, len(allowed), key, now_ms
+            )
+        names = extras.list_preferred(partition)
         preferred = rank_members(request.prompt.session, names)[0]
         holders = self._find_prefix_holders(request, now_ms)
         drawn = self._draw_engines(candidates, preferred, holders, now_ms)
-        return self._choose_fastest(request, drawn, preferred, holders, now_ms)
+        return self._choose_fastest(request, drawn, preferred, holders, extras, now_ms)
 
     def _list_below_limit(
         self, pool: str, loads: list[UpstreamLoad], now_ms: int
@@ -152,9 +179,10 @@
         loads: list[UpstreamLoad],
         preferred: str,
         holders: list[PrefixHolder],
+        extras: DomainExtras,
         now_ms: int,
     ) -> UpstreamLoad | None:
-        """Return the engine with the first token soonest."""
+        """Return the engine with the first token soonest, at the least cost."""
         best = None
         best_ms = 0.0
         for load in loads:
@@ -163,12 +191,22 @@
             bonus = PREFERRED_ENGINE_BONUS_TOKENS if load.name == preferred else 0
             work = estimate.cost + backlog + self._estimate_delay(load, now_ms)
             expected_ms = self._estimate_ms(load, work, now_ms, bonus)
+            if self._domains is not None:
+                expected_ms += self._domains.compute_ms(
+                    extras, load, estimate.source, estimate.fetched_tokens
+                )
             if best is None or expected_ms < best_ms:
                 best = load
                 best_ms = expected_ms
                 self._estimates[request.id] = estimate
         return best
 
+    def _estimate_wait_ms(self, load: UpstreamLoad, now_ms: int) -> float:
+        """Return how long a prompt sent to an engine now waits there."""
+        tokens = self.engine_states.count_backlog_tokens(load.name, now_ms)
+        tokens += self._estimate_delay(load, now_ms)
+        return self._estimate_ms(load, tokens, now_ms)
+
     def _estimate_ms(
         self, load: UpstreamLoad, tokens: float, now_ms: int, bonus_tokens: int = 0
     ) -> float:
@@ -235,15 +273,21 @@
         best, second = holders
         holder = second if best.name == load.name else best
         fetched_tokens = holder.tokens - cached
-        if fetched_tokens >= MIN_FETCHED_TOKENS:
+        if self._pays_fetch(load, holder.name, fetched_tokens):
             return PrefillEstimate(
                 prompt.tokens - holder.tokens, fetched_tokens, holder.name
             )
         if not cached and load.name != preferred:
-            source = preferred if prompt.shared_tokens >= MIN_FETCHED_TOKENS else ""
-            return PrefillEstimate(prompt.tokens, 0, source)
+            pays = self._pays_fetch(load, preferred, prompt.shared_tokens)
+            return PrefillEstimate(prompt.tokens, 0, preferred if pays else "")
         return PrefillEstimate(max(0, prompt.tokens - cached))
 
+    def _pays_fetch(self, load: UpstreamLoad, source: str, tokens: int) -> bool:
+        """Tell whether an engine should fetch tokens rather than prefill them."""
+        if tokens < MIN_FETCHED_TOKENS:
+            return False
+        return self._domains is None or self._domains.pays_fetch(load, source, tokens)
+
     def find_kv_source(self, request: Request) -> str:
         """Return the engine that the chosen engine is to fetch from; empty if none."""
         estimate = self._estimates.get(request.id)
@@ -261,6 +305,9 @@
         self, request: Request, load: UpstreamLoad, now_ms: int
     ) -> None:
         """Add a prompt to the backlog of an engine, and treat its parts as cached."""
+        if self._domains is not None:
+            source = self.find_kv_source(request)
+            self._domains.record_sent(request, load, source, now_ms)
         if not request.prompt.tokens:
             return
         estimate = self._estimates.pop(
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -35,6 +35,8 @@
         "refused_clients",
         "client_bytes",
         "client_connections",
+        "domain_sent",
+        "domain_share",
     )
 
     def __init__(self) -> None:
@@ -109,6 +111,14 @@
             "pw_engine_slowness",
             "Learned time per token of the fastest and slowest engine, 1 is typical.",
         )
+        self.domain_sent = self._make_counter(
+            "pw_domain_sent_total",
+            "Requests and KV transfers by source and target failure domain.",
+        )
+        self.domain_share = self._make_gauge(
+            "pw_domain_share",
+            "Share of what a failure domain sends, by source and target domain.",
+        )
 
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
--- a/plantainwood/ticker.py
+++ b/plantainwood/ticker.py
@@ -39,3 +39,4 @@
         edge = self.edge
         edge.connection_pool.close_idle()
         report_paces(edge.router.paces, edge.metrics, edge.clock.now_ms())
+        edge.report_overflow()
