Guard: a refused body counts once, written bytes are progress, frames have a bound

A body refused while it waited for room was counted again at each check. A reservation belongs to the body it was made for: with pipelined requests, the refusal of the next body released that of the request being served. What was written counts as progress of a client that reads, also if as much waits again. A frame between VMs has at most 8 MiB (no bound before). tests/test_client_guard.py: each decision, without sockets.

--- a/plantainwood/bodyreading.py
+++ b/plantainwood/bodyreading.py
@@ -19,7 +19,7 @@
     length = request.content_length
     if length is not None and length > limit:
         raise make_too_large_error(limit)
-    request.protocol.reservation = reservation
+    request.protocol.hold(request.content, reservation)
     await reservation.reserve(length or 0)
     pieces: list[bytearray] = []
     size = 0
--- a/plantainwood/clientguard.py
+++ b/plantainwood/clientguard.py
@@ -98,7 +98,7 @@
             if connection.quiet_ms >= UNREAD_MS:
                 self._drop(connection, "unread")
             return
-        if not connection.is_reading_body() or connection.is_ending:
+        if not connection.may_refuse_body():
             return
         late_ms = connection.waited_ms - BODY_GRACE_MS
         if connection.count_body() * 1_000 < MIN_BODY_BYTES_PER_S * late_ms:
@@ -112,7 +112,7 @@
                 continue
             if connection.quiet_ms < QUIET_MS:
                 continue
-            if connection.is_reading_body():
+            if connection.may_refuse_body():
                 self._refuse_body(connection, "stalled", ErrorCode.BODY_TIMEOUT)
             elif connection.count_unread():
                 self._drop(connection, "unread")
@@ -152,7 +152,7 @@
         """Return the connections with incomplete bodies; most for longest first."""
         found: list[ClientHandler] = []
         for connection in self._connections:
-            if connection.is_reading_body() and not connection.is_ending:
+            if connection.may_refuse_body():
                 found.append(connection)
         found.sort(key=lambda each: each.count_body() * each.waited_ms, reverse=True)
         return found
--- a/plantainwood/clienthandler.py
+++ b/plantainwood/clienthandler.py
@@ -37,7 +37,8 @@
 
     __slots__ = (
         "guard",
-        "reservation",
+        "_reservation",
+        "_reserved_body",
         "waited_ms",
         "quiet_ms",
         "_body",
@@ -54,8 +55,9 @@
         super().__init__(manager, read_bufsize=READ_BUFFER_BYTES, **kwargs)
         self._msg_queue_resume_size = MAX_WAITING_REQUESTS - 1
         self.guard = guard
-        self.reservation: BodyReservation | None = None
-        """The room of the request that is served."""
+        self._reservation: BodyReservation | None = None
+        self._reserved_body: StreamReader | None = None
+        """The body that the reservation is for."""
         self.waited_ms = 0
         """How long this node has waited for the client, since it last had reason to."""
         self.quiet_ms = 0
@@ -121,6 +123,22 @@
             self.guard.note_refusal("head")
             self.force_close()
 
+    def hold(self, body: StreamReader, reservation: BodyReservation) -> None:
+        """Record the reservation for the body of the request that is served."""
+        self._reserved_body = body
+        self._reservation = reservation
+
+    @property
+    def reservation(self) -> BodyReservation | None:
+        """Return the room of the latest request, None before it is served."""
+        return self._reservation if self._reserved_body is self._body else None
+
+    def may_refuse_body(self) -> bool:
+        """Return whether a body is not complete and is not refused yet."""
+        if self._body is None or not self.is_reading_body():
+            return False
+        return not self._is_ending and self._body.exception() is None
+
     def is_reading_body(self) -> bool:
         """Return whether the latest request's body is not complete yet."""
         return self._body is not None and not self._body.is_eof()
@@ -158,7 +176,7 @@
 
         It does not count while reading is paused: then the client waits for this node.
         """
-        progress = self.count_body() - self.count_unread()
+        progress = self.count_body() + self._count_written() - self.count_unread()
         if progress != self._progress:
             self._progress = progress
             self.quiet_ms = 0
@@ -166,6 +184,10 @@
             self.waited_ms += elapsed_ms
             self.quiet_ms += elapsed_ms
 
+    def _count_written(self) -> int:
+        request = self._current_request
+        return request.writer.output_size if request is not None else 0
+
     def _is_paused(self) -> bool:
         return self._reading_paused or self._buffer_paused
 
@@ -192,8 +214,9 @@
             return
         self._body.set_exception(error)
         self._pause_transport_reading()
-        if self.reservation is not None:
-            self.reservation.release()
+        reservation = self.reservation
+        if reservation is not None:
+            reservation.release()
 
     def drop(self) -> None:
         """Close the connection at once."""
--- a/plantainwood/transport.py
+++ b/plantainwood/transport.py
@@ -8,6 +8,9 @@
 from plantainwood.logs import log_event
 
 SEND_BUFFER_MESSAGES = 64
+MAX_FRAME_BYTES = 8_388_608
+"""A larger frame closes its connection; without a bound, a sender that is not part of
+the fleet could announce any size."""
 MAX_IDLE_ROUNDS = 30
 
 
@@ -39,7 +42,9 @@
     """Use one nng push socket per address and one pull socket for all senders."""
 
     def __init__(self, listen: str) -> None:
-        self._pull_socket = pynng.Pull0(listen=listen, recv_buffer_size=1_024)
+        self._pull_socket = pynng.Pull0(recv_buffer_size=1_024)
+        self._pull_socket.recv_max_size = MAX_FRAME_BYTES
+        self._pull_socket.listen(listen)
         self._push_sockets: dict[str, pynng.Push0] = {}
         self._idle_rounds: dict[str, int] = {}
         self._dropped_frames = 0
--- /dev/null
+++ b/tests/test_client_guard.py
@@ -0,0 +1,234 @@
+"""Which connections the guard refuses or drops, and which it leaves alone."""
+
+import asyncio
+
+from aiohttp import web
+
+from plantainwood.bodyreading import read_whole_body
+from plantainwood.bodyroom import BodyReservation
+from plantainwood.clientguard import (
+    BODY_GRACE_MS,
+    CHECK_MS,
+    MIN_EVICTED_MS,
+    QUIET_MS,
+    ROOM_WAIT_S,
+    UNREAD_MS,
+    ClientGuard,
+)
+from plantainwood.clienthandler import ClientServer
+from plantainwood.core.clientlimits import compute_client_limits
+from plantainwood.core.errors import RequestError
+from plantainwood.metrics import Metrics
+from tests.test_listener import MemoryTransport
+
+HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
+LARGE_BYTES = 4_194_304
+
+
+class ClientTransport(MemoryTransport):
+    """A transport whose client may read nothing."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.unread_bytes = 0
+
+    def get_write_buffer_size(self) -> int:
+        """Return what the client has not read."""
+        return self.unread_bytes
+
+    def abort(self) -> None:
+        """Record that the transport was closed."""
+        self.closed = True
+
+    def can_write_eof(self) -> bool:
+        """Return that one side can't be closed alone."""
+        return False
+
+
+class Site:
+    """A server with a guard, and connections to it without sockets."""
+
+    def __init__(self, memory_mb: float | None = 128, descriptors: int = 400) -> None:
+        self.guard = ClientGuard(memory_mb, descriptors, Metrics())
+        self.server = ClientServer(self._serve, self.guard, handler_cancellation=True)
+        self.served = 0
+        self.go_on = asyncio.Event()
+
+    async def _serve(self, request: web.BaseRequest) -> web.Response:
+        with BodyReservation(self.guard.body_room) as reservation:
+            try:
+                await read_whole_body(request, LARGE_BYTES, reservation)
+            except RequestError as error:
+                response = web.Response(status=error.status)
+                response.force_close()
+                return response
+            self.served += 1
+            await self.go_on.wait()
+        return web.Response(text="ok")
+
+    def connect(self):
+        """Return the handler and the transport of a new connection."""
+        handler = self.server()
+        transport = ClientTransport()
+        handler.connection_made(transport)
+        return handler, transport
+
+    async def check_for(self, period_ms: int) -> None:
+        """Let the guard check as often as in a period."""
+        for _ in range(period_ms // CHECK_MS):
+            self.guard.check()
+            await asyncio.sleep(0)
+        await asyncio.sleep(0.02)
+
+
+def run(scenario, **options) -> None:
+    """Run a scenario on a new site."""
+
+    async def main() -> None:
+        await scenario(Site(**options))
+
+    asyncio.run(main())
+
+
+# Guards against a body that comes a few bytes at a time and holds room until the
+# timeout of its route.
+def test_a_body_below_the_minimum_rate_is_408_and_gives_its_room_back():
+    async def scenario(site):
+        handler, transport = site.connect()
+        handler.data_received(HEAD % LARGE_BYTES + b"x" * 10)
+        await asyncio.sleep(0.02)
+        assert site.guard.body_room.held_bytes > 0
+        await site.check_for(BODY_GRACE_MS)
+        assert not transport.written
+        await site.check_for(2 * CHECK_MS)
+        assert transport.written.startswith(b"HTTP/1.1 408")
+        assert site.guard.body_room.held_bytes == 0
+        assert site.served == 0
+
+    run(scenario)
+
+
+# Guards against a client that is blamed while this node does not read from it.
+def test_a_body_that_this_node_does_not_read_is_not_slow():
+    async def scenario(site):
+        await site.guard.body_room.take(site.guard.body_room.capacity)
+        handler, transport = site.connect()
+        handler.data_received(HEAD % LARGE_BYTES + b"x" * 20_000)
+        await asyncio.sleep(0.02)
+        await site.check_for(4 * BODY_GRACE_MS)
+        assert not transport.written and not transport.closed
+
+    run(scenario)
+
+
+# Guards against a quiet client that is refused though nobody waits for its room.
+def test_a_quiet_body_gives_way_only_when_others_wait():
+    async def scenario(site):
+        handler, transport = site.connect()
+        handler.data_received(HEAD % LARGE_BYTES + b"x" * 10)
+        await asyncio.sleep(0.02)
+        await site.check_for(2 * QUIET_MS)
+        assert not transport.written
+        capacity = site.guard.body_room.capacity
+        waiting = asyncio.create_task(site.guard.body_room.take(capacity))
+        await asyncio.sleep(ROOM_WAIT_S + 0.1)
+        await site.check_for(2 * CHECK_MS)
+        assert transport.written.startswith(b"HTTP/1.1 408")
+        await asyncio.wait_for(waiting, 1)
+
+    run(scenario)
+
+
+# Guards against requests that were read and are dropped to make room for others.
+def test_a_request_that_was_read_is_kept_when_connections_are_short():
+    async def scenario(site):
+        handler, transport = site.connect()
+        handler.data_received(HEAD % 4 + b"body")
+        _, silent = site.connect()
+        await asyncio.sleep(0.02)
+        await site.check_for(MIN_EVICTED_MS)
+        others = []
+        for _ in range(site.guard.limits.connections):
+            others.append(site.connect()[1])
+        await asyncio.sleep(0.02)
+        assert silent.closed and not transport.closed
+        site.go_on.set()
+        await asyncio.sleep(0.02)
+        assert transport.written.startswith(b"HTTP/1.1 200")
+
+    run(scenario)
+
+
+# Guards against a client that never reads and holds its response for good.
+def test_a_client_that_does_not_read_is_dropped():
+    async def scenario(site):
+        _, transport = site.connect()
+        transport.unread_bytes = 100_000
+        await site.check_for(UNREAD_MS - CHECK_MS)
+        assert not transport.closed
+        await site.check_for(CHECK_MS)
+        assert transport.closed
+
+    run(scenario)
+
+
+# Guards against chunk extensions that never end and cost only processor time.
+def test_a_body_that_is_mostly_framing_is_400():
+    async def scenario(site):
+        handler, transport = site.connect()
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1;"
+        handler.data_received(head)
+        for _ in range(20):
+            handler.data_received(b"e" * 4_000)
+        await asyncio.sleep(0.02)
+        assert transport.written.startswith(b"HTTP/1.1 400")
+
+    run(scenario)
+
+
+def test_one_byte_chunks_are_not_mostly_framing():
+    async def scenario(site):
+        handler, transport = site.connect()
+        head = b"POST /x HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        handler.data_received(head)
+        for _ in range(200):
+            handler.data_received(b"1\r\nx\r\n" * 500)
+            await asyncio.sleep(0)
+        handler.data_received(b"0\r\n\r\n")
+        site.go_on.set()
+        await asyncio.sleep(0.05)
+        assert transport.written.startswith(b"HTTP/1.1 200")
+
+    run(scenario)
+
+
+# Guards against many small bodies that need no reservation and are not counted.
+def test_small_bodies_are_refused_when_they_hold_too_much():
+    async def scenario(site):
+        for _ in range(site.guard.limits.connections - 20):
+            handler, _ = site.connect()
+            handler.data_received(HEAD % 65_000)
+            await asyncio.sleep(0)
+            for _ in range(4):
+                handler.data_received(b"x" * 15_000)
+                await asyncio.sleep(0.001)
+        limits = site.guard.limits
+        assert site.guard.body_room.counted_bytes <= limits.small_bytes
+        assert site.guard.body_room.held_bytes <= (
+            limits.small_bytes + limits.body_bytes
+        )
+
+    run(scenario)
+
+
+# Guards against limits that the largest machine of the platform can't keep, or the
+# smallest can't serve a largest body with.
+def test_the_limits_follow_the_machine():
+    small = compute_client_limits(128, 1_638)
+    large = compute_client_limits(552, 10_250)
+    assert LARGE_BYTES <= small.body_bytes < large.body_bytes
+    assert small.connections < 1_638 and large.connections < 10_250
+    for limits, memory_mb in ((small, 128), (large, 552)):
+        held = 2 * limits.body_bytes + limits.answer_bytes
+        held += limits.small_bytes + limits.unread_bytes
+        assert held < (memory_mb - 50) * 1_048_576
