--- a/experiments/reference.py
+++ b/experiments/reference.py
@@ -2,12 +2,14 @@
 
 import inspect
 from pathlib import Path
-from typing import Any, get_args, get_origin
+from types import NoneType, UnionType
+from typing import Any, Union, get_args, get_origin
 
 import msgspec
 
 from experiments.figures import render_markdown
 from plantainwood.core.catalogue import EDITABLE_SECTIONS, SECTIONS
+from plantainwood.edgesettings import EdgeSettings
 from plantainwood.settings import Secret, Settings
 
 DOCS = Path(__file__).resolve().parent.parent / "docs"
@@ -21,6 +23,12 @@
 may say `env:NAME` and are never printed.
 """
 
+EDGE_HEAD = """
+## On the users' platform
+
+From plantainwood/edgesettings.py; `deploy/settings.yaml` renders them.
+"""
+
 CATALOGUE_HEAD = """# Catalogue
 
 Made by `make reference` from plantainwood/core/catalogue.py. A file holds the sections
@@ -38,6 +46,11 @@
     """Return a type as the reference pages show it, with its bounds."""
     if get_origin(annotation) is list:
         return f"list of {describe_type(get_args(annotation)[0])}"
+    if get_origin(annotation) in (Union, UnionType):
+        parts = [describe_type(part) for part in get_args(annotation)]
+        return " or ".join(parts)
+    if annotation is NoneType:
+        return "null"
     if hasattr(annotation, "__metadata__"):
         meta = annotation.__metadata__[0]
         base = describe_type(get_args(annotation)[0])
@@ -84,8 +97,10 @@
 
 def render_settings() -> str:
     """Return the settings page as Markdown."""
-    table = render_markdown(["name", "type", "default"], list_fields(Settings, ""))
-    return f"{SETTINGS_HEAD}\n{table}\n"
+    head = ["name", "type", "default"]
+    table = render_markdown(head, list_fields(Settings, ""))
+    edge_table = render_markdown(head, list_fields(EdgeSettings, ""))
+    return f"{SETTINGS_HEAD}\n{table}\n{EDGE_HEAD}\n{edge_table}\n"
 
 
 def render_catalogue() -> str:
