--- a/experiments/reference.py
+++ b/experiments/reference.py
@@ -9,7 +9,7 @@
 
 from experiments.figures import render_markdown
 from plantainwood.core.catalogue import EDITABLE_SECTIONS, SECTIONS
-from plantainwood.edgesettings import EdgeOverflow
+from plantainwood.edgesettings import EdgeSettings
 from plantainwood.settings import Secret, Settings
 
 DOCS = Path(__file__).resolve().parent.parent / "docs"
@@ -23,14 +23,16 @@
 may say `env:NAME` and are never printed.
 """
 
-OVERFLOW_HEAD = """## Overflow to other failure domains
+EDGE_HEAD = """
+## On the users' platform
 
-From plantainwood/edgesettings.py: the section `overflow` of the settings on the users'
-platform; a change takes effect at the next start. `path_ms` is the latency one way in
-ms, `price_per_gb` the price of 10^9 bytes between domains (null: only time counts),
-`wait_price_per_s` what one second of a request's wait is worth, in the same currency.
-`request_bytes` are those of a request without a prompt with its answer,
-`kv_token_bytes` those of one token's KV cache in a transfer between engines.
+From plantainwood/edgesettings.py; `deploy/settings.yaml` renders them. In the section
+`overflow`, a change of which takes effect at the next start, `path_ms` is the latency
+between failure domains one way, `price_per_gb` the price of 10^9 bytes between them
+(null: only time counts) and `wait_price_per_s` what one second of a request's wait is
+worth, in the same currency. `request_bytes` are those of a request without a prompt
+with its answer, `kv_token_bytes` those of one token's KV cache in a transfer between
+engines.
 """
 
 CATALOGUE_HEAD = """# Catalogue
@@ -50,6 +52,11 @@
     """Return a type as the reference pages show it, with its bounds."""
     if get_origin(annotation) is list:
         return f"list of {describe_type(get_args(annotation)[0])}"
+    if get_origin(annotation) in (Union, UnionType):
+        parts = [describe_type(part) for part in get_args(annotation)]
+        return " or ".join(parts)
+    if annotation is NoneType:
+        return "null"
     if hasattr(annotation, "__metadata__"):
         meta = annotation.__metadata__[0]
         base = describe_type(get_args(annotation)[0])
@@ -103,10 +110,10 @@
 
 def render_settings() -> str:
     """Return the settings page as Markdown."""
-    table = render_markdown(["name", "type", "default"], list_fields(Settings, ""))
-    rows = list_fields(EdgeOverflow, "overflow.")
-    overflow = render_markdown(["name", "type", "default"], rows)
-    return f"{SETTINGS_HEAD}\n{table}\n\n{OVERFLOW_HEAD}\n{overflow}\n"
+    head = ["name", "type", "default"]
+    table = render_markdown(head, list_fields(Settings, ""))
+    edge_table = render_markdown(head, list_fields(EdgeSettings, ""))
+    return f"{SETTINGS_HEAD}\n{table}\n{EDGE_HEAD}\n{edge_table}\n"
 
 
 def render_catalogue() -> str:
