--- a/tests/test_engine_pace.py
+++ b/tests/test_engine_pace.py
@@ -31,6 +31,7 @@
 from plantainwood.metrics import Metrics
 from plantainwood.pacereports import report_paces
 from tests.edgesite import run
+from tests.samples import make_heartbeat
 from tests.test_prompt_router import POOL, make_load, make_request
 from tests.unevenengines import (
     STEP_MS,
@@ -206,6 +207,28 @@
     assert events.count("upstream_pace_unreadable") == unreadable
 
 
+def test_heartbeats_carry_own_samples_once_and_those_of_others_are_learned():
+    async def scenario(site):
+        edge = site.daemon.edge
+        assert (await site.call("GET", "/r/x"))[0] == 200
+        engine = next(iter(edge.broker.dispatcher.state.loads))
+        edge.router.paces.record_own(engine, 4_000, 100, edge.clock.now_ms())
+        assert edge.make_heartbeat().engine_timings == {engine: (4_000, 100, 1)}
+        assert edge.make_heartbeat().engine_timings == {}
+        timings = {engine: (8_000, 400, 2), "unknown": (8_000, 400, 2)}
+        heartbeat = msgspec.structs.replace(
+            make_heartbeat("vm-2", 100), engine_timings=timings
+        )
+        site.daemon._fleet_links.handle_message(heartbeat)
+        found = edge.router.paces._timings
+        assert set(found) == {engine}
+        assert sum(period.tokens for period in found[engine]._periods) == 12_000
+        assert sum(period.took_ms for period in found[engine]._periods) == 500
+        assert edge.make_heartbeat().engine_timings == {}
+
+    run(scenario)
+
+
 def make_random_case(seed: int):
     """Return two routers with the same state, the engines, and a request."""
     generator = random.Random(seed)
