Client guard: whole bounds, bodies and heads told apart, released reservations

Found by review. A memory size of 128.0 made the bound on connections a float, and dropping the connections beyond it raised TypeError. The last read of a body counted as bytes of a head. A configured head limit above 32 KB had no effect. A body that was refused while it waited for room kept its place. The administration API kept a connection whose body was refused.

--- a/plantainwood/admin.py
+++ b/plantainwood/admin.py
@@ -116,7 +116,10 @@
             ]
             return web.json_response(body, status=error.status)
         except RequestError as error:
-            return make_error_response(error, "")
+            response = make_error_response(error, "")
+            if request.content.exception() is not None:
+                response.force_close()
+            return response
         except StoreError as error:
             failure = RequestError(
                 ErrorCode.STORE_UNAVAILABLE, str(error), retry_after_ms=2_000
--- a/plantainwood/answerreader.py
+++ b/plantainwood/answerreader.py
@@ -12,12 +12,12 @@
 """An answer up to this size needs no room."""
 
 
-async def have_room(size_bytes: int) -> None:
-    """Return at once: nothing else bounds the answers of this kind."""
+async def reserve_nothing(size_bytes: int) -> None:
+    """Return at once: the default where answers need no room."""
 
 
 async def read_whole_answer(
-    connection: Connection, reserve: Callable[[int], Awaitable[None]] = have_room
+    connection: Connection, reserve: Callable[[int], Awaitable[None]] = reserve_nothing
 ) -> bytes:
     """Return the body of an answer; raise AttemptError if it fails or is too large.
 
--- a/plantainwood/bodyroom.py
+++ b/plantainwood/bodyroom.py
@@ -110,13 +110,15 @@
 class BodyReservation:
     """The room of one request's body, given back when its block ends."""
 
-    __slots__ = ("_room", "_taken", "_counted", "_is_released")
+    __slots__ = ("_room", "_taken", "_counted", "_is_released", "_waiting")
 
     def __init__(self, room: BodyRoom) -> None:
         self._room = room
         self._taken = 0
         self._counted = 0
         self._is_released = False
+        self._waiting: asyncio.Task[None] | None = None
+        """Waits for room."""
 
     def __enter__(self) -> "BodyReservation":
         return self
@@ -136,14 +138,29 @@
             return
         if needed <= self._room.find_free_size():
             return
-        await self._room.take(needed)
-        if self._is_released:
-            self._room.give_back(needed)
+        if not await self._wait_for_room(needed):
             return
         self._taken = needed
         self._room.count(-self._counted)
         self._counted = 0
 
+    async def _wait_for_room(self, needed: int) -> bool:
+        """Return whether room was taken: not if the reservation was released."""
+        self._waiting = asyncio.ensure_future(self._room.take(needed))
+        try:
+            await self._waiting
+        except asyncio.CancelledError:
+            task = asyncio.current_task()
+            if not self._is_released or (task is not None and task.cancelling()):
+                raise
+            return False
+        finally:
+            self._waiting = None
+        if self._is_released:
+            self._room.give_back(needed)
+            return False
+        return True
+
     @property
     def free_size(self) -> int:
         """Return the size of a body, in bytes, that needs no reservation now."""
@@ -159,6 +176,8 @@
     def release(self) -> None:
         """Give everything back; the bytes are no longer held."""
         self._is_released = True
+        if self._waiting is not None:
+            self._waiting.cancel()
         self._room.count(-self._counted)
         self._counted = 0
         taken, self._taken = self._taken, 0
--- a/plantainwood/clientguard.py
+++ b/plantainwood/clientguard.py
@@ -1,8 +1,8 @@
 """Bounds on what all clients of a process hold together.
 
 Checked at intervals, and when a connection or bytes come that do not fit. An interval
-counts as its nominal length, however late the check comes, so that a VM that is busy
-does not blame its clients.
+counts as its nominal length, however late the check comes, so that clients
+are not refused because the VM was busy.
 """
 
 import asyncio
@@ -32,7 +32,8 @@
 EVICTED_PART = 16
 """The part of the connections that is dropped together, so that sorting is rare."""
 MIN_EVICTED_MS = 500
-"""A connection that has been waited for less is not dropped for another one."""
+"""A connection for whose client this node has waited less is not dropped in favour of a
+new one."""
 LINGERING_PART = 4
 """The part of the connections that may be ending."""
 SMALL_RELIEF_PART = 4
--- a/plantainwood/clienthandler.py
+++ b/plantainwood/clienthandler.py
@@ -1,4 +1,4 @@
-"""Connections of clients that are not controlled: what each holds is bounded.
+"""Connections of clients outside our control: what each holds is bounded.
 
 A ClientGuard (clientguard.py) looks at all connections of the process at intervals and
 decides which of them are refused or dropped.
@@ -29,7 +29,7 @@
 """Bytes that are read and dropped after a response that ends a connection."""
 MAX_HEAD_BYTES = 65_536
 UNREAD_QUIET_MS = 750
-"""A client that reads nothing for this long is the one to go on."""
+"""How long a client may read nothing until this node counts as waiting for it."""
 
 
 class ClientHandler(LingeringHandler):
@@ -49,9 +49,7 @@
         "_max_head_bytes",
     )
 
-    def __init__(
-        self, manager, guard: "ClientGuard", max_head_bytes=MAX_HEAD_BYTES, **kwargs
-    ) -> None:
+    def __init__(self, manager, guard: "ClientGuard", **kwargs) -> None:
         super().__init__(manager, read_bufsize=READ_BUFFER_BYTES, **kwargs)
         self._msg_queue_resume_size = MAX_WAITING_REQUESTS - 1
         self.guard = guard
@@ -70,7 +68,8 @@
         """Bytes received of a head that is not complete yet."""
         self._dropped_bytes = 0
         self._progress = 0
-        self._max_head_bytes = max_head_bytes
+        limit = 2 * kwargs.get("max_field_size", 0)
+        self._max_head_bytes = max(MAX_HEAD_BYTES, limit)
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Start to serve; the guard may drop another connection for this one."""
@@ -91,6 +90,7 @@
                 self.force_close()
             return
         request_count = self._request_count
+        was_reading_body = self.is_reading_body()
         super().data_received(data)
         if self._request_count > request_count:
             self._body = self._messages[-1][1]
@@ -101,7 +101,7 @@
         if self.is_reading_body():
             self._wire_bytes += len(data)
             self._check_framing()
-        elif self._request_count == request_count:
+        elif not was_reading_body and self._request_count == request_count:
             self._check_head_bytes(len(data))
 
     def _pause_behind_requests(self) -> None:
--- a/plantainwood/core/clientlimits.py
+++ b/plantainwood/core/clientlimits.py
@@ -34,13 +34,13 @@
     connections: int = MAX_CONNECTIONS
 
 
-def compute_client_limits(memory_mb: int | None, descriptors: int) -> ClientLimits:
+def compute_client_limits(memory_mb: float | None, descriptors: float) -> ClientLimits:
     """Return the bounds for a machine; None stands for memory that is not known."""
     connections = round(descriptors * DESCRIPTOR_SHARE)
     if memory_mb is None:
         bound = min(connections, MAX_CONNECTIONS)
         return ClientLimits(connections=max(MIN_CONNECTIONS, bound))
-    spare = max(MIN_SPARE_MB, memory_mb - PROCESS_MB) * MEBIBYTE
+    spare = round(max(MIN_SPARE_MB, memory_mb - PROCESS_MB) * MEBIBYTE)
     connections = min(connections, spare // (2 * CONNECTION_BYTES), MAX_CONNECTIONS)
     return ClientLimits(
         body_bytes=round(spare * BODY_SHARE),
--- a/tests/test_client_guard.py
+++ b/tests/test_client_guard.py
@@ -5,7 +5,7 @@
 from aiohttp import web
 
 from plantainwood.bodyreading import read_whole_body
-from plantainwood.bodyroom import BodyReservation
+from plantainwood.bodyroom import BodyReservation, BodyRoom
 from plantainwood.clientguard import (
     BODY_GRACE_MS,
     CHECK_MS,
@@ -15,7 +15,7 @@
     UNREAD_MS,
     ClientGuard,
 )
-from plantainwood.clienthandler import ClientServer
+from plantainwood.clienthandler import MAX_HEAD_BYTES, ClientServer
 from plantainwood.core.clientlimits import compute_client_limits
 from plantainwood.core.errors import RequestError
 from plantainwood.metrics import Metrics
@@ -232,3 +232,51 @@
         held = 2 * limits.body_bytes + limits.answer_bytes
         held += limits.small_bytes + limits.unread_bytes
         assert held < (memory_mb - 50) * 1_048_576
+
+
+# Guards against a bound that is no whole number where the settings give the memory as
+# 128.0: dropping the connections beyond it failed then.
+def test_connections_are_bounded_by_memory_from_the_settings():
+    async def scenario(site: Site) -> None:
+        limit = site.guard.limits.connections
+        handlers = [site.connect()[0] for _ in range(limit)]
+        await site.check_for(MIN_EVICTED_MS)
+        for _ in range(3):
+            site.connect()
+        assert isinstance(limit, int)
+        assert len(site.guard._connections) <= limit
+        assert any(handler.transport is None for handler in handlers)
+
+    run(scenario, memory_mb=66.0, descriptors=100_000)
+
+
+# Guards against a connection that is closed because the last bytes of a body, which
+# came in one read, counted as those of a head.
+def test_the_last_read_of_a_body_is_no_part_of_a_head():
+    async def scenario(site: Site) -> None:
+        size = 3 * MAX_HEAD_BYTES
+        handler, transport = site.connect()
+        handler.data_received(HEAD % size)
+        handler.data_received(b"x" * (size // 3))
+        handler.data_received(b"x" * (size - size // 3))
+        await asyncio.sleep(0.02)
+        assert site.served == 1 and not transport.closed
+
+    run(scenario)
+
+
+# Guards against a refused body that keeps its place before others that wait for room.
+def test_a_released_reservation_no_longer_waits_for_room():
+    async def scenario() -> None:
+        room = BodyRoom(capacity=1_048_576)
+        holder, waiting = BodyReservation(room), BodyReservation(room)
+        await holder.reserve(1_048_576)
+        task = asyncio.ensure_future(waiting.reserve(1_048_576))
+        await asyncio.sleep(0)
+        waiting.release()
+        await asyncio.wait_for(task, 1)
+        assert not waiting.is_granted and room.compute_wait_s() == 0.0
+        holder.release()
+        assert room.held_bytes == 0
+
+    asyncio.run(scenario())
