Evacuations: the metric follows a domain without upstreams, returned domains are forgotten

Found by review. The metric stayed 1 where a domain's upstreams left during its evacuation, and a domain that had returned kept its ramp for good.

--- a/plantainwood/core/evacuations.py
+++ b/plantainwood/core/evacuations.py
@@ -36,7 +36,7 @@
         ramp ends. Its idle upstreams would attract more than that before."""
 
     def is_over(self, now_ms: int) -> bool:
-        """Tell whether the domain takes any request."""
+        """Tell whether the domain takes all requests again."""
         return now_ms - self._began_ms >= RETURN_RAMP_MS
 
     def admits(self, request_id: str, now_ms: int) -> bool:
@@ -64,12 +64,19 @@
         begun = sorted(evacuated - self._evacuated)
         ended = sorted(self._evacuated - evacuated)
         self._evacuated = evacuated
+        self._forget_returned(now_ms)
         for domain in begun:
             self._ended_ms.pop(domain, None)
         for domain in ended:
             self._ended_ms[domain] = now_ms
         return EvacuationChange(begun, ended)
 
+    def _forget_returned(self, now_ms: int) -> None:
+        """Delete the domains whose ramp is over."""
+        for domain, ended_ms in list(self._ended_ms.items()):
+            if now_ms - ended_ms >= RETURN_RAMP_MS:
+                del self._ended_ms[domain]
+
     def is_evacuated(self, domain: str) -> bool:
         """Tell whether nothing may be sent to a domain's upstreams."""
         return domain in self._evacuated
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -48,7 +48,7 @@
 from plantainwood.core.vms import AgreedTime, VmTable
 from plantainwood.core.windows import StartCounter, WindowTotals
 from plantainwood.edgesettings import EdgeSettings
-from plantainwood.evacuationlogs import record_evacuations
+from plantainwood.evacuationlogs import EvacuationReporter
 from plantainwood.logs import log_event
 from plantainwood.metrics import Metrics
 from plantainwood.overflowreports import OverflowReporter, make_overflow
@@ -118,6 +118,7 @@
         self.settings = settings
         self.clock = clock
         self.metrics = metrics
+        self._evacuation_reporter = EvacuationReporter(metrics)
         self.incarnation = make_incarnation(clock)
         self.state = NodeState.LIVE
         self.mirror = Mirror()
@@ -386,7 +387,7 @@
         )
         known = {entry.domain for entry in view.catalogue.upstreams.values()}
         known.update(self.settings.domains)
-        record_evacuations(change, view.evacuated, known, self.metrics)
+        self._evacuation_reporter.record(change, view.evacuated, known)
 
     def has_traffic_begun(self) -> bool:
         """Tell whether this VM knows upstreams that already serve requests.
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -32,7 +32,7 @@
 from plantainwood.core.reservations import release_upstream, reserve_upstream
 from plantainwood.core.usage import UsageCopies, UsageLedger
 from plantainwood.engines import OpenAiEngine, PlainClient
-from plantainwood.evacuationlogs import record_evacuations
+from plantainwood.evacuationlogs import EvacuationReporter
 from plantainwood.logs import log_event
 from plantainwood.metrics import Metrics
 from plantainwood.platform import Vm
@@ -93,6 +93,7 @@
         "catalogue_changed",
         "background_tasks",
         "_sequence",
+        "_evacuation_reporter",
     )
 
     def __init__(self, settings: Settings, clock: Clock, metrics: Metrics) -> None:
@@ -130,6 +131,7 @@
                 has_eras=False,
             )
         self.metrics = metrics
+        self._evacuation_reporter = EvacuationReporter(metrics)
         self.client_guard = ClientGuard(
             settings.machine.memory_mb, settings.machine.file_descriptors, metrics
         )
@@ -203,7 +205,7 @@
         evacuated = catalogue.evacuated
         change = self.broker.dispatcher.set_evacuated(evacuated, self.clock.now_ms())
         known = {entry.domain for entry in catalogue.upstreams.values()}
-        record_evacuations(change, evacuated, known, self.metrics)
+        self._evacuation_reporter.record(change, evacuated, known)
 
     def list_live_nodes(self, domain: str = "") -> list[str]:
         """Return this node and the other live ones in a domain, or in all if empty."""
