--- a/plantainwood/core/domaindemands.py
+++ b/plantainwood/core/domaindemands.py
@@ -67,7 +67,7 @@
         return meter.compute_rate(now_ms) if meter is not None else 0.0
 
     def list_heard(self) -> list[str]:
-        """Return the domains with a VM that was ever heard, this VM's own included."""
+        """Return this VM's own domain and the others that were heard or asked about."""
         return [self.own, *sorted(self._heard_ms)]
 
     def is_stale(self, domain: str, now_ms: int) -> bool:
--- a/plantainwood/core/domainoverflow.py
+++ b/plantainwood/core/domainoverflow.py
@@ -108,7 +108,7 @@
         """
         if pool.refreshed_ms is None:
             return True
-        if request.avoid_upstream or request.version:
+        if request.avoid_upstream or request.version or request.domains is not None:
             return False
         return now_ms - pool.refreshed_ms >= REFRESH_MS
 
--- a/plantainwood/core/pathtimes.py
+++ b/plantainwood/core/pathtimes.py
@@ -7,9 +7,9 @@
 
 
 class PathTimes:
-    """The least recent connection times by domain.
+    """The recent connection times by domain, of which the shortest counts.
 
-    A busy VM or upstream makes single times longer, not the least one.
+    A busy VM or upstream makes single times longer, not the shortest one.
     """
 
     __slots__ = ("_samples",)
