--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -21,6 +21,9 @@
 RETRY_DRAINING_MS = 1_000
 RETRY_NO_UPSTREAM_MS = 5_000
 RETRY_NO_VERSION_MS = 500
+MAX_PASSING_FACTOR = 2
+"""How many times the bound on waiting requests may wait, if those bound to some
+failure domains leave slots free for others."""
 RETRY_HELD_MS = 500
 """When to come back with a request that was held for the crashes under it."""
 
@@ -134,7 +137,8 @@
     late = wait_ms > request.compute_remaining_wait_ms(now_ms)
     if not full and not late:
         return
-    if state.uses_regions and _passes_others(state, pool, request, now_ms):
+    bounded = pool.count_waiting() < MAX_PASSING_FACTOR * state.options.max_waiting
+    if state.uses_regions and bounded and _passes_others(state, pool, request, now_ms):
         return
     victim = pool.find_least_urgent(request.tier)
     if victim is None and full:
