--- a/plantainwood/coldwatch.py
+++ b/plantainwood/coldwatch.py
@@ -43,8 +43,6 @@
 
 def apply_cold_reports(edge: Edge, heartbeat: VmHeartbeat, age_ms: int) -> None:
     """Record which upstreams another VM found out to be cold."""
-    if heartbeat.demand or heartbeat.begun_streams:
-        edge.has_heard_demand = True
     for name, remaining_ms in heartbeat.cold_ms.items():
         event = ev.ColdNamed(name, ColdSource.REPORT, remaining_ms - age_ms)
         edge.broker.feed(event)
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -21,8 +21,8 @@
 """Crashes before a prompt part is blocked: more than of whole requests, because sound
 requests come along with those that have the part."""
 JUDGING_INTERVAL_MS = 100
-"""How often stragglers are looked for. Ticks come four times as often, and a node of a
-large fleet would spend a hundredth of a core on this."""
+"""How often stragglers are looked for; less often than ticks come, to save processor
+time."""
 RETRY_FAILED_MS = 2_000
 RETRY_NOT_RUN_MS = 300
 """When to come back with a request that no upstream ran: another VM may reach one."""
--- a/plantainwood/core/enginepace.py
+++ b/plantainwood/core/enginepace.py
@@ -140,8 +140,9 @@
     ) -> None:
         """Record a dispatch as a sample, unless its place in the queue is uncertain.
 
-        That is so behind a backlog, which the engine takes in its own order. `factor`
-        is how much longer the engine's work takes at the moment for known reasons.
+        That is so behind a backlog, which the engine takes in its own order.
+        `own_tokens` are those of the prompt and for the requests that run there;
+        `factor` is how much longer the engine's work takes now for known reasons.
         """
         own_tokens += BASE_PREFILL_TOKENS
         if backlog_tokens <= own_tokens:
@@ -214,8 +215,8 @@
     def find_extremes(self, now_ms: int) -> tuple[float, float]:
         """Return the slowness of the fastest and of the slowest engine."""
         self.compute_slowness("", now_ms)
-        known = self._slowness.values()
-        return min(known, default=1.0), max(known, default=1.0)
+        known = (1.0, *self._slowness.values())
+        return min(known), max(known)
 
     def take_changes(self, now_ms: int) -> list[tuple[str, float]]:
         """Return the engines that became notable, or usual again, since the last call.
--- a/plantainwood/core/enginestates.py
+++ b/plantainwood/core/enginestates.py
@@ -33,7 +33,7 @@
     """The backlogs that other nodes report, and their sum for each engine.
 
     The sums are updated with each report, because every choice of an engine reads those
-    of all engines, and adding up the reports of all nodes each time took most of it.
+    of all engines.
     """
 
     __slots__ = ("_by_node", "_totals", "_next_expiry_ms")
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -182,7 +182,7 @@
         extras: DomainExtras,
         now_ms: int,
     ) -> UpstreamLoad | None:
-        """Return the engine with the first token soonest, at the least cost."""
+        """Return the engine with the least sum of expected time and path cost."""
         best = None
         best_ms = 0.0
         for load in loads:
--- a/plantainwood/core/storereaders.py
+++ b/plantainwood/core/storereaders.py
@@ -2,10 +2,9 @@
 
 Every node ranks the live nodes alike, the strongest first, since a reader sends each
 change to all others. The first READER_COUNT read the store, and one more if those are
-all in one failure domain; any other reads too once
-its mirror was not confirmed for a time that grows with its rank, so a failed reader is
-replaced soon and not by all at once. Several readers do no harm: a mirror applies each
-change once.
+all in one failure domain; any other reads too once its mirror was not confirmed for a
+time that grows with its rank, so a failed reader is replaced soon and not by all at
+once. Several readers do no harm: a mirror applies each change once.
 """
 
 from plantainwood.core.hashing import pick_across_domains, rank_by_weight
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -26,6 +26,8 @@
 Price = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 PositivePrice = Annotated[float, msgspec.Meta(ge=1e-9, le=1_000_000)]
 Size = Annotated[int, msgspec.Meta(ge=0, le=1_000_000_000)]
+Overage = Annotated[float, msgspec.Meta(ge=0, le=1_000)]
+RequestCount = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
 Address = Annotated[str, msgspec.Meta(pattern=r"^[^\s:]+:[0-9]{1,5}$")]
 
 
@@ -79,10 +81,6 @@
     address_lifetime_ms: Millis = 1_000
 
 
-Overage = Annotated[float, msgspec.Meta(ge=0, le=1_000)]
-Requests = Annotated[float, msgspec.Meta(ge=0, le=1_000_000)]
-
-
 class EdgeCold(Section, frozen=True):
     """What a cold upstream may receive from the fleet beyond its rate in a second.
 
@@ -91,7 +89,7 @@
 
     overage: Overage | None = None
     """A factor on the rate; 1 if absent."""
-    slack: Requests | None = None
+    slack: RequestCount | None = None
     """Requests beyond that; 0 if absent."""
 
 
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -275,6 +275,8 @@
                 self.trigger_heartbeat()
         edge.agreed_time.record(heartbeat.sender, heartbeat.agreed_ms + age_ms, now_ms)
         edge.record_demand(heartbeat.demand)
+        if heartbeat.demand or heartbeat.begun_streams:
+            edge.has_heard_demand = True
         edge.record_domain_demand(heartbeat.domain, heartbeat.demand, age_ms)
         edge.router.engine_states.record_remote(
             heartbeat.sender, heartbeat.pending_tokens, heartbeat.sent_parts, now_ms
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -97,7 +97,6 @@
         self.client_connections = self._make_gauge(
             "pw_client_connections", "Open connections of clients."
         )
-
         self.evacuated = self._make_gauge(
             "pw_evacuated", "1 for each failure domain that is evacuated."
         )
--- a/plantainwood/upstreamreports.py
+++ b/plantainwood/upstreamreports.py
@@ -10,8 +10,8 @@
 
 FOREIGN_PAUSE_MS = 5_000
 """How long this node sends nothing to an address where no upstream answered."""
-
 MAX_REMEMBERED = 1_000
+"""Names of upstreams whose unreadable pace was logged."""
 
 
 class ReportRecorder:
