--- a/experiments/capacity.py
+++ b/experiments/capacity.py
@@ -172,8 +172,8 @@
 sweep shows the load: measurements/sweep.md.
 
 At 90 VMs and 140 engines on the users' platform, processor time binds first: a day of
-klangfjord-prod-grown was given up after 44 of some 70 s with 615 s of processor time used,
-a fifth of it for the starts of 90 processes (measurements/demands.md).
+klangfjord-prod-grown was given up after 44 of some 70 s, with 615 s of processor time
+used, a fifth of it for the starts of 90 processes (measurements/demands.md).
 
 Assumptions: requests spread evenly over the nodes, and the busiest has three times the
 mean; {share:.0%} of the requests are calls that may not be repeated; a customer's
