--- a/plantainwood/clientlistener.py
+++ b/plantainwood/clientlistener.py
@@ -1,4 +1,4 @@
-"""Listening for clients that are not controlled."""
+"""Listening for clients that are not controlled, and the end of their connections."""
 
 import asyncio
 import ssl
@@ -10,6 +10,9 @@
 ACCEPTED_AT_ONCE = 16
 """Connections that are accepted before the first of them counts as open; three such
 rounds may be open beyond the bound on connections."""
+CLOSE_TIMEOUT_S = 0.05
+"""How long a stop waits for a request in progress to end, and for its handler to end
+once it is cancelled."""
 
 
 async def listen_for_clients(
@@ -28,3 +31,11 @@
         with sock.dup() as queue:
             queue.listen(BACKLOG)
     return listener
+
+
+async def close_connections(
+    server: web.Server, timeout_s: float = CLOSE_TIMEOUT_S
+) -> None:
+    """Close a server's connections: idle ones at once, others after two timeouts."""
+    server.pre_shutdown()
+    await server.shutdown(timeout_s)
--- a/plantainwood/vmcallserver.py
+++ b/plantainwood/vmcallserver.py
@@ -11,7 +11,7 @@
 from plantainwood.bodyroom import BodyReservation
 from plantainwood.calls import Call, ResponseSink
 from plantainwood.clienthandler import ClientServer
-from plantainwood.clientlistener import listen_for_clients
+from plantainwood.clientlistener import close_connections, listen_for_clients
 from plantainwood.core.errors import RequestError
 from plantainwood.core.frames import FrameError
 from plantainwood.edge import Edge
@@ -63,7 +63,7 @@
         if self._listener is not None:
             self._listener.close()
         if self._server is not None:
-            await self._server.shutdown(0.1)
+            await close_connections(self._server)
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != CALLS_PATH:
