Recognize slow VMs, and lower their weight meanwhile

A VM that gets a fraction of its usual CPU served late, and kept its share of the clients, the relaying and the duties' lease. It now compares the lateness of its ticks and the duration of a fixed computation with its own usual values, and reports a lower weight in steps. Other VMs recognize late heartbeats. A slow holder hands the lease over. Off by default (slow_vm.enabled).

--- a/plantainwood/core/addresses.py
+++ b/plantainwood/core/addresses.py
@@ -8,7 +8,11 @@
 
 import msgspec
 
-from plantainwood.core.hashing import compute_weighted_score
+from plantainwood.core.hashing import (
+    HASH_RANGE,
+    compute_rank,
+    compute_weighted_score,
+)
 
 MAX_ADDRESSES = 64
 SUBSET_SHARE = 1 / 3
@@ -28,6 +32,8 @@
     weight: int
     path_lost: bool = False
     """Whether the VM reaches no upstreams, so that other VMs serve for it."""
+    share: float = 1.0
+    """The share of its callers that the VM keeps while it is slow."""
 
 
 def leave_out_lost_paths(candidates: list[Candidate]) -> list[Candidate]:
@@ -40,13 +46,30 @@
     return found if 2 * len(found) >= len(candidates) else candidates
 
 
+def leave_out_slow(candidates: list[Candidate], caller: str) -> list[Candidate]:
+    """Return the candidates without slow VMs that others replace for this caller.
+
+    A slow VM keeps a share of its callers, the same ones while the share is the same.
+    The answers that don't name it stay as they are; a lower weight would shorten all
+    of them if the weights were equal before.
+    """
+    found: list[Candidate] = []
+    for candidate in candidates:
+        if candidate.share < 1.0:
+            rank = compute_rank(f"slow\0{caller}", candidate.address)
+            if rank >= candidate.share * HASH_RANGE:
+                continue
+        found.append(candidate)
+    return found or candidates
+
+
 def choose_addresses(candidates: list[Candidate], caller: str) -> list[str]:
     """Return the addresses for a caller, sorted.
 
     If the weights differ, a VM is selected roughly in proportion to its weight. If
     they are equal, all VMs are returned, up to MAX_ADDRESSES.
     """
-    candidates = leave_out_lost_paths(candidates)
+    candidates = leave_out_slow(leave_out_lost_paths(candidates), caller)
     weights = [max(1, candidate.weight) for candidate in candidates]
     count = min(MAX_ADDRESSES, len(candidates))
     if weights and max(weights) >= EVEN_RATIO * min(weights):
--- a/plantainwood/core/leases.py
+++ b/plantainwood/core/leases.py
@@ -120,9 +120,13 @@
         return self._held_until_ms + self._times.margin_ms + self._times.flight_ms
 
     def retire(self) -> None:
-        """Stop acting for the duty, for good; the record stays until the release."""
+        """Stop acting for the duty; the record stays until the release."""
         self._retired = True
 
+    def compete_again(self) -> None:
+        """Compete for the duty again, after its release."""
+        self._retired = False
+
     def renew_or_acquire(self) -> Procedure:
         """Renew a held lease, else try to acquire it; return whether it is held."""
         if self._retired:
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -44,6 +44,7 @@
     make_service_pool,
 )
 from plantainwood.core.sizing import DemandPeak, EngineCounts, Scaling
+from plantainwood.core.slowvms import SlowVm
 from plantainwood.core.storecopies import SecondRead
 from plantainwood.core.vms import AgreedTime, VmTable
 from plantainwood.core.windows import StartCounter, WindowTotals
@@ -54,6 +55,7 @@
 from plantainwood.overflowreports import OverflowReporter, make_overflow
 from plantainwood.pathprobe import PathProber
 from plantainwood.procedures import Driver
+from plantainwood.vmweights import VmWeights
 
 FLEET_DUTY = "fleet"
 LEASE_TERM_MS = 3_000
@@ -125,6 +127,7 @@
         self.second_read = SecondRead()
         self.view = PlatformView()
         self.vms = VmTable(settings.node)
+        self.weights = VmWeights(settings, metrics)
         now_ms = clock.now_ms()
         self.agreed_time = AgreedTime(clock.wall_ms(), now_ms)
         self.retry_budget = SharedRetryBudget(
@@ -241,6 +244,11 @@
         assert isinstance(router, PromptRouter)
         return router
 
+    @property
+    def weight(self) -> int:
+        """Return this VM's capacity, lowered while it is slow."""
+        return self.weights.compute_own(self.settings.capacity_percent)
+
     def make_heartbeat(self) -> VmHeartbeat:
         """Return a heartbeat with the demand and the parts sent since the last one."""
         now_ms = self.clock.now_ms()
@@ -262,7 +270,7 @@
             revision=self.mirror.revision,
             wall_ms=self.clock.wall_ms(),
             agreed_ms=self.agreed_time.now(now_ms),
-            weight=self.settings.capacity_percent,
+            weight=self.weight,
             pending_tokens=self.router.engine_states.count_own_backlogs(),
             demand=demand,
             sent_parts=self.router.engine_states.take_sent_parts(),
@@ -279,11 +287,16 @@
         )
 
     def find_weights(self) -> dict[str, int]:
-        """Return the capacity of each live VM that is not leaving, and of this one."""
-        weights = {self.settings.node: self.settings.capacity_percent}
-        for heartbeat in self.vms.list_staying(self.clock.now_ms()):
-            weights[heartbeat.sender] = heartbeat.weight
-        return weights
+        """Return the weight of each live VM that is not leaving, and of this one."""
+        return self.compare_weights(self.vms.list_staying(self.clock.now_ms()))
+
+    def compare_weights(self, heartbeats: list[VmHeartbeat]) -> dict[str, int]:
+        """Return the weights of some VMs and of this one, by name."""
+        return self.weights.compare(self.settings.capacity_percent, heartbeats)
+
+    def find_slow_vms(self, heartbeats: list[VmHeartbeat]) -> dict[str, SlowVm]:
+        """Return the slow ones among some VMs and this one, by name."""
+        return self.weights.find_slow(self.settings.capacity_percent, heartbeats)
 
     def find_domains(self) -> dict[str, str]:
         """Return the failure domain of each VM that `find_weights` has."""
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -1,29 +1,20 @@
-"""Duties of the fleet's single lease holder: renewing the lease, usage reports."""
+"""Duties of the fleet's single lease holder: counts and usage reports."""
 
 import asyncio
-import logging
 
 from mode import Service
 
 from plantainwood.calls import Call, StartObserver
-from plantainwood.core.decoding import MalformedError, decode_json
 from plantainwood.core.fleetmessages import CountsReport, FrozenReportNotice
-from plantainwood.core.hashing import pick_across_domains, rank_by_weight
-from plantainwood.core.leaserecords import LEASE_PREFIX, LeaseRecord
-from plantainwood.core.messages import NodeState
 from plantainwood.core.reports import report_window
 from plantainwood.core.windows import NodeCounts
-from plantainwood.edge import FLEET_DUTY, Edge
+from plantainwood.edge import Edge
 from plantainwood.edgesettings import Duty
 from plantainwood.fleet import FleetLinks
+from plantainwood.fleetlease import find_holder, find_lease_candidates
 from plantainwood.guardedtask import guarded_task
-from plantainwood.leaserenewer import LeaseRenewer
 from plantainwood.logs import log_event
-from plantainwood.procedures import Driver
 
-LEASE_CANDIDATES = 3
-RENEW_PAUSE_MS = 1_000
-ACQUIRE_PAUSE_MS = 400
 SEND_INTERVAL_MS = 800
 SEND_INTERVAL_MS_PER_VM = 20
 """Limits the messages to the holder to some tens per second in a large fleet."""
@@ -38,52 +29,6 @@
 """How long a new holder waits for the counts that other VMs know."""
 
 
-class FleetLeaseRenewer(LeaseRenewer):
-    """Renew the lease of the fleet's duties, or contend for it."""
-
-    def __init__(self, edge: Edge, **kwargs) -> None:
-        self.edge = edge
-        super().__init__(edge.lease, edge.metrics, **kwargs)
-
-    def get_driver(self) -> Driver:
-        """Return the driver of the lease's procedures."""
-        return self.edge.driver
-
-    def may_try(self) -> bool:
-        """Return whether to renew or acquire the lease; a leaving VM does neither."""
-        edge = self.edge
-        if not edge.mirror.revision or edge.state is not NodeState.LIVE:
-            return False
-        return edge.lease.is_held() or edge.settings.node in find_lease_candidates(edge)
-
-    def get_pause_ms(self, held: bool) -> int:
-        """Return the pause before the next renewal, or the next try to acquire."""
-        return RENEW_PAUSE_MS if held else ACQUIRE_PAUSE_MS
-
-
-def find_lease_candidates(edge: Edge) -> list[str]:
-    """Return the live VMs that try to acquire the lease, the strongest first.
-
-    One more does if those are all in one failure domain.
-    """
-    weights = edge.find_weights()
-    ranked = rank_by_weight(f"duty\0{FLEET_DUTY}", sorted(weights), weights)
-    return pick_across_domains(ranked, LEASE_CANDIDATES, edge.find_domains())
-
-
-def find_holder(edge: Edge) -> str:
-    """Return the lease holder according to the mirror; empty if there is none."""
-    item = edge.mirror.items.get(LEASE_PREFIX + FLEET_DUTY)
-    if item is None or item.value is None:
-        return ""
-    try:
-        record = decode_json(item.value, LeaseRecord)
-    except MalformedError as error:
-        log_event("lease_unreadable", logging.WARNING, reason=str(error))
-        return ""
-    return "" if record.released else record.holder
-
-
 class StartRecorder(StartObserver):
     """Count the requests that upstreams start, for the usage reports."""
 
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -112,6 +112,13 @@
     """The bytes of one token's KV cache in a transfer between engines."""
 
 
+class EdgeSlowVm(Section, frozen=True):
+    """Recognition of VMs that get a fraction of their usual CPU for some seconds."""
+
+    enabled: bool = False
+    """Whether a slow VM lowers its weight and hands its duties over."""
+
+
 class EdgeSettings(Section, frozen=True):
     """All settings that an edge node reads at its start."""
 
@@ -140,6 +147,7 @@
     regions: dict[str, str] = {}
     """The regions of the failure domains; a domain without one is in no region."""
     overflow: EdgeOverflow = EdgeOverflow()
+    slow_vm: EdgeSlowVm = EdgeSlowVm()
     logs: Logs = Logs()
     traces: Traces = Traces()
 
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -44,7 +44,9 @@
 from plantainwood.relaying import HeartbeatRelay
 
 
-def find_serving_vms(heartbeats: list[VmHeartbeat]) -> dict[str, ServingVm]:
+def find_serving_vms(
+    heartbeats: list[VmHeartbeat], weights: dict[str, int]
+) -> dict[str, ServingVm]:
     """Return the VMs that take calls from others, by the names of their loads."""
     found: dict[str, ServingVm] = {}
     for heartbeat in heartbeats:
@@ -58,7 +60,7 @@
             kind=UpstreamKind.PLAIN,
             address=f"{host}:{heartbeat.calls_port}",
             domain=heartbeat.domain,
-            weight=heartbeat.weight,
+            weight=weights[heartbeat.sender],
             path_lost=heartbeat.path_lost,
             unreached_pools=heartbeat.unreached_pools,
         )
@@ -156,7 +158,9 @@
         now_ms = edge.clock.now_ms()
         for name in edge.vms.forget_silent(now_ms):
             log_event("vm_forgotten", vm=name)
+            edge.weights.forget(name)
         live = edge.vms.list_live(now_ms)
+        edge.weights.report(live)
         self._update_live_names({heartbeat.sender for heartbeat in live})
         edge.agreed_time.correct_offset({heartbeat.sender for heartbeat in live})
         edge.retry_budget.set_nodes(len(live) + 1)
@@ -169,17 +173,17 @@
         )
         self._cold_watch.check()
         self._update_serving_vms(now_ms)
-        edge.broker.dispatcher.set_connection_share(
-            compute_share(edge.settings.capacity_percent, live)
-        )
+        edge.broker.dispatcher.set_connection_share(compute_share(edge.weight, live))
         self._send_or_relay(live, urgent, now_ms)
         if self._messenger is not None:
             self._messenger.close_idle(set(edge.vms.list_addresses().values()))
 
     def _update_serving_vms(self, now_ms: int) -> None:
         """Tell the dispatcher which VMs may serve in this one's place."""
-        fresh = self.edge.vms.list_fresh(now_ms)
-        self.edge.broker.dispatcher.set_serving_vms(find_serving_vms(fresh))
+        edge = self.edge
+        fresh = edge.vms.list_fresh(now_ms)
+        serving_vms = find_serving_vms(fresh, edge.compare_weights(fresh))
+        edge.broker.dispatcher.set_serving_vms(serving_vms)
 
     def count_unrelayed(self) -> int:
         """Return the number of heartbeats that this VM may have to pass on."""
@@ -194,7 +198,7 @@
         self._relay.record(heartbeat, now_ms)
         domains = {item.sender: item.domain for item in live}
         domains[edge.settings.node] = edge.settings.domain
-        weights = {item.sender: item.weight for item in [*live, heartbeat]}
+        weights = edge.compare_weights(live)
         if is_mesh(len(domains)):
             self._relay.clear()
             self.broadcast(heartbeat)
@@ -266,6 +270,8 @@
         status = edge.vms.record(heartbeat, now_ms - age_ms)
         if status is HeartbeatStatus.STALE:
             return
+        interval_ms = compute_heartbeat_interval_ms(len(self._live_names))
+        edge.weights.record_heartbeat(heartbeat, interval_ms, now_ms)
         self._note_path(heartbeat, now_ms)
         self._relay.record(heartbeat, now_ms - age_ms)
         if status is HeartbeatStatus.NEW:
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -37,6 +37,9 @@
         "client_connections",
         "domain_sent",
         "domain_share",
+        "vm_slowness",
+        "vm_weight_share",
+        "slow_vms",
     )
 
     def __init__(self) -> None:
@@ -118,6 +121,15 @@
             "pw_domain_share",
             "Share of what a failure domain sends, by source and target domain.",
         )
+        self.vm_slowness = self._make_gauge(
+            "pw_vm_slowness", "This VM's slowness against its usual speed, 1 is usual."
+        )
+        self.vm_weight_share = self._make_gauge(
+            "pw_vm_weight_share", "Share of its capacity that this VM has as weight."
+        )
+        self.slow_vms = self._make_gauge(
+            "pw_slow_vms", "VMs that are known here to be slow, this one included."
+        )
 
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
--- a/plantainwood/ticker.py
+++ b/plantainwood/ticker.py
@@ -16,7 +16,7 @@
 
 
 class Ticker(Service):
-    """Send timer ticks to the dispatcher, close idle connections, report paces."""
+    """Send ticks to the dispatcher, judge their lateness, do chores."""
 
     def __init__(self, edge: Edge, **kwargs) -> None:
         self.edge = edge
@@ -25,10 +25,14 @@
     @guarded_task
     async def _run(self) -> None:
         broker = self.edge.broker
+        clock = self.edge.clock
         waited_ms = 0
         while not self.should_stop:
             tick_ms = TICK_MS if broker.dispatcher.state.requests else IDLE_TICK_MS
+            began_ms = clock.now_ms()
             await asyncio.sleep(tick_ms / 1_000)
+            now_ms = clock.now_ms()
+            self.edge.weights.record_tick(tick_ms, now_ms - began_ms, now_ms)
             broker.feed(ev.Tick())
             waited_ms += tick_ms
             if waited_ms >= CHORE_INTERVAL_MS:
--- a/tests/test_domain_loss.py
+++ b/tests/test_domain_loss.py
@@ -10,7 +10,7 @@
 from plantainwood.core.relays import find_relays
 from plantainwood.core.storereaders import READER_COUNT, is_reader
 from plantainwood.edge import Edge
-from plantainwood.edgeduties import LEASE_CANDIDATES, find_lease_candidates
+from plantainwood.fleetlease import LEASE_CANDIDATES, find_lease_candidates
 from plantainwood.metrics import Metrics
 from tests.samples import SETTINGS, make_heartbeat
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,7 +12,7 @@
 from plantainwood.core.partquarantine import LostAttempt, PartCrash
 from plantainwood.core.reports import make_report_key
 from plantainwood.core.storereaders import is_reader
-from plantainwood.edgeduties import UsageReporter, find_holder
+from plantainwood.edgeduties import UsageReporter
 from plantainwood.edgesettings import (
     Duty,
     EdgeAddresses,
@@ -20,6 +20,7 @@
     EdgeSettings,
     EdgeStore,
 )
+from plantainwood.fleetlease import find_holder
 from standins.ports import find_ports
 from tests.edgesite import make_config
 
