Tell a load peak of a VM from slowness by the events that it handles

A load peak of 500 ms at four times the usual load left work that kept the loop late for a second and more, and counted as slowness.

--- a/plantainwood/broker.py
+++ b/plantainwood/broker.py
@@ -24,7 +24,13 @@
 class RequestBroker:
     """Feed events to one dispatcher and deliver its decisions."""
 
-    __slots__ = ("dispatcher", "active_requests", "_clock", "_on_fleet_decision")
+    __slots__ = (
+        "dispatcher",
+        "active_requests",
+        "event_count",
+        "_clock",
+        "_on_fleet_decision",
+    )
 
     def __init__(
         self,
@@ -34,6 +40,8 @@
     ) -> None:
         self.dispatcher = dispatcher
         self.active_requests: dict[str, ActiveRequest] = {}
+        self.event_count = 0
+        """The events since the start, as a measure of the work that is done."""
         self._clock = clock
         self._on_fleet_decision = on_fleet_decision
 
@@ -50,6 +58,7 @@
 
     def feed(self, event: ev.Event) -> None:
         """Let the dispatcher decide on an event and deliver its decisions at once."""
+        self.event_count += 1
         for decision in self.dispatcher.decide(event, self._clock.now_ms()):
             if isinstance(decision, ev.FleetDecision):
                 self._on_fleet_decision(decision)
--- a/plantainwood/ticker.py
+++ b/plantainwood/ticker.py
@@ -32,7 +32,9 @@
             began_ms = clock.now_ms()
             await asyncio.sleep(tick_ms / 1_000)
             now_ms = clock.now_ms()
-            self.edge.weights.record_tick(tick_ms, now_ms - began_ms, now_ms)
+            self.edge.weights.record_tick(
+                tick_ms, now_ms - began_ms, broker.event_count, now_ms
+            )
             broker.feed(ev.Tick())
             waited_ms += tick_ms
             if waited_ms >= CHORE_INTERVAL_MS:
