--- a/experiments/reference.py
+++ b/experiments/reference.py
@@ -32,7 +32,8 @@
 (null: only time counts) and `wait_price_per_s` what one second of a request's wait is
 worth, in the same currency. `request_bytes` are those of a request without a prompt
 with its answer, `kv_token_bytes` those of one token's KV cache in a transfer between
-engines.
+engines. `slow_vm.enabled`, too, takes effect at the next start
+(docs/design/slow-vms.md).
 """
 
 CATALOGUE_HEAD = """# Catalogue
