Proof of leases: a holder hands over and competes again

Guards against two holders after a hand-over by a slow VM, whose orders that were not sent yet may go on.

--- a/tests/proofs/test_leases.py
+++ b/tests/proofs/test_leases.py
@@ -182,6 +182,31 @@
             return
         ProcedureRun(node.lease.release()).finish(self.store)
 
+    @rule(
+        name=st.sampled_from(NODES),
+        fault=st.sampled_from(FAULTS),
+        rounds=st.integers(0, 3),
+    )
+    def pass_on(self, name: str, fault: str, rounds: int) -> None:
+        """A slow node hands over, with no call in flight, and competes again.
+
+        An order that was not sent yet may go on afterwards; meanwhile the other nodes
+        try to acquire the lease.
+        """
+        node = self.nodes[name]
+        if node.frozen_ms or node.lease_run and not node.lease_run.done:
+            return
+        if any(sender == name for sender, _ in self.in_flight_orders):
+            return
+        if node.order_run and isinstance(node.order_run.effect, SendOrder):
+            return
+        node.lease.retire()
+        run = ProcedureRun(node.lease.release())
+        run.step_many(self.store, 2, fault)
+        self._let_others_contend(node, rounds)
+        run.finish(self.store)
+        node.lease.compete_again()
+
     @rule(name=st.sampled_from(NODES), fenced=st.booleans())
     def order(self, name: str, fenced: bool) -> None:
         """A node starts to order an upstream, whether it holds the lease or not."""
