Links: bound what strangers hold on the address that other VMs dial

nng's pull socket accepts any number of connections: 300 that sent nothing stayed for 13 s and more, and its pre-connect callback was called for none of them, since it comes after the peer has named its protocol; a frame is held at up to 8 MiB for each connection. So the callback can't bound them. The receiving side is a listener of our own that speaks the push sockets' protocol. A connection is a stranger until a frame of it is authentic; strangers are bounded in number (1/16 of the descriptors, 16 to 512) and bytes (9 MiB), refusals are logged once a second.

--- a/plantainwood/core/clientlimits.py
+++ b/plantainwood/core/clientlimits.py
@@ -18,6 +18,13 @@
 MIN_CONNECTIONS = 16
 DEFAULT_BYTES = 16 * MEBIBYTE
 MAX_CONNECTIONS = 8_192
+STRANGER_SHARE = 1 / 16
+"""Of the descriptors: connections between VMs that have sent no authentic frame yet."""
+MIN_STRANGERS = 16
+MAX_STRANGERS = 512
+"""All VMs of the largest fleet may connect at the same moment."""
+STRANGER_BYTES = 9 * MEBIBYTE
+"""What these connections hold together; a frame of the largest size fits."""
 
 
 class ClientLimits(msgspec.Struct, frozen=True):
@@ -49,3 +56,9 @@
         unread_bytes=round(spare * SMALL_SHARE),
         connections=max(MIN_CONNECTIONS, connections),
     )
+
+
+def compute_max_strangers(descriptors: float) -> int:
+    """Return how many connections between VMs may wait for their first frame."""
+    wanted = round(descriptors * STRANGER_SHARE)
+    return max(MIN_STRANGERS, min(wanted, MAX_STRANGERS))
--- a/plantainwood/core/frames.py
+++ b/plantainwood/core/frames.py
@@ -62,14 +62,20 @@
     versions = (WIRE_VERSION, COMPRESSED_VERSION)
     if len(frame) <= HEADER_BYTES or frame[0] not in versions:
         raise FrameError("frame too short or of an unknown version")
-    payload = frame[HEADER_BYTES:]
-    if not hmac.compare_digest(frame[1:HEADER_BYTES], _compute_mac(secret, payload)):
+    if not is_authentic(frame, secret):
         raise FrameError("wrong authentication code")
+    payload = frame[HEADER_BYTES:]
     if frame[0] == COMPRESSED_VERSION:
         payload = _decompress(payload)
     return payload
 
 
+def is_authentic(frame: bytes, secret: bytes) -> bool:
+    """Return whether the fleet's secret signed a frame, of whatever version."""
+    code = _compute_mac(secret, frame[HEADER_BYTES:])
+    return hmac.compare_digest(frame[1:HEADER_BYTES], code)
+
+
 def _decompress(data: bytes) -> bytes:
     decompressor = zlib.decompressobj()
     try:
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -89,7 +89,11 @@
         settings = self.edge.settings
         host, _, port = settings.addresses.links.rpartition(":")
         self._messenger = make_messenger(
-            host, int(port), settings.fleet, self.edge.metrics
+            host,
+            int(port),
+            settings.fleet,
+            self.edge.metrics,
+            settings.file_descriptors,
         )
 
     async def on_stop(self) -> None:
--- a/plantainwood/links.py
+++ b/plantainwood/links.py
@@ -46,7 +46,11 @@
         """Start listening; add this node's profile and the configured peers."""
         links = self.node.settings.links
         self._messenger = make_messenger(
-            links.host, links.port, links.secret, self.node.metrics
+            links.host,
+            links.port,
+            links.secret,
+            self.node.metrics,
+            self.node.settings.machine.file_descriptors,
         )
         self.node.gossip_table.merge(self.node.make_profile(), "")
         for peer in self.node.settings.peers:
--- a/plantainwood/messenger.py
+++ b/plantainwood/messenger.py
@@ -1,15 +1,22 @@
 """Messages between daemons: signed frames over the transport, counted by direction."""
 
 import logging
+import resource
+from functools import partial
 from typing import AsyncIterator, Iterable
 
-import pynng
-
+from plantainwood.core.clientlimits import compute_max_strangers
 from plantainwood.core.fleetmessages import Message
-from plantainwood.core.frames import FrameError, decode_frame, encode_frame
+from plantainwood.core.frames import (
+    FrameError,
+    decode_frame,
+    encode_frame,
+    is_authentic,
+)
+from plantainwood.linklistener import LinkListener, ListenerClosed
 from plantainwood.logs import log_event
 from plantainwood.metrics import Metrics
-from plantainwood.transport import Transport, make_transport
+from plantainwood.transport import NngTransport, Transport
 
 
 class Messenger:
@@ -35,7 +42,7 @@
         while True:
             try:
                 frame = await self._transport.receive()
-            except pynng.exceptions.Closed:
+            except ListenerClosed:
                 return
             self._count_frame("in", frame)
             try:
@@ -61,6 +68,23 @@
         self._transport.close()
 
 
-def make_messenger(host: str, port: int, secret: str, metrics: Metrics) -> Messenger:
-    """Return a messenger that listens on an address."""
-    return Messenger(make_transport(host, port), secret, metrics)
+def make_messenger(
+    host: str,
+    port: int,
+    secret: str,
+    metrics: Metrics,
+    descriptors: float | None = None,
+) -> Messenger:
+    """Return a messenger that listens on an address.
+
+    `descriptors` are those that the process may open; None stands for its limit.
+    """
+    soft_limit = resource.getrlimit(resource.RLIMIT_NOFILE)[0]
+    listener = LinkListener(
+        host,
+        port,
+        compute_max_strangers(min(descriptors or soft_limit, soft_limit)),
+        partial(is_authentic, secret=secret.encode()),
+        metrics,
+    )
+    return Messenger(NngTransport(listener), secret, metrics)
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -35,6 +35,8 @@
         "refused_clients",
         "client_bytes",
         "client_connections",
+        "refused_links",
+        "link_connections",
         "domain_sent",
         "domain_share",
     )
@@ -97,6 +99,13 @@
         self.client_connections = self._make_gauge(
             "pw_client_connections", "Open connections of clients."
         )
+        self.refused_links = self._make_counter(
+            "pw_refused_links_total", "Connections between VMs dropped by reason."
+        )
+        self.link_connections = self._make_gauge(
+            "pw_link_connections",
+            "Open connections from VMs, and new ones without an authentic frame.",
+        )
         self.evacuated = self._make_gauge(
             "pw_evacuated", "1 for each failure domain that is evacuated."
         )
--- a/plantainwood/transport.py
+++ b/plantainwood/transport.py
@@ -1,16 +1,17 @@
-"""Transport of frames between nodes: nng over TCP, where a frame may be lost."""
+"""Transport of frames between nodes over TCP, where a frame may be lost.
+
+nng's push sockets send; what they send is read by linklistener.py.
+"""
 
 import logging
 from abc import ABC, abstractmethod
 
 import pynng
 
+from plantainwood.linklistener import LinkListener
 from plantainwood.logs import log_event
 
 SEND_BUFFER_MESSAGES = 64
-MAX_FRAME_BYTES = 8_388_608
-"""A larger frame closes its connection; without a bound, a sender that is not part of
-the fleet could announce any size."""
 MAX_IDLE_ROUNDS = 30
 
 
@@ -27,7 +28,7 @@
 
     @abstractmethod
     async def receive(self) -> bytes:
-        """Return the next received frame."""
+        """Return the next received frame; raise ListenerClosed after `close`."""
 
     @abstractmethod
     def close_idle(self, in_use: set[str]) -> None:
@@ -39,12 +40,10 @@
 
 
 class NngTransport(Transport):
-    """Use one nng push socket per address and one pull socket for all senders."""
+    """Use one nng push socket per address and one listener for all senders."""
 
-    def __init__(self, listen: str) -> None:
-        self._pull_socket = pynng.Pull0(recv_buffer_size=1_024)
-        self._pull_socket.recv_max_size = MAX_FRAME_BYTES
-        self._pull_socket.listen(listen)
+    def __init__(self, listener: LinkListener) -> None:
+        self._listener = listener
         self._push_sockets: dict[str, pynng.Push0] = {}
         self._idle_rounds: dict[str, int] = {}
         self._dropped_frames = 0
@@ -90,7 +89,7 @@
 
     async def receive(self) -> bytes:
         """Return the next received frame from any sender."""
-        return await self._pull_socket.arecv()
+        return await self._listener.receive()
 
     def close_idle(self, in_use: set[str]) -> None:
         """Close sockets that were unused for more than MAX_IDLE_ROUNDS calls."""
@@ -107,9 +106,4 @@
         for push_socket in self._push_sockets.values():
             push_socket.close()
         self._push_sockets.clear()
-        self._pull_socket.close()
-
-
-def make_transport(host: str, port: int) -> Transport:
-    """Return the transport that listens on an address."""
-    return NngTransport(f"tcp://{host}:{port}")
+        self._listener.close()
