--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -132,7 +132,10 @@
     memory_mb: MachineSize | None = None
     """The machine's memory; null: bounds on clients don't follow it."""
     file_descriptors: MachineSize | None = None
-    """The descriptors that the process may open; null: its limit when it starts."""
+    """The descriptors that the process may open; null: its limit when it starts.
+
+    Clients have 6/10 of them, new connections from other nodes 1/16.
+    """
     duties: EdgeDuties = EdgeDuties()
     retries: EdgeRetries = EdgeRetries()
     drain: EdgeDrain = EdgeDrain()
