--- a/tests/excessclients.py
+++ b/tests/excessclients.py
@@ -132,6 +132,18 @@
             sock.close()
 
 
+async def wait_until_listening(address: str) -> None:
+    """Wait until an address accepts connections."""
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(SEND_S):
+        while True:
+            with contextlib.suppress(OSError), socket.socket() as sock:
+                sock.setblocking(False)
+                await asyncio.get_running_loop().sock_connect(sock, (host, int(port)))
+                return
+            await asyncio.sleep(0.01)
+
+
 def read_memory_mb(pid: int, field: str = "VmHWM") -> float:
     """Return a process's resident memory; by default the most it has had."""
     status = Path(f"/proc/{pid}/status").read_text()
