Parse errors hold and log 200 characters of what was read, not all of it

The library's error quotes the input, four characters for a byte that can't be printed, and its traceback's frames refer back to it, so that it stayed until the next garbage collection. Each came whole into the log and into the default response.

--- a/plantainwood/lingering.py
+++ b/plantainwood/lingering.py
@@ -7,8 +7,11 @@
 import asyncio
 
 from aiohttp.http_exceptions import HttpProcessingError
-from aiohttp.web_protocol import RequestHandler
+from aiohttp.web_protocol import RequestHandler, _ErrInfo
 
+MAX_ERROR_CHARS = 200
+"""The library's parse errors quote what was read, up to 32 KB at four characters for a
+byte, in the log and in the response."""
 LINGERING_S = 1.0
 """How long bytes are read and dropped after a response that ends a connection."""
 
@@ -24,8 +27,11 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; drop them once the connection is ending."""
-        if not self._is_ending:
-            super().data_received(data)
+        if self._is_ending:
+            return
+        super().data_received(data)
+        if self._messages:
+            self._messages[-1] = _shorten_error(self._messages[-1])
 
     def handle_error(self, request, status=500, exc=None, message=None):
         """Return the response to a request that failed.
@@ -60,3 +66,20 @@
         transport = self.transport
         if transport is not None and transport.can_write_eof():
             transport.write_eof()
+
+
+def _shorten_error(item: tuple) -> tuple:
+    """Return what the parser yielded, with a short message if that is an error.
+
+    The error loses its traceback: its frames hold the input and refer back to the
+    error, so that both would stay until the next garbage collection.
+    """
+    message, body = item
+    if not isinstance(message, _ErrInfo):
+        return item
+    error = message.exc.with_traceback(None)
+    error.__context__ = None
+    short = message.message[:MAX_ERROR_CHARS]
+    error.message = short
+    error.args = (short,)
+    return _ErrInfo(message.status, error, short), body
--- a/plantainwood/settings.py
+++ b/plantainwood/settings.py
@@ -95,8 +95,8 @@
 class Machine(Section, frozen=True):
     """The resources of the daemon's machine, which bounds on callers follow.
 
-    null: they don't follow its memory; the process's limit of descriptors counts. Callers
-    have 6/10 of the descriptors, new connections from other daemons 1/16.
+    null: they don't follow its memory; the process's limit of descriptors counts.
+    Callers have 6/10 of the descriptors, new connections from other daemons 1/16.
     """
 
     memory_mb: MachineSize | None = None
