Soak: groups of clients that exceed the limits, drawn by the seed

Seven kinds at callers' and links' addresses, 5 to 30 clients at once; each VM's settings state 128 MB and 400 descriptors, and its memory is checked. Drawn after the other clients' sources, so that these stay as they were for a seed.

--- a/soak/main.py
+++ b/soak/main.py
@@ -13,6 +13,7 @@
 import aiohttp
 
 from soak.clients import RETRY_LATER, Call, Client
+from soak.excess import MACHINE, ExcessClients, list_large
 from soak.faults import Operator
 from soak.runners import Run
 from standins.ports import find_ports
@@ -78,13 +79,13 @@
             await path.start()
             self.operator.platform_paths[vm.name] = path
             vm.orders_address = path.address
-            vm.more_settings = make_duty_settings(DUTIES, bootstrap=True)
+            vm.more_settings = MACHINE + make_duty_settings(DUTIES, bootstrap=True)
             site.vms.append(vm)
         async with asyncio.TaskGroup() as group:
             for vm in site.vms:
                 group.create_task(vm.start())
         for vm in site.vms:
-            vm.more_settings = make_duty_settings(DUTIES, bootstrap=False)
+            vm.more_settings = MACHINE + make_duty_settings(DUTIES, bootstrap=False)
         await asyncio.sleep(START_S)
 
     async def _play(self, seconds: float) -> None:
@@ -94,9 +95,12 @@
             self.clients.append(Client(self.site, number, source, self.operator.keys))
         stop_clients = asyncio.Event()
         stop_faults = asyncio.Event()
+        source = random.Random(self._source.random())
+        excess = ExcessClients(self.site, source, self.operator.keys)
         async with asyncio.TaskGroup() as group:
             for client in self.clients:
                 group.create_task(client.run(stop_clients))
+            group.create_task(excess.run(stop_clients))
             group.create_task(self._watch_ends(stop_clients))
             faults = group.create_task(self.operator.run(stop_faults))
             await asyncio.sleep(seconds)
@@ -118,6 +122,7 @@
         by_id = {call.request_id: call for call in calls}
         found = [f"ORDER: {text}" for c in self.clients for text in c.mixed_streams]
         found += [f"ended by itself: {name}" for name in sorted(self.ended)]
+        found += list_large(self.site)
         found += self._check_runs(by_id)
         found += self._check_answers(calls)
         found += self._check_stops(calls)
