--- a/tests/test_client_limits_node.py
+++ b/tests/test_client_limits_node.py
@@ -1,6 +1,7 @@
 """Clients outside the limits do not end a daemon of the product's own interface."""
 
 import asyncio
+import signal
 from functools import partial
 
 import pytest
@@ -21,12 +22,16 @@
     send_small_chunks,
     send_trailers,
     send_without_end,
+    wait_until_listening,
 )
+from tests.test_link_strangers import KINDS as STRANGERS
 
 MEMORY_MB = 128
 """The memory of the VM as its settings state it."""
 DESCRIPTORS = 400
 BODY_BYTES = 1_048_576
+WAIT_S = 20
+KINDS_WITHOUT_STORE = ["stalled", "stalled-small", "announced", "silent", "unread"]
 CHUNKED = "Transfer-Encoding: chunked"
 HOST = "node.example"
 PATH = "/services/booking/excess"
@@ -106,7 +111,8 @@
         fleet.start()
         fleet.load_catalogue()
         key = fleet.grant()[0]
-        count, make = make_kinds(f"Bearer {key}" if with_key else "")[kind]
+        kinds = make_kinds(f"Bearer {key}" if with_key else "")
+        count, make = (STRANGERS if role == "links" else kinds)[kind]
 
         async def scenario() -> None:
             address = fleet.url(f"vm-1/{role}").removeprefix("http://")
@@ -132,3 +138,52 @@
 @pytest.mark.parametrize("kind", ["stalled", "announced", "silent", "head"])
 def test_the_administration_address_is_bounded_too(kind):
     run_case("admin", kind, False)
+
+
+# Guards against strangers on the links' address that hold memory or descriptors.
+@pytest.mark.parametrize("kind", ["silent", "hello", "half-largest"])
+def test_the_links_address_is_bounded_too(kind):
+    run_case("links", kind, False)
+
+
+# Guards against clients whose requests a daemon reads before it has read the store.
+@pytest.mark.parametrize("kind", KINDS_WITHOUT_STORE)
+def test_the_daemon_starts_with_such_clients_connected(kind):
+    fleet = make_fleet()
+    try:
+        fleet.start()
+        fleet.load_catalogue()
+        key = fleet.grant()[0]
+        fleet.kill("vm-1")
+        fleet.processes["vm-1"].wait(WAIT_S)
+        fleet.kill("keyvalue", signal.SIGSTOP)
+        fleet.start_node("vm-1")
+        asyncio.run(check_with_store_back(fleet, key, kind))
+    finally:
+        fleet.stop()
+
+
+# Guards against requests that pile up while the store is away.
+@pytest.mark.parametrize("kind", KINDS_WITHOUT_STORE)
+def test_the_loss_of_the_store_changes_nothing(kind):
+    fleet = make_fleet()
+    try:
+        fleet.start()
+        fleet.load_catalogue()
+        key = fleet.grant()[0]
+        fleet.kill("keyvalue", signal.SIGSTOP)
+        asyncio.run(check_with_store_back(fleet, key, kind))
+    finally:
+        fleet.stop()
+
+
+async def check_with_store_back(fleet: Fleet, key: str, kind: str) -> None:
+    """Connect clients, let the store go on, and check the daemon."""
+    address = fleet.url("vm-1/callers").removeprefix("http://")
+    await wait_until_listening(address)
+    count, make = make_kinds("")[kind]
+    async with connect_clients(address, count, make):
+        check_process(fleet)
+        fleet.kill("keyvalue", signal.SIGCONT)
+        assert await send_ordinary(fleet, key) == 200
+        check_process(fleet)
