Routers: the evaluation of each upstream is a function of its own

An explanation of a choice needs the figures of all candidates and why each is not chosen; the routers returned only the winner. find_obstacle names the reason for which is_allowed said no, and evaluate runs the same choice on a copy of what a choice changes (generator, plans, learned paces).

--- a/plantainwood/core/domaindemands.py
+++ b/plantainwood/core/domaindemands.py
@@ -1,5 +1,6 @@
 """Demand of each failure domain, by the heartbeats of its VMs, and its age."""
 
+import copy
 import math
 
 from plantainwood.core.routes import make_service_pool
@@ -50,6 +51,12 @@
         self._meters: dict[tuple[str, str], DemandMeter] = {}
         """By pool and domain."""
 
+    def copy(self) -> "DomainDemands":
+        """Return an object that may be asked about new domains; meters are shared."""
+        found = copy.copy(self)
+        found._heard_ms = dict(self._heard_ms)
+        return found
+
     def record(
         self, domain: str, demand: dict[str, int], made_ms: int, now_ms: int
     ) -> None:
--- a/plantainwood/core/domainoverflow.py
+++ b/plantainwood/core/domainoverflow.py
@@ -7,6 +7,8 @@
 sessions. The routers add the extra cost of a domain to the score of its upstreams.
 """
 
+import copy
+
 import msgspec
 
 from plantainwood.core.domaindemands import DomainDemands
@@ -62,6 +64,12 @@
         self.ramp = ShareRamp(now_ms)
         self.refreshed_ms: int | None = None
 
+    def copy(self) -> "PoolOverflow":
+        """Return an object whose plan may be made anew without effect on this one."""
+        found = copy.copy(self)
+        found.ramp = self.ramp.copy()
+        return found
+
 
 class ShareChange(msgspec.Struct, frozen=True):
     """A change of the share of a pool's demand that another domain serves."""
@@ -96,6 +104,21 @@
         """Requests and KV transfers by source and target domain."""
         self._reported_shares: dict[tuple[str, str], float] = {}
 
+    def copy(self) -> "DomainOverflow":
+        """Return an overflow for choices that have no effect on this one.
+
+        What `record_sent` and `take_changes` change is shared.
+        """
+        found = copy.copy(self)
+        found.demands = self.demands.copy()
+        found._pools = {key: pool.copy() for key, pool in self._pools.items()}
+        return found
+
+    def find_shares(self, key: str) -> dict[str, float]:
+        """Return the shares in force that other domains serve of a pool's demand."""
+        pool = self._pools.get(key)
+        return dict(pool.ramp.shares) if pool is not None else {}
+
     def get_or_create_pool(self, key: str, now_ms: int) -> PoolOverflow:
         """Return the state of a pool or of a partition of it."""
         return self._pools.setdefault(key, PoolOverflow(now_ms))
--- a/plantainwood/core/enginepace.py
+++ b/plantainwood/core/enginepace.py
@@ -6,6 +6,7 @@
 that an error in the assumed prefill speed changes no choice.
 """
 
+import copy
 import math
 from collections import deque
 from statistics import median
@@ -120,6 +121,12 @@
         self._notable: dict[str, float] = {}
         """The slowness of the engines that were notable at `take_changes`."""
 
+    def copy(self) -> "EnginePaces":
+        """Return an object for choices, which update the learned slowness at times."""
+        found = copy.copy(self)
+        found._slowness = dict(self._slowness)
+        return found
+
     def set_pool(self, pool: str, engines: set[str]) -> None:
         """Set the engines of a pool; those of no pool have no samples."""
         removed = self._engines.get(pool, set()) - engines
--- a/plantainwood/core/overflowplan.py
+++ b/plantainwood/core/overflowplan.py
@@ -4,6 +4,8 @@
 VMs use add up without coordination.
 """
 
+import copy
+
 import msgspec
 
 HORIZON_MS = 600
@@ -111,6 +113,12 @@
         self._targets: dict[str, float] = {}
         self._updated_ms = now_ms
 
+    def copy(self) -> "ShareRamp":
+        """Return a ramp that moves independently of this one."""
+        found = copy.copy(self)
+        found._targets = dict(self._targets)
+        return found
+
     def update(
         self, planned: dict[str, float], usable: set[str], now_ms: int
     ) -> dict[str, float]:
--- a/plantainwood/core/plaindomains.py
+++ b/plantainwood/core/plaindomains.py
@@ -5,6 +5,7 @@
 known by their times to a first byte; a small share of the requests measures them all.
 """
 
+import copy
 import random
 
 from plantainwood.core.domainoverflow import DomainOverflow
@@ -30,10 +31,10 @@
 class PlainDomains:
     """Score the failure domains of upstreams for one VM."""
 
-    __slots__ = ("_overflow", "_random", "_sent_ms", "_measures", "_fastest_ms")
+    __slots__ = ("overflow", "_random", "_sent_ms", "_measures", "_fastest_ms")
 
     def __init__(self, overflow: DomainOverflow, generator: random.Random) -> None:
-        self._overflow = overflow
+        self.overflow = overflow
         self._random = generator
         self._sent_ms: dict[str, int] = {}
         """When this VM last chose each upstream."""
@@ -42,13 +43,23 @@
         self._fastest_ms = 0.0
         """The shortest time to a first byte in the present pool; 0 if not known."""
 
+    def copy(
+        self, overflow: DomainOverflow, generator: random.Random
+    ) -> "PlainDomains":
+        """Return an object that uses a copied overflow and generator."""
+        found = copy.copy(self)
+        found.overflow = overflow
+        found._random = generator
+        found._sent_ms = dict(self._sent_ms)
+        return found
+
     def draw_own(self, group: list[UpstreamLoad]) -> list[UpstreamLoad]:
         """Begin the choice for a request; return some upstreams of the own domain."""
         self._measures = self._random.random() < MEASURED_SHARE
         self._fastest_ms = 0.0
         own: list[UpstreamLoad] = []
         for load in group:
-            if load.entry.domain == self._overflow.own:
+            if load.entry.domain == self.overflow.own:
                 own.append(load)
             if load.samples < MIN_SAMPLES:
                 continue
@@ -62,9 +73,9 @@
         A full upstream makes a request wait for about its time to a first byte.
         """
         score = self._compute_slow_score(load, now_ms)
-        if self._measures or load.entry.domain == self._overflow.own:
+        if self._measures or load.entry.domain == self.overflow.own:
             return score
-        away_ms = self._overflow.compute_away_ms(request, load.entry.domain, now_ms)
+        away_ms = self.overflow.compute_away_ms(request, load.entry.domain, now_ms)
         score += AWAY_LOAD_MARGIN
         return score + away_ms / max(MIN_SERVICE_MS, load.first_token_ms)
 
--- a/plantainwood/core/promptdomains.py
+++ b/plantainwood/core/promptdomains.py
@@ -6,6 +6,7 @@
 to leave a domain that its engines don't have them yet.
 """
 
+import copy
 from collections import OrderedDict
 from typing import Callable
 
@@ -69,6 +70,23 @@
         self._engine_domains: dict[str, str] = {}
         """The failure domains of engines, which may be sources of KV transfers."""
 
+    def copy(
+        self,
+        overflow: DomainOverflow,
+        estimate_wait_ms: Callable[[UpstreamLoad, int], float],
+        members: list[UpstreamLoad],
+    ) -> "PromptDomains":
+        """Return an object for a pool with these members that uses a copied overflow.
+
+        It is for choices alone: what `record_sent` changes is shared.
+        """
+        found = copy.copy(self)
+        found.overflow = overflow
+        found._estimate_wait_ms = estimate_wait_ms
+        found._engine_domains = {}
+        found.set_pool_upstreams(members)
+        return found
+
     def set_pool_upstreams(self, loads: list[UpstreamLoad]) -> None:
         """Record the failure domains of a pool's engines."""
         for load in loads:
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -7,9 +7,13 @@
 Expected times follow from the tokens and from the pace of each engine.
 """
 
+import copy
 import random
 
+import msgspec
+
 from plantainwood.core.affinity import PrefixHints
+from plantainwood.core.candidates import Evaluation, Reason
 from plantainwood.core.dedicatedengines import GapPartitions
 from plantainwood.core.domainoverflow import DomainOverflow
 from plantainwood.core.enginepace import EnginePaces
@@ -24,7 +28,7 @@
 )
 from plantainwood.core.promptdomains import DomainExtras, PromptDomains
 from plantainwood.core.requests import Request
-from plantainwood.core.router import FewChoicesRouter, Router, is_allowed
+from plantainwood.core.router import FewChoicesRouter, Router, find_obstacle
 
 PREFILL_TOKENS_PER_MS = 40.0
 BACKLOG_SHARE = 1.0
@@ -43,6 +47,16 @@
 those with its parts; otherwise all nodes would send to the fastest idle one."""
 
 
+class DrawnEngines(msgspec.Struct):
+    """The engines among which a prompt has the choice, and what it depends on."""
+
+    engines: list[UpstreamLoad]
+    preferred: str
+    """The first engine in the ranking of the prompt's session."""
+    holders: list[PrefixHolder]
+    extras: DomainExtras
+
+
 class PromptRouter(Router):
     """Send prompts to the engine of their partition with the shortest wait for prefill.
 
@@ -125,7 +139,10 @@
         """Return the engine with the shortest delay for a prompt, or None to wait."""
         if not request.prompt.tokens:
             return self._plain_router.choose(request, group, now_ms)
-        allowed = [load for load in group if is_allowed(request, load, now_ms)]
+        allowed: list[UpstreamLoad] = []
+        for load in group:
+            if find_obstacle(request, load, now_ms) is None:
+                allowed.append(load)
         if not allowed:
             return None
         partition = self._partitions.select(request, group, allowed)
@@ -133,17 +150,101 @@
         candidates = self._list_below_limit(request.pool, partition, now_ms)
         if not candidates:
             return None
+        drawn = self._draw(request, partition, candidates, len(allowed), now_ms)
+        return self._choose_fastest(request, drawn, now_ms)
+
+    def copy(self, pool: str, members: list[UpstreamLoad]) -> "PromptRouter":
+        """Return a router for a pool with copies of what a choice changes."""
+        found = copy.copy(self)
+        found.paces = self.paces.copy()
+        found._random = copy.copy(self._random)
+        found._estimates = {}
+        found._pool_upstreams = {pool: members}
+        overflow = None
+        if self._domains is not None:
+            overflow = self._domains.overflow.copy()
+            found._domains = self._domains.copy(
+                overflow, found._estimate_wait_ms, members
+            )
+        found._plain_router = self._plain_router.copy_with(found._random, overflow)
+        return found
+
+    def evaluate(
+        self, request: Request, group: list[UpstreamLoad], now_ms: int
+    ) -> Evaluation:
+        """Choose an engine, and say what counted for or against each of a group."""
+        if not request.prompt.tokens:
+            return self._plain_router.evaluate(request, group, now_ms)
+        evaluation = Evaluation()
+        allowed: list[UpstreamLoad] = []
+        for load in group:
+            self._record_figures(evaluation, request, load, now_ms)
+            obstacle = find_obstacle(request, load, now_ms)
+            evaluation.reasons[load.name] = obstacle or Reason.OTHER_PARTITION
+            if obstacle is None:
+                allowed.append(load)
+        if not allowed:
+            return evaluation
+        partition = self._partitions.select(request, group, allowed)
+        for load in partition:
+            evaluation.reasons[load.name] = Reason.BACKLOG_LIMIT
+        candidates = self._list_below_limit(request.pool, partition, now_ms)
+        if not candidates:
+            return evaluation
+        drawn = self._draw(request, partition, candidates, len(allowed), now_ms)
+        for load in candidates:
+            evaluation.reasons[load.name] = Reason.SLOWER
+            expected_ms = self._evaluate_engine(request, load, drawn, now_ms)[0]
+            evaluation.expected_ms[load.name] = expected_ms
+        evaluation.mark_not_drawn({load.name for load in drawn.engines})
+        evaluation.record_chosen(self._choose_fastest(request, drawn, now_ms))
+        if self._domains is not None:
+            key = self._make_partition_key(request)
+            evaluation.domain_shares = self._domains.overflow.find_shares(key)
+        return evaluation
+
+    def _record_figures(
+        self,
+        evaluation: Evaluation,
+        request: Request,
+        load: UpstreamLoad,
+        now_ms: int,
+    ) -> None:
+        """Record the tokens that await prefill on an engine, and those cached there."""
+        states = self.engine_states
+        backlog = states.count_backlog_tokens(load.name, now_ms)
+        evaluation.backlog_tokens[load.name] = backlog
+        cached = states.count_cached_tokens(load.name, request.prompt)
+        evaluation.cached_tokens[load.name] = cached
+
+    def _make_partition_key(self, request: Request) -> str:
+        """Return the name of a pool's partition in the overflow."""
+        return f"{request.pool}#{int(self._partitions.is_gap_sensitive(request))}"
+
+    def _draw(
+        self,
+        request: Request,
+        partition: list[UpstreamLoad],
+        candidates: list[UpstreamLoad],
+        usable_count: int,
+        now_ms: int,
+    ) -> DrawnEngines:
+        """Return the engines of some candidates that a prompt has the choice among.
+
+        The candidates are those of the partition below the limit of the backlog;
+        `usable_count` is the number of engines in the pool that may take it.
+        """
         extras = DomainExtras()
         if self._domains is not None:
-            key = f"{request.pool}#{int(self._partitions.is_gap_sensitive(request))}"
+            key = self._make_partition_key(request)
             extras = self._domains.find_extras(
-                request, partition, len(allowed), key, now_ms
+                request, partition, usable_count, key, now_ms
             )
         names = extras.list_preferred(partition)
         preferred = rank_members(request.prompt.session, names)[0]
         holders = self._find_prefix_holders(request, now_ms)
-        drawn = self._draw_engines(candidates, preferred, holders, now_ms)
-        return self._choose_fastest(request, drawn, preferred, holders, extras, now_ms)
+        engines = self._draw_engines(candidates, preferred, holders, now_ms)
+        return DrawnEngines(engines, preferred, holders, extras)
 
     def _list_below_limit(
         self, pool: str, loads: list[UpstreamLoad], now_ms: int
@@ -174,33 +275,35 @@
         return [load for load in loads if load.name in names]
 
     def _choose_fastest(
-        self,
-        request: Request,
-        loads: list[UpstreamLoad],
-        preferred: str,
-        holders: list[PrefixHolder],
-        extras: DomainExtras,
-        now_ms: int,
+        self, request: Request, drawn: DrawnEngines, now_ms: int
     ) -> UpstreamLoad | None:
         """Return the engine with the least sum of expected time and path cost."""
         best = None
         best_ms = 0.0
-        for load in loads:
-            backlog = self.engine_states.count_backlog_tokens(load.name, now_ms)
-            estimate = self._estimate_prefill(request, load, preferred, holders)
-            bonus = PREFERRED_ENGINE_BONUS_TOKENS if load.name == preferred else 0
-            work = estimate.cost + backlog + self._estimate_delay(load, now_ms)
-            expected_ms = self._estimate_ms(load, work, now_ms, bonus)
-            if self._domains is not None:
-                expected_ms += self._domains.compute_ms(
-                    extras, load, estimate.source, estimate.fetched_tokens
-                )
+        for load in drawn.engines:
+            expected_ms, estimate = self._evaluate_engine(request, load, drawn, now_ms)
             if best is None or expected_ms < best_ms:
                 best = load
                 best_ms = expected_ms
                 self._estimates[request.id] = estimate
         return best
 
+    def _evaluate_engine(
+        self, request: Request, load: UpstreamLoad, drawn: DrawnEngines, now_ms: int
+    ) -> tuple[float, PrefillEstimate]:
+        """Return an engine's expected time with the path cost, and what it prefills."""
+        preferred = drawn.preferred
+        backlog = self.engine_states.count_backlog_tokens(load.name, now_ms)
+        estimate = self._estimate_prefill(request, load, preferred, drawn.holders)
+        bonus = PREFERRED_ENGINE_BONUS_TOKENS if load.name == preferred else 0
+        work = estimate.cost + backlog + self._estimate_delay(load, now_ms)
+        expected_ms = self._estimate_ms(load, work, now_ms, bonus)
+        if self._domains is not None:
+            expected_ms += self._domains.compute_ms(
+                drawn.extras, load, estimate.source, estimate.fetched_tokens
+            )
+        return expected_ms, estimate
+
     def _estimate_wait_ms(self, load: UpstreamLoad, now_ms: int) -> float:
         """Return how long a prompt sent to an engine now waits there."""
         tokens = self.engine_states.count_backlog_tokens(load.name, now_ms)
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -1,9 +1,11 @@
 """Choice of an upstream for one request."""
 
+import copy
 import random
 from abc import ABC, abstractmethod
 
 from plantainwood.core.affinity import PrefixHints
+from plantainwood.core.candidates import Evaluation, Reason
 from plantainwood.core.domainoverflow import DomainOverflow
 from plantainwood.core.loads import TIERS, UpstreamLoad
 from plantainwood.core.plaindomains import PlainDomains
@@ -58,9 +60,35 @@
             "estimate": load.estimate_in_flight(TIERS - 1, now_ms),
         }
 
+    def copy(self, pool: str, members: list[UpstreamLoad]) -> "Router":
+        """Return a router for a pool that shares no state which a choice changes.
+
+        It chooses as this one would next. `members` are all upstreams of the pool.
+        """
+        return copy.copy(self)
+
+    def evaluate(
+        self, request: Request, group: list[UpstreamLoad], now_ms: int
+    ) -> Evaluation:
+        """Choose an upstream, and say what counted for or against each of a group.
+
+        This changes what `choose` changes, so it is called on a copy.
+        """
+        evaluation = Evaluation()
+        for load in group:
+            reason = find_obstacle(request, load, now_ms)
+            evaluation.reasons[load.name] = reason or Reason.SLOWER
+        evaluation.record_chosen(self.choose(request, group, now_ms))
+        return evaluation
+
 
 def is_allowed(request: Request, load: UpstreamLoad, now_ms: int) -> bool:
-    """Tell whether an upstream may take a request at all.
+    """Tell whether an upstream may take a request at all."""
+    return find_obstacle(request, load, now_ms) is None
+
+
+def find_obstacle(request: Request, load: UpstreamLoad, now_ms: int) -> Reason | None:
+    """Return why an upstream may not take a request at all; None if it may.
 
     A leaving, paused, unreached or unwilling upstream takes none, nor does one on which
     this node uses its full share of connections, its part of a brittle upstream's
@@ -70,21 +98,35 @@
     request yet. A retry never goes to the upstream or failure domain that just failed
     it.
     """
-    if load.leaving or load.is_unreached(now_ms) or load.is_at_connection_limit():
-        return False
-    if load.has_no_room():
-        return False
-    if now_ms < max(load.paused_until_ms, load.unwilling_until_ms):
-        return False
+    # Each prompt asks this of all engines, so most checks need no call.
+    if load.leaving:
+        return Reason.LEAVING
+    if now_ms < load.unreached_until_ms:
+        return Reason.UNREACHED
+    if load.max_own_in_flight and load.is_at_connection_limit():
+        return Reason.CONNECTION_LIMIT
+    if load.room is not None and load.has_no_room():
+        return Reason.BRITTLE_SHARE
+    if now_ms < load.paused_until_ms or now_ms < load.unwilling_until_ms:
+        return Reason.PAUSED
     if load.rate is not None and not load.rate.may_send(now_ms):
-        return False
+        return Reason.NAMED_RATE
     if load.cold_rate is not None and not load.cold_rate.may_send(now_ms):
-        return False
-    if load.name == request.avoid_upstream or not can_serve(request, load):
-        return False
-    if load.entry.domain == request.avoid_domain:
-        return False
-    return load.admits(request.id, now_ms)
+        return Reason.COLD_RATE
+    if load.name == request.avoid_upstream:
+        return Reason.FAILED_REQUEST
+    if request.version and load.entry.software_version != request.version:
+        return Reason.OTHER_VERSION
+    domain = load.entry.domain
+    if request.domains is not None and not request.may_use_domain(domain):
+        return Reason.OTHER_REGION
+    if domain == request.avoid_domain:
+        return Reason.FAILED_REQUEST
+    if load.evacuated:
+        return Reason.EVACUATED
+    if load.ramp is not None and not load.ramp.admits(request.id, now_ms):
+        return Reason.RETURNING
+    return None
 
 
 def can_serve(request: Request, load: UpstreamLoad) -> bool:
@@ -120,14 +162,72 @@
         """Return the best of a few random upstreams, else of the whole subset."""
         if not group:
             return None
-        hinted = (
-            self._hints.find_upstream(request.prefix, now_ms) if request.prefix else ""
-        )
+        hinted = self._find_hinted(request, now_ms)
+        drawn = self._draw(group, hinted)
+        return self._choose_from(request, drawn, group, hinted, now_ms)
+
+    def copy(self, pool: str, members: list[UpstreamLoad]) -> "FewChoicesRouter":
+        """Return a router with a copy of the generator's state."""
+        overflow = self._domains.overflow.copy() if self._domains is not None else None
+        return self.copy_with(copy.copy(self._random), overflow)
+
+    def copy_with(
+        self, generator: random.Random, overflow: DomainOverflow | None
+    ) -> "FewChoicesRouter":
+        """Return a router that uses a copied generator and overflow."""
+        found = copy.copy(self)
+        found._random = generator
+        if self._domains is not None and overflow is not None:
+            found._domains = self._domains.copy(overflow, generator)
+        return found
+
+    def evaluate(
+        self, request: Request, group: list[UpstreamLoad], now_ms: int
+    ) -> Evaluation:
+        """Choose an upstream, and say what counted for or against each of a group."""
+        evaluation = Evaluation()
+        if not group:
+            return evaluation
+        hinted = self._find_hinted(request, now_ms)
+        drawn = self._draw(group, hinted)
+        for load in group:
+            found = self._evaluate_upstream(request, load, hinted, now_ms)
+            if isinstance(found, Reason):
+                evaluation.reasons[load.name] = found
+                continue
+            evaluation.scores[load.name] = found
+            evaluation.reasons[load.name] = Reason.SLOWER
+        chosen = self._choose_from(request, drawn, group, hinted, now_ms)
+        drawn_names = {load.name for load in drawn}
+        if chosen is not None and chosen.name in drawn_names:
+            evaluation.mark_not_drawn(drawn_names)
+        evaluation.record_chosen(chosen)
+        return evaluation
+
+    def _find_hinted(self, request: Request, now_ms: int) -> str:
+        """Return the upstream that got a request's prefix last; empty if none."""
+        if not request.prefix:
+            return ""
+        return self._hints.find_upstream(request.prefix, now_ms)
+
+    def _draw(self, group: list[UpstreamLoad], hinted: str) -> list[UpstreamLoad]:
+        """Return a few random upstreams, with the hinted one and some of the domain."""
         drawn = self._random.sample(group, min(CHOICES, len(group)))
         if hinted:
             drawn.extend(load for load in group if load.name == hinted)
         if self._domains is not None:
             drawn.extend(self._domains.draw_own(group))
+        return drawn
+
+    def _choose_from(
+        self,
+        request: Request,
+        drawn: list[UpstreamLoad],
+        group: list[UpstreamLoad],
+        hinted: str,
+        now_ms: int,
+    ) -> UpstreamLoad | None:
+        """Return the best of the drawn upstreams, else of the whole subset."""
         best = self._choose_best(request, drawn, hinted, now_ms)
         if best is None:
             best = self._choose_best(request, group, hinted, now_ms)
@@ -142,23 +242,33 @@
         best = None
         best_score = 0.0
         for load in loads:
-            if not is_allowed(request, load, now_ms):
-                continue
-            if load.ejected and load.count_own_in_flight() > 0:
+            score = self._evaluate_upstream(request, load, hinted, now_ms)
+            if isinstance(score, Reason):
                 continue
-            used = load.estimate_in_flight(request.priority, now_ms)
-            if used >= load.entry.slots:
-                continue
-            score = _score(load, used, now_ms)
-            if load.name == hinted:
-                score -= AFFINITY_BONUS
-            if self._domains is not None:
-                score += self._domains.compute_score(request, load, now_ms)
             if best is None or score < best_score:
                 best = load
                 best_score = score
         return best
 
+    def _evaluate_upstream(
+        self, request: Request, load: UpstreamLoad, hinted: str, now_ms: int
+    ) -> float | Reason:
+        """Return an upstream's score, or why it gets the request in no case."""
+        obstacle = find_obstacle(request, load, now_ms)
+        if obstacle is not None:
+            return obstacle
+        if load.ejected and load.count_own_in_flight() > 0:
+            return Reason.STRAGGLER
+        used = load.estimate_in_flight(request.priority, now_ms)
+        if used >= load.entry.slots:
+            return Reason.NO_SLOT
+        score = _score(load, used, now_ms)
+        if load.name == hinted:
+            score -= AFFINITY_BONUS
+        if self._domains is not None:
+            score += self._domains.compute_score(request, load, now_ms)
+        return score
+
 
 def _score(load: UpstreamLoad, used: int, now_ms: int) -> float:
     """Return the cost of choosing an upstream; the lowest is the best.
