--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -192,8 +192,8 @@
         11,
         "send requests to a leaving upstream",
         CORE + "router.py",
-        "    if load.leaving or load.is_unreached",
-        "    if load.is_unreached",
+        "    if load.leaving:\n        return Reason.LEAVING\n",
+        "",
         PROOFS + "test_requests.py",
     ),
     Mutant(
@@ -403,8 +403,9 @@
         1,
         "attempts exceed the node's share of the connection limit",
         CORE + "router.py",
-        " or load.is_at_connection_limit():",
-        ":",
+        "    if load.max_own_in_flight and load.is_at_connection_limit():\n"
+        "        return Reason.CONNECTION_LIMIT\n",
+        "",
         PROOFS + "test_prompts.py",
     ),
     Mutant(
@@ -629,8 +630,8 @@
         11,
         "send to an upstream that has asked for a pause",
         CORE + "router.py",
-        "max(load.paused_until_ms, load.unwilling_until_ms)",
-        "load.paused_until_ms",
+        "now_ms < load.paused_until_ms or now_ms < load.unwilling_until_ms",
+        "now_ms < load.paused_until_ms",
         "tests/test_retry_after.py",
     ),
     Mutant(
@@ -885,8 +886,8 @@
         0,
         "a request leaves its regions",
         CORE + "router.py",
-        "    return request.may_use_domain(load.entry.domain)\n",
-        "    return True\n",
+        "    if not request.may_use_domain(load.entry.domain):\n",
+        "    if False:\n",
         "tests/test_allowed_regions.py",
     ),
     Mutant(
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -99,6 +99,26 @@
     it.
     """
     # Each prompt asks this of all engines, so most checks need no call.
+    obstacle = _find_own_obstacle(load, now_ms)
+    if obstacle is not None:
+        return obstacle
+    if load.name == request.avoid_upstream:
+        return Reason.FAILED_REQUEST
+    if request.version or request.domains is not None:
+        mismatch = _find_mismatch(request, load)
+        if mismatch is not None:
+            return mismatch
+    if load.entry.domain == request.avoid_domain:
+        return Reason.FAILED_REQUEST
+    if load.evacuated:
+        return Reason.EVACUATED
+    if load.ramp is not None and not load.ramp.admits(request.id, now_ms):
+        return Reason.RETURNING
+    return None
+
+
+def _find_own_obstacle(load: UpstreamLoad, now_ms: int) -> Reason | None:
+    """Return why an upstream takes no request of this node at the moment."""
     if load.leaving:
         return Reason.LEAVING
     if now_ms < load.unreached_until_ms:
@@ -113,27 +133,20 @@
         return Reason.NAMED_RATE
     if load.cold_rate is not None and not load.cold_rate.may_send(now_ms):
         return Reason.COLD_RATE
-    if load.name == request.avoid_upstream:
-        return Reason.FAILED_REQUEST
-    if request.version and load.entry.software_version != request.version:
-        return Reason.OTHER_VERSION
-    domain = load.entry.domain
-    if request.domains is not None and not request.may_use_domain(domain):
-        return Reason.OTHER_REGION
-    if domain == request.avoid_domain:
-        return Reason.FAILED_REQUEST
-    if load.evacuated:
-        return Reason.EVACUATED
-    if load.ramp is not None and not load.ramp.admits(request.id, now_ms):
-        return Reason.RETURNING
     return None
 
 
 def can_serve(request: Request, load: UpstreamLoad) -> bool:
     """Tell whether an upstream is of the version and region that a request needs."""
+    return _find_mismatch(request, load) is None
+
+
+def _find_mismatch(request: Request, load: UpstreamLoad) -> Reason | None:
     if request.version and load.entry.software_version != request.version:
-        return False
-    return request.may_use_domain(load.entry.domain)
+        return Reason.OTHER_VERSION
+    if not request.may_use_domain(load.entry.domain):
+        return Reason.OTHER_REGION
+    return None
 
 
 class FewChoicesRouter(Router):
