Admission: the checks of an arrival are functions that change nothing

An explanation makes the same checks as the admission of a request. They are in core/arrivalchecks.py; admission.py acts on their results, in the order as before. Upstreams of a pool and VMs that serve instead are listed by functions of their own.

--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -25,7 +25,7 @@
     Mutant(
         1,
         "refuse an arriving request although less urgent ones wait",
-        CORE + "admission.py",
+        CORE + "arrivalchecks.py",
         "    victim = pool.find_least_urgent(request.tier)\n"
         "    if victim is None and full:",
         "    victim = None\n    if victim is None and full:",
@@ -653,7 +653,7 @@
     Mutant(
         11,
         "pass on calls that come from another VM",
-        CORE + "admission.py",
+        CORE + "arrivalchecks.py",
         "    if event.from_vm and state.lacks_path(",
         "    if False and state.lacks_path(",
         "tests/test_serving_vms.py",
@@ -789,7 +789,7 @@
     Mutant(
         12,
         "a stopping VM takes requests that may outlast it",
-        CORE + "admission.py",
+        CORE + "arrivalchecks.py",
         "    return not 0 < event.queue_deadline_ms <= state.stops_at_ms\n",
         "    return False\n",
         "tests/test_late_requests.py",
@@ -862,8 +862,8 @@
         0,
         "an evacuated upstream stays in the group of its pool",
         CORE + "upstreamset.py",
-        "if self.loads[upstream].leaving or self.loads[upstream].evacuated:",
-        "if self.loads[upstream].leaving:",
+        "if load.leaving or load.evacuated:",
+        "if load.leaving:",
         "tests/test_evacuation.py",
     ),
     Mutant(
--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -3,29 +3,27 @@
 import heapq
 
 from plantainwood.core import events as ev
+from plantainwood.core.arrivalchecks import (
+    RETRY_DRAINING_MS,
+    RETRY_NO_VERSION_MS,
+    check_entry,
+    check_limit,
+    check_suspicion,
+    find_victim_of,
+    make_request,
+)
 from plantainwood.core.dispatcherstate import (
     RETRY_NOT_RUN_MS,
     DispatcherState,
     find_outcome,
     make_failed_error,
 )
-from plantainwood.core.errors import ErrorCode, Outcome, RequestError
+from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.core.pools import Pool
-from plantainwood.core.probation import Verdict
-from plantainwood.core.quarantine import make_blocked_error
 from plantainwood.core.requests import Request, make_part_names
 from plantainwood.core.router import is_allowed
 from plantainwood.core.scheduling import dispatch, dispatch_waiting
-from plantainwood.core.suspects import judge_request, record_probe
-
-RETRY_DRAINING_MS = 1_000
-RETRY_NO_UPSTREAM_MS = 5_000
-RETRY_NO_VERSION_MS = 500
-MAX_PASSING_FACTOR = 2
-"""How many times the bound on waiting requests may wait, if those bound to some
-failure domains leave slots free for others."""
-RETRY_HELD_MS = 500
-"""When to come back with a request that was held for the crashes under it."""
+from plantainwood.core.suspects import record_probe
 
 
 def handle_arrival(
@@ -48,36 +46,14 @@
     state: DispatcherState, event: ev.Arrival, now_ms: int, decisions: list
 ) -> Request:
     """Return the admitted request; raise RequestError if it is refused."""
-    if state.draining or _outlasts_stop(state, event):
-        message = "this VM is leaving; use another"
-        raise _make_refusal(ErrorCode.DRAINING, message, RETRY_DRAINING_MS)
-    service_class = state.catalogue.classes.get(event.class_name)
-    customer = state.catalogue.customers.get(event.customer)
-    if service_class is None or customer is None:
-        raise _make_refusal(ErrorCode.FORBIDDEN_CLASS, "no such class or customer")
-    parts = make_part_names(event)
-    _check_suspicion(state, event, parts, now_ms)
+    service_class, customer = check_entry(state, event)
+    check_suspicion(state, event, now_ms)
+    record_probe(state, event.fingerprint, make_part_names(event), now_ms)
     pool = state.get_or_create_pool(event.pool)
-    domains = state.regions.find_domains(event.allowed_regions)
-    if not pool.list_serving(domains=domains):
-        message = "no upstream serves this"
-        raise _make_refusal(ErrorCode.NO_UPSTREAM, message, RETRY_NO_UPSTREAM_MS)
-    version = ""
-    if event.resumed:
-        version = _find_version(state, pool, event, domains, now_ms)
-    if event.from_vm and state.lacks_path(pool, version, now_ms, domains):
-        message = "this VM reaches no upstreams either"
-        raise _make_refusal(ErrorCode.UPSTREAM_UNAVAILABLE, message, RETRY_NOT_RUN_MS)
+    request = make_request(state, pool, event, service_class, now_ms)
     limit = state.get_or_create_limit(event.customer, customer, now_ms)
-    wait_ms = limit.admit(state.limit_floor, now_ms)
-    if wait_ms is not None:
-        message = "the customer's limit is reached"
-        raise _make_refusal(ErrorCode.RATE_LIMITED, message, wait_ms)
-    is_engine = event.pool.startswith("model/")
-    request = Request(event, service_class, is_engine, now_ms)
-    request.version = version
-    request.domains = domains
-    state.uses_regions |= domains is not None
+    check_limit(state, limit, now_ms)
+    state.uses_regions |= request.domains is not None
     try:
         _make_room(state, pool, request, now_ms, decisions)
     except RequestError:
@@ -86,67 +62,15 @@
     return request
 
 
-def _check_suspicion(
-    state: DispatcherState, event: ev.Arrival, parts: tuple[str, ...], now_ms: int
-) -> None:
-    """Raise RequestError if a request may not run for the crashes under it.
-
-    On probation, the VM that took a request from its caller decides.
-    """
-    verdict = judge_request(state, event.fingerprint, parts, now_ms)
-    if verdict is Verdict.BLOCK:
-        raise make_blocked_error(Outcome.NOT_RUN)
-    if verdict is Verdict.HOLD and not event.from_vm:
-        message = "it is not known yet whether requests like it crash upstreams"
-        raise _make_refusal(ErrorCode.UPSTREAM_UNAVAILABLE, message, RETRY_HELD_MS)
-    record_probe(state, event.fingerprint, parts, now_ms)
-
-
-def _outlasts_stop(state: DispatcherState, event: ev.Arrival) -> bool:
-    """Tell whether a request may still run when this node stops."""
-    if state.stops_at_ms is None:
-        return False
-    return not 0 < event.queue_deadline_ms <= state.stops_at_ms
-
-
-def _find_version(
-    state: DispatcherState,
-    pool: Pool,
-    event: ev.Arrival,
-    domains: frozenset[str] | None,
-    now_ms: int,
-) -> str:
-    """Return the version that may continue a stream; raise RequestError without one."""
-    version = state.stream_versions.find(event.stream, event.pool, now_ms)
-    if version is None:
-        message = "it is not known which version began the stream"
-        raise _make_refusal(ErrorCode.NO_UPSTREAM, message, RETRY_NO_VERSION_MS)
-    if not pool.list_serving(version, domains):
-        message = "no upstream of the version that began the stream serves"
-        raise _make_refusal(ErrorCode.NO_UPSTREAM, message, RETRY_NO_VERSION_MS)
-    return version
-
-
 def _make_room(
     state: DispatcherState, pool: Pool, request: Request, now_ms: int, decisions: list
 ) -> None:
     """Shed less urgent work for a request, or refuse the request itself."""
     tier = state.get_or_create_tier(pool, request.tier)
-    full = pool.count_waiting() >= state.options.max_waiting
-    wait_ms = tier.estimate_wait_ms(request.customer, now_ms) or 0
-    late = wait_ms > request.compute_remaining_wait_ms(now_ms)
-    if not full and not late:
-        return
-    bounded = pool.count_waiting() < MAX_PASSING_FACTOR * state.options.max_waiting
-    if state.uses_regions and bounded and _passes_others(state, pool, request, now_ms):
-        return
-    victim = pool.find_least_urgent(request.tier)
-    if victim is None and full:
-        victim = tier.queue.find_excess_request(request.customer)
+    victim = find_victim_of(
+        state, pool, tier, request, pool.group, state.router, now_ms
+    )
     if victim is None:
-        retry_ms = pool.compute_retry_after_ms(request, now_ms)
-        raise _make_refusal(ErrorCode.OVERLOADED, "too much work waits", retry_ms)
-    if not full:
         return
     if victim.is_running:
         state.cancel_attempt(victim, now_ms, decisions, beneficiary=request.id)
@@ -154,26 +78,6 @@
     state.refuse_waiting(victim, ErrorCode.OVERLOADED, retry_ms, decisions)
 
 
-def _passes_others(
-    state: DispatcherState, pool: Pool, request: Request, now_ms: int
-) -> bool:
-    """Tell whether a request finds a slot now that those which wait may not use.
-
-    Only requests that are bound to some failure domains leave such slots free.
-    """
-    for other in state.requests.values():
-        if other.domains is None or other.pool != pool.name or other.is_running:
-            continue
-        return state.router.choose(request, pool.group, now_ms) is not None
-    return False
-
-
-def _make_refusal(
-    code: ErrorCode, message: str, retry_ms: int | None = None
-) -> RequestError:
-    return RequestError(code, message, Outcome.NOT_RUN, retry_ms)
-
-
 def handle_path_probed(
     state: DispatcherState, event: ev.PathProbed, now_ms: int, decisions: list
 ) -> None:
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -114,11 +114,17 @@
 
     def get_or_create_tier(self, pool: Pool, tier: int) -> TierQueue:
         """Return a tier's queue in a pool; without strict tiers, all share one."""
+        found = self.find_tier(pool, tier)
+        if found.tier not in pool.tiers:
+            pool.add_tier(found)
+        return found
+
+    def find_tier(self, pool: Pool, tier: int) -> TierQueue:
+        """Return a tier's queue in a pool, or a new one that is not added to it."""
         level = tier if self.options.strict_tiers else TOP_TIER
         found = pool.tiers.get(level)
         if found is None:
             found = TierQueue(level, self.options.make_queue(self.counters))
-            pool.add_tier(found)
         return found
 
     def get_or_create_pool(self, name: str) -> Pool:
--- a/plantainwood/core/limits.py
+++ b/plantainwood/core/limits.py
@@ -1,5 +1,7 @@
 """Fleet-wide limits: each node leases a share of each customer's limits."""
 
+import copy
+
 import msgspec
 
 from plantainwood.core.catalogue import Customer
@@ -52,6 +54,13 @@
         self._request_bucket = Bucket(customer.requests_per_s * BURST_S, now_ms)
         self._token_bucket = Bucket(customer.tokens_per_s * BURST_S, now_ms)
 
+    def copy(self) -> "CustomerLimit":
+        """Return a limit in which requests count without effect on this one."""
+        found = copy.copy(self)
+        found._request_bucket = copy.copy(self._request_bucket)
+        found._token_bucket = copy.copy(self._token_bucket)
+        return found
+
     def set_customer(self, customer: Customer) -> None:
         """Apply the limits of a newer catalogue."""
         self._customer = customer
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -82,17 +82,24 @@
     """Return the best upstream of a group for a request, or None if it must wait."""
     if now_ms < request.retry_at_ms:
         return None
-    pool = state.pools[request.pool]
+    usable = list_vms_instead(state, state.pools[request.pool], request, now_ms)
+    if usable:
+        return choose_serving_vm(request, usable, now_ms)
+    if state.is_suspect(request, now_ms):
+        group = _filter_suspect_free(state, request, group, now_ms)
+    return state.router.choose(request, group, now_ms)
+
+
+def list_vms_instead(
+    state: DispatcherState, pool: Pool, request: Request, now_ms: int
+) -> list[UpstreamLoad]:
+    """Return the VMs that may serve a request; none while this node has a path."""
     if not request.from_vm and state.lacks_path(
         pool, request.version, now_ms, request.domains
     ):
         own_domains = state.regions.list_own()
-        usable = list_usable_vms(state.list_serving_vms(), request, own_domains)
-        if usable:
-            return choose_serving_vm(request, usable, now_ms)
-    if state.is_suspect(request, now_ms):
-        group = _filter_suspect_free(state, request, group, now_ms)
-    return state.router.choose(request, group, now_ms)
+        return list_usable_vms(state.list_serving_vms(), request, own_domains)
+    return []
 
 
 def _filter_suspect_free(
--- a/plantainwood/core/shutdown.py
+++ b/plantainwood/core/shutdown.py
@@ -1,7 +1,8 @@
 """Planned stop of a node: which requests it still takes, and how it ends the others."""
 
 from plantainwood.core import events as ev
-from plantainwood.core.admission import RETRY_DRAINING_MS, refuse_unservable
+from plantainwood.core.admission import refuse_unservable
+from plantainwood.core.arrivalchecks import RETRY_DRAINING_MS
 from plantainwood.core.dispatcherstate import DispatcherState, find_outcome
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.requests import Request
--- a/plantainwood/core/upstreamset.py
+++ b/plantainwood/core/upstreamset.py
@@ -232,33 +232,42 @@
 
     def choose_subset(self, pool: Pool) -> None:
         """Select this node's bounded subset of the upstreams that serve a pool."""
-        domains: dict[str, str] = {}
+        members = self.list_members(pool.name)
+        pool.group = self.select_group(members)
+        self.set_ramps(pool.group)
+        self.router.set_pool_upstreams(pool.name, members)
+
+    def list_members(self, pool: str) -> list[UpstreamLoad]:
+        """Return all upstreams of a pool, those that get nothing included."""
         members: list[UpstreamLoad] = []
         for upstream, entry in self.catalogue.upstreams.items():
-            if not _serves_pool(entry, pool.name):
-                continue
-            members.append(self.loads[upstream])
-            if self.loads[upstream].leaving or self.loads[upstream].evacuated:
+            if _serves_pool(entry, pool):
+                members.append(self.loads[upstream])
+        return members
+
+    def select_group(self, members: list[UpstreamLoad]) -> list[UpstreamLoad]:
+        """Return the upstreams of a pool that this node sends to."""
+        domains: dict[str, str] = {}
+        for load in members:
+            if load.leaving or load.evacuated:
                 continue
-            if self._domains and entry.kind is UpstreamKind.ENGINE:
+            if self._domains and load.entry.kind is UpstreamKind.ENGINE:
                 if self._own_domain not in select_serving_domains(
-                    upstream, self._domains
+                    load.name, self._domains
                 ):
                     continue
-            domains[upstream] = entry.domain
+            domains[load.name] = load.entry.domain
         subset = pick_subset(self.node, domains, self.options.subset_size)
-        pool.group = [self.loads[upstream] for upstream in subset]
-        self._set_ramps(pool)
-        self.router.set_pool_upstreams(pool.name, members)
+        return [self.loads[upstream] for upstream in subset]
 
-    def _set_ramps(self, pool: Pool) -> None:
+    def set_ramps(self, group: list[UpstreamLoad]) -> None:
         """Set how much the failure domains that return to service take of a pool."""
         slots: dict[str, int] = {}
-        for load in pool.group:
+        for load in group:
             domain = load.entry.domain
             slots[domain] = slots.get(domain, 0) + load.entry.slots
         ramps = self.evacuations.make_ramps(slots)
-        for load in pool.group:
+        for load in group:
             load.ramp = ramps.get(load.entry.domain)
 
     def update_rate(self, upstream: str) -> None:
--- a/plantainwood/takeups.py
+++ b/plantainwood/takeups.py
@@ -8,7 +8,7 @@
 import asyncio
 
 from plantainwood.calls import Call
-from plantainwood.core.admission import RETRY_NO_VERSION_MS
+from plantainwood.core.arrivalchecks import RETRY_NO_VERSION_MS
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.core.routes import make_service_pool
 from plantainwood.edge import Edge
