Explanation of where a request would be routed now (core/explanations.py)

Dispatcher.explain runs the checks of admission and the choice of the router on copies of what they change: upstreams with their rates, the customer's limit, the generator, the overflow's plans, learned paces, reported backlogs. Tests compare it with the next decision in random courses of events, a twin without explanations, and the pickled state before and after.

--- a/plantainwood/core/candidates.py
+++ b/plantainwood/core/candidates.py
@@ -39,6 +39,16 @@
     """Its score or expected time is worse than that of the chosen one."""
 
 
+class Figures(msgspec.Struct, frozen=True):
+    """What a router knows of an upstream, whether it may be chosen or not."""
+
+    slowness: float
+    """How much longer its work takes now than usual, or than that of its pool."""
+    backlog_tokens: int | None = None
+    """Tokens that await prefill; None for requests without a prompt."""
+    cached_tokens: int | None = None
+
+
 class Evaluation(msgspec.Struct):
     """The result of one choice, with the figures of the upstreams by name."""
 
@@ -47,8 +57,6 @@
     """Of all upstreams but the chosen one."""
     scores: dict[str, float] = {}
     expected_ms: dict[str, float] = {}
-    backlog_tokens: dict[str, int] = {}
-    cached_tokens: dict[str, int] = {}
     domain_shares: dict[str, float] | None = None
     """The shares that other failure domains serve; None without an overflow."""
 
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -15,6 +15,7 @@
 from plantainwood.core.dispatcheroptions import Options
 from plantainwood.core.dispatcherstate import DispatcherState
 from plantainwood.core.evacuations import EvacuationChange
+from plantainwood.core.explanations import Explanation, explain_arrival
 from plantainwood.core.outcomes import (
     handle_authorization_lost,
     handle_caller_left,
@@ -61,6 +62,10 @@
         HANDLERS[type(event)](self.state, event, now_ms, decisions)
         return decisions
 
+    def explain(self, event: ev.Arrival, now_ms: int) -> Explanation:
+        """Return what would become of an arriving request; change nothing."""
+        return explain_arrival(self.state, event, now_ms)
+
     def apply_catalogue(self, catalogue: Catalogue) -> None:
         """Replace the catalogue; loads, queues and limits are kept by name."""
         self.state.apply_catalogue(catalogue)
--- a/plantainwood/core/enginestates.py
+++ b/plantainwood/core/enginestates.py
@@ -4,6 +4,8 @@
 parts and include each other's prompts in the backlog.
 """
 
+import copy
+
 import msgspec
 
 from plantainwood.core.prompts import Part, PartCache, Prompt, make_cache
@@ -44,6 +46,13 @@
         self._next_expiry_ms = 0
         """No report expires before this time."""
 
+    def copy(self) -> "RemoteBacklogs":
+        """Return an object from which reports expire without effect on this one."""
+        found = copy.copy(self)
+        found._by_node = dict(self._by_node)
+        found._totals = dict(self._totals)
+        return found
+
     def record(self, node: str, pending_tokens: dict[str, int], now_ms: int) -> None:
         """Replace another node's backlog."""
         self._remove(node)
@@ -120,6 +129,12 @@
         self._sent_part_count = 0
         self._cache_tokens: dict[str, int] = {}
 
+    def copy(self) -> "EngineStates":
+        """Return an object for choices; prompts and cached parts are shared."""
+        found = copy.copy(self)
+        found._remote = self._remote.copy()
+        return found
+
     def set_cache_tokens(self, engine: str, tokens: int) -> None:
         """Set the size of an engine's KV cache; 0 means DEFAULT_CACHE_TOKENS.
 
--- a/plantainwood/core/promptdomains.py
+++ b/plantainwood/core/promptdomains.py
@@ -73,15 +73,17 @@
     def copy(
         self,
         overflow: DomainOverflow,
+        engine_states: EngineStates,
         estimate_wait_ms: Callable[[UpstreamLoad, int], float],
         members: list[UpstreamLoad],
     ) -> "PromptDomains":
-        """Return an object for a pool with these members that uses a copied overflow.
+        """Return an object for a pool with these members that uses copied figures.
 
         It is for choices alone: what `record_sent` changes is shared.
         """
         found = copy.copy(self)
         found.overflow = overflow
+        found._engine_states = engine_states
         found._estimate_wait_ms = estimate_wait_ms
         found._engine_domains = {}
         found.set_pool_upstreams(members)
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from plantainwood.core.affinity import PrefixHints
-from plantainwood.core.candidates import Evaluation, Reason
+from plantainwood.core.candidates import Evaluation, Figures, Reason
 from plantainwood.core.dedicatedengines import GapPartitions
 from plantainwood.core.domainoverflow import DomainOverflow
 from plantainwood.core.enginepace import EnginePaces
@@ -156,6 +156,7 @@
     def copy(self, pool: str, members: list[UpstreamLoad]) -> "PromptRouter":
         """Return a router for a pool with copies of what a choice changes."""
         found = copy.copy(self)
+        found.engine_states = self.engine_states.copy()
         found.paces = self.paces.copy()
         found._random = copy.copy(self._random)
         found._estimates = {}
@@ -164,7 +165,7 @@
         if self._domains is not None:
             overflow = self._domains.overflow.copy()
             found._domains = self._domains.copy(
-                overflow, found._estimate_wait_ms, members
+                overflow, found.engine_states, found._estimate_wait_ms, members
             )
         found._plain_router = self._plain_router.copy_with(found._random, overflow)
         return found
@@ -178,7 +179,6 @@
         evaluation = Evaluation()
         allowed: list[UpstreamLoad] = []
         for load in group:
-            self._record_figures(evaluation, request, load, now_ms)
             obstacle = find_obstacle(request, load, now_ms)
             evaluation.reasons[load.name] = obstacle or Reason.OTHER_PARTITION
             if obstacle is None:
@@ -203,19 +203,18 @@
             evaluation.domain_shares = self._domains.overflow.find_shares(key)
         return evaluation
 
-    def _record_figures(
-        self,
-        evaluation: Evaluation,
-        request: Request,
-        load: UpstreamLoad,
-        now_ms: int,
-    ) -> None:
-        """Record the tokens that await prefill on an engine, and those cached there."""
+    def find_figures(
+        self, request: Request, load: UpstreamLoad, now_ms: int
+    ) -> Figures:
+        """Return an engine's pace, and its tokens that await prefill or are cached."""
+        if not request.prompt.tokens:
+            return super().find_figures(request, load, now_ms)
         states = self.engine_states
-        backlog = states.count_backlog_tokens(load.name, now_ms)
-        evaluation.backlog_tokens[load.name] = backlog
-        cached = states.count_cached_tokens(load.name, request.prompt)
-        evaluation.cached_tokens[load.name] = cached
+        return Figures(
+            self._compute_slowness(load, now_ms),
+            states.count_backlog_tokens(load.name, now_ms),
+            states.count_cached_tokens(load.name, request.prompt),
+        )
 
     def _make_partition_key(self, request: Request) -> str:
         """Return the name of a pool's partition in the overflow."""
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -5,7 +5,7 @@
 from abc import ABC, abstractmethod
 
 from plantainwood.core.affinity import PrefixHints
-from plantainwood.core.candidates import Evaluation, Reason
+from plantainwood.core.candidates import Evaluation, Figures, Reason
 from plantainwood.core.domainoverflow import DomainOverflow
 from plantainwood.core.loads import TIERS, UpstreamLoad
 from plantainwood.core.plaindomains import PlainDomains
@@ -81,6 +81,12 @@
         evaluation.record_chosen(self.choose(request, group, now_ms))
         return evaluation
 
+    def find_figures(
+        self, request: Request, load: UpstreamLoad, now_ms: int
+    ) -> Figures:
+        """Return what is known of an upstream; called on a copy, as `evaluate`."""
+        return Figures(load.reported_pace.compute_slowness(now_ms))
+
 
 def is_allowed(request: Request, load: UpstreamLoad, now_ms: int) -> bool:
     """Tell whether an upstream may take a request at all."""
--- a/plantainwood/core/routes.py
+++ b/plantainwood/core/routes.py
@@ -157,6 +157,13 @@
             raise RequestError(ErrorCode.UNKNOWN_KEY, "the key is not known")
         return customer
 
+    def find_named_customer(self, name: str) -> ConfiguredCustomer | None:
+        """Return the customer of a name; None if there is none with a key."""
+        for customer in self._keys.values():
+            if customer.name == name:
+                return customer
+        return None
+
     def list_regions(self) -> list[str]:
         """Return the regions that routes or customers name, sorted."""
         found: set[str] = set()
