--- a/tests/test_route_explanations.py
+++ b/tests/test_route_explanations.py
@@ -74,15 +74,29 @@
         assert pickle.dumps(vm.state) == before
 
 
-# Guards against state that is created when a pool or customer is first asked about.
-def test_an_explanation_before_the_first_request_creates_nothing():
-    vm = make_vm()
+# Guards against state that is created when something is first asked about: a pool, its
+# tiers, a customer, a failure domain that was never heard.
+@pytest.mark.parametrize("pool_exists", [False, True])
+@pytest.mark.parametrize("overflow", [False, True])
+def test_an_explanation_before_the_first_request_creates_nothing(overflow, pool_exists):
+    vm = make_vm(overflow=overflow)
     event = Driver([vm], 1, True).make_arrival()
-    vm.state.pools.clear()
+    if pool_exists:
+        vm.state.get_or_create_pool(POOL)
     before = pickle.dumps(vm.state)
     assert vm.explain(event, 10_000).upstream
     assert pickle.dumps(vm.state) == before
-    assert not vm.state.pools and not vm.state.limits
+    assert (POOL in vm.state.pools) == pool_exists and not vm.state.limits
+
+
+# Guards against upstreams that count as worse though they were not looked at.
+def test_upstreams_that_were_not_drawn_are_told_apart_from_worse_ones():
+    vm = make_vm()
+    plain = sorted(find_explained(vm, Driver([vm], 1, False).make_arrival()).values())
+    assert plain == [""] + 6 * ["not_drawn"] + 2 * ["slower"]
+    vm.decide(ev.LoadReported("e1", (), 0, 150), 10_000)
+    prompt = list(find_explained(vm, Driver([vm], 1, True).make_arrival()).values())
+    assert prompt.count("not_drawn") >= 5 and prompt.count("slower") >= 2
 
 
 # Guards against a reason that is another one than the cause.
