GET /explain, the administration API's /admin/explain, plantainctl route explain

The platform's metrics address and the administration API answer where a request would be routed now; the tool prints it as lines and a table or as JSON. Invalid fields are named (400, exit code 2), names that are not known are not repeated, since they may be keys.

--- a/plantainctl/client.py
+++ b/plantainctl/client.py
@@ -19,7 +19,10 @@
 
 
 class Client:
-    """Call the administration API of the first VM that accepts the connection."""
+    """Call the first VM that accepts the connection.
+
+    Its administration API needs a key; the metrics address is asked without one.
+    """
 
     def __init__(self, addresses: list[str], key: str, ca_file: str = "") -> None:
         self._addresses = addresses
@@ -42,7 +45,8 @@
         reason = "no address given"
         for address in self._addresses:
             request = urllib.request.Request(address + path, data, method=method)
-            request.add_header("Authorization", f"Bearer {self._key}")
+            if self._key:
+                request.add_header("Authorization", f"Bearer {self._key}")
             request.add_header("Content-Type", "application/json")
             try:
                 with urllib.request.urlopen(
--- a/plantainctl/main.py
+++ b/plantainctl/main.py
@@ -7,6 +7,8 @@
   plantainctl key grant paseos-rounds
   plantainctl key withdraw 5f0c3a --wait
   plantainctl --output json status
+  plantainctl route explain --address 10.0.0.1:9464 --host api.example --path /v1/x \
+    --customer acme --prompt p1:900,s7:2000,own:300 --tokens 3200,200
 """
 
 import argparse
@@ -20,6 +22,12 @@
 
 from plantainctl.client import ApiError, Client
 from plantainctl.output import Format, render
+from plantainctl.routes import (
+    UsageError,
+    add_arguments,
+    ask_explanation,
+    render_text,
+)
 from plantainctl.waiting import wait_until_in_force
 
 EXIT_OK = 0
@@ -129,6 +137,19 @@
     return EXIT_OK, client.get("/admin/usage")["usage"]
 
 
+def explain_route(client: Client, args: argparse.Namespace) -> CommandResult:
+    """Explain where a request would be routed now, without sending it."""
+    try:
+        found = ask_explanation(client, args)
+    except ApiError as error:
+        if error.code == "bad_request":
+            raise UsageError(str(error)) from error
+        raise
+    if args.json:
+        args.output = Format.JSON
+    return EXIT_OK, render_text(found) if args.output is Format.TABLE else found
+
+
 def parse_flags(argv: list[str]) -> argparse.Namespace:
     """Return the parsed command line."""
     parser = argparse_flags.ArgumentParser(
@@ -155,6 +176,7 @@
     commands = parser.add_subparsers(dest="command", required=True)
     _add_catalogue(commands)
     _add_key(commands)
+    _add_route(commands)
     _add_command(commands, "status", show_status)
     _add_command(commands, "upstreams", show_upstreams)
     _add_command(commands, "usage", show_usage)
@@ -203,16 +225,28 @@
     _add_command(actions, "withdraw", withdraw_key, waits=True).add_argument("id")
 
 
-def main(args: argparse.Namespace) -> int:
-    """Run one command and return its exit code."""
+def _add_route(commands: Any) -> None:
+    parser = commands.add_parser("route", help="explain routes")
+    actions = parser.add_subparsers(dest="action", required=True)
+    add_arguments(_add_command(actions, "explain", explain_route))
+
+
+def _make_client(args: argparse.Namespace) -> Client:
+    """Return the client for a command; raise UsageError if arguments are missing."""
+    if getattr(args, "address", ""):
+        return Client([f"http://{args.address}"], "")
     addresses = [item for item in args.addresses.split(",") if item]
     key = os.environ.get(KEY_VARIABLE, "")
     if not addresses or not key:
-        print(f"--addresses and ${KEY_VARIABLE} are required", file=sys.stderr)
-        return EXIT_USAGE
+        raise UsageError(f"--addresses and ${KEY_VARIABLE} are required")
+    return Client(addresses, key, args.ca_file)
+
+
+def main(args: argparse.Namespace) -> int:
+    """Run one command and return its exit code."""
     try:
-        code, data = args.function(Client(addresses, key, args.ca_file), args)
-    except OSError as error:
+        code, data = args.function(_make_client(args), args)
+    except (OSError, UsageError) as error:
         print(error, file=sys.stderr)
         return EXIT_USAGE
     except ApiError as error:
--- a/plantainctl/output.py
+++ b/plantainctl/output.py
@@ -16,7 +16,12 @@
 
 
 def render(data: Any, output: Format) -> str:
-    """Return data as text; in table format, a list of mappings becomes a table."""
+    """Return data as text; in table format, a list of mappings becomes a table.
+
+    Text is returned as it is.
+    """
+    if isinstance(data, str):
+        return data
     if output is Format.JSON:
         return json.dumps(data, indent=2)
     if output is Format.YAML:
--- a/plantainwood/admin.py
+++ b/plantainwood/admin.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from mode import Service
 
+from plantainwood.adminexplain import explain_query
 from plantainwood.answers import make_error_response, render_error
 from plantainwood.callers import make_tls_context
 from plantainwood.catalogue_texts import CatalogueTextError, parse_catalogue
@@ -33,6 +34,7 @@
 from plantainwood.core.errors import ErrorCode, RequestError, StoreError
 from plantainwood.core.keys import SALT_BYTES, SECRET_BYTES, make_key
 from plantainwood.core.usage import USAGE_PREFIX, UsageLine, UsageRecord
+from plantainwood.explainquery import FieldError, render_field_error
 from plantainwood.node import Node
 from plantainwood.watcher import refresh_catalogue
 
@@ -84,6 +86,7 @@
         app.router.add_post("/admin/keys/{id}/withdraw", self.handle_withdraw)
         app.router.add_get("/admin/upstreams", self.handle_upstreams)
         app.router.add_get("/admin/usage", self.handle_usage)
+        app.router.add_get("/admin/explain", self.handle_explain)
         self._runner = ClientRunner(
             app, self.node.client_guard, keepalive_timeout=IDLE_S
         )
@@ -298,6 +301,13 @@
             )
         return web.json_response({"upstreams": upstreams})
 
+    async def handle_explain(self, request: web.Request) -> web.Response:
+        """Return where a request would be routed now; nothing is sent or counted."""
+        try:
+            return web.json_response(explain_query(self.node, request.query))
+        except FieldError as error:
+            return web.json_response(render_field_error(error), status=error.status)
+
     async def handle_usage(self, request: web.Request) -> web.Response:
         """Return the usage that the key-value service holds, by window and line."""
         stored = await self.node.clients.driver.store.scan(USAGE_PREFIX)
