--- a/tests/test_route_explanations.py
+++ b/tests/test_route_explanations.py
@@ -9,7 +9,7 @@
 from plantainwood.core.coldupstreams import ColdSource
 from tests.explainedvm import COLD_MS, POOL, Driver, make_vm
 
-STEPS = 250
+STEPS = 400
 
 
 def find_explained(vm, event, now_ms: int = 10_000) -> dict[str, str]:
@@ -28,7 +28,7 @@
 ):
     vm, twin = make_vm(overflow=overflow), make_vm(overflow=overflow)
     driver = Driver([vm, twin], seed, prompts)
-    seen = {"dispatched": 0, "refused": 0, "waiting": 0}
+    seen = {"dispatched": 0, "refused": 0, "waiting": 0, "shed": 0}
     for _ in range(STEPS):
         driver.disturb()
         event = driver.make_arrival()
@@ -45,6 +45,9 @@
             seen["refused"] += 1
             continue
         assert explanation.refusal is None
+        others = [item for item in decisions if isinstance(item, ev.Refuse)]
+        assert explanation.sheds_other == bool(others)
+        seen["shed"] += len(others)
         if waits:
             seen["waiting"] += 1
             continue
