--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -25,7 +25,7 @@
     Mutant(
         1,
         "refuse an arriving request although less urgent ones wait",
-        CORE + "admission.py",
+        CORE + "arrivalchecks.py",
         "    victim = pool.find_least_urgent(request.tier)\n"
         "    if victim is None and full:",
         "    victim = None\n    if victim is None and full:",
@@ -192,8 +192,8 @@
         11,
         "send requests to a leaving upstream",
         CORE + "router.py",
-        "    if load.leaving or load.is_unreached",
-        "    if load.is_unreached",
+        "    if load.leaving:\n        return Reason.LEAVING\n",
+        "",
         PROOFS + "test_requests.py",
     ),
     Mutant(
@@ -403,8 +403,9 @@
         1,
         "attempts exceed the node's share of the connection limit",
         CORE + "router.py",
-        " or load.is_at_connection_limit():",
-        ":",
+        "    if load.max_own_in_flight and load.is_at_connection_limit():\n"
+        "        return Reason.CONNECTION_LIMIT\n",
+        "",
         PROOFS + "test_prompts.py",
     ),
     Mutant(
@@ -629,8 +630,8 @@
         11,
         "send to an upstream that has asked for a pause",
         CORE + "router.py",
-        "max(load.paused_until_ms, load.unwilling_until_ms)",
-        "load.paused_until_ms",
+        "now_ms < load.paused_until_ms or now_ms < load.unwilling_until_ms",
+        "now_ms < load.paused_until_ms",
         "tests/test_retry_after.py",
     ),
     Mutant(
@@ -652,7 +653,7 @@
     Mutant(
         11,
         "pass on calls that come from another VM",
-        CORE + "admission.py",
+        CORE + "arrivalchecks.py",
         "    if event.from_vm and state.lacks_path(",
         "    if False and state.lacks_path(",
         "tests/test_serving_vms.py",
@@ -788,7 +789,7 @@
     Mutant(
         12,
         "a stopping VM takes requests that may outlast it",
-        CORE + "admission.py",
+        CORE + "arrivalchecks.py",
         "    return not 0 < event.queue_deadline_ms <= state.stops_at_ms\n",
         "    return False\n",
         "tests/test_late_requests.py",
@@ -861,8 +862,8 @@
         0,
         "an evacuated upstream stays in the group of its pool",
         CORE + "upstreamset.py",
-        "if self.loads[upstream].leaving or self.loads[upstream].evacuated:",
-        "if self.loads[upstream].leaving:",
+        "if load.leaving or load.evacuated:",
+        "if load.leaving:",
         "tests/test_evacuation.py",
     ),
     Mutant(
@@ -885,8 +886,8 @@
         0,
         "a request leaves its regions",
         CORE + "router.py",
-        "    return request.may_use_domain(load.entry.domain)\n",
-        "    return True\n",
+        "    if not request.may_use_domain(load.entry.domain):\n",
+        "    if False:\n",
         "tests/test_allowed_regions.py",
     ),
     Mutant(
@@ -897,4 +898,44 @@
         "        if False:",
         "tests/test_allowed_regions.py",
     ),
+    Mutant(
+        0,
+        "an explanation uses up the router's random numbers",
+        CORE + "explanations.py",
+        "state.router.copy(name, self.members)",
+        "state.router",
+        "tests/test_route_explanations.py",
+    ),
+    Mutant(
+        0,
+        "an explanation refills the rates of upstreams",
+        CORE + "explanations.py",
+        "    found.rate = copy.copy(load.rate)\n",
+        "",
+        "tests/test_route_explanations.py",
+    ),
+    Mutant(
+        0,
+        "an explanation counts in the customer's limit",
+        CORE + "explanations.py",
+        "return limit.copy() if limit",
+        "return limit if limit",
+        "tests/test_route_explanations.py",
+    ),
+    Mutant(
+        0,
+        "an explanation moves the shares of an overflow",
+        CORE + "domainoverflow.py",
+        "        found.ramp = self.ramp.copy()\n",
+        "",
+        "tests/test_route_explanations.py",
+    ),
+    Mutant(
+        0,
+        "an explanation updates the learned paces",
+        CORE + "promptrouter.py",
+        "found.paces = self.paces.copy()",
+        "found.paces = self.paces",
+        "tests/test_route_explanations.py",
+    ),
 ]
