A VM that starts counts registered VMs as live, and names few VMs briefly

Cause: a VM that had heard no others took the whole fleet's retries (30 instead of 30/90 with 90 VMs), connections, named rates and slots, and its directory answer named only itself for 1 s, for some callers 3 s. So all callers of the first seconds stayed with the first VMs. Refused callers came back together.

--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -70,15 +70,21 @@
         self.state.set_domains(own, domains)
 
     def set_nodes(
-        self, nodes: set[str], now_ms: int, known: frozenset[str] = frozenset()
+        self,
+        nodes: set[str],
+        now_ms: int,
+        known: frozenset[str] = frozenset(),
+        unheard: set[str] | None = None,
     ) -> None:
         """Set the live nodes, which divide upstreams' request rates and slots.
 
-        `known` are those that are known or registered, live or not.
+        `known` are those that are known or registered, live or not; those of `unheard`
+        divide as if they were live.
         """
-        self.state.upstream_limits.set_nodes(nodes, now_ms)
+        dividing = nodes | (unheard or set())
+        self.state.upstream_limits.set_nodes(dividing, now_ms)
         self.state.cold_upstreams.set_members(nodes, known, now_ms)
-        self.state.nodes = sorted(nodes | {self.state.node})
+        self.state.nodes = sorted(dividing | {self.state.node})
 
     def set_cold_limits(
         self, limits: dict[str, ColdLimit], new_are_cold: bool, now_ms: int
--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -63,9 +63,15 @@
     """The first of its VM, or of a new incarnation of it."""
 
 
-def compute_share(own_weight: int, others: list[VmHeartbeat]) -> float:
-    """Return a VM's share of what the fleet uses together, by weight."""
-    total = own_weight + sum(heartbeat.weight for heartbeat in others)
+def compute_share(
+    own_weight: int, others: list[VmHeartbeat], unheard: int = 0
+) -> float:
+    """Return a VM's share of what the fleet uses together, by weight.
+
+    `unheard` VMs, whose weights are not known, count like this one.
+    """
+    total = own_weight * (1 + unheard)
+    total += sum(heartbeat.weight for heartbeat in others)
     return own_weight / total if total > 0 else 1.0
 
 
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -37,6 +37,7 @@
 from plantainwood.core.promptrouter import PromptRouter, make_prompt_router
 from plantainwood.core.reports import FrozenReports
 from plantainwood.core.retries import SharedRetryBudget
+from plantainwood.core.returning import Returning
 from plantainwood.core.routes import (
     SERVICE_POOL_PREFIX,
     RetrySafety,
@@ -125,6 +126,7 @@
         self.second_read = SecondRead()
         self.view = PlatformView()
         self.vms = VmTable(settings.node)
+        self.returning = Returning()
         now_ms = clock.now_ms()
         self.agreed_time = AgreedTime(clock.wall_ms(), now_ms)
         self.retry_budget = SharedRetryBudget(
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -26,9 +26,9 @@
 from plantainwood.core.vms import (
     HeartbeatStatus,
     compute_heartbeat_interval_ms,
-    compute_share,
 )
 from plantainwood.edge import Edge
+from plantainwood.fleetshares import FleetShares
 from plantainwood.guardedtask import contain_errors, guarded_task
 from plantainwood.logs import log_event
 from plantainwood.messenger import Messenger, make_messenger
@@ -58,6 +58,7 @@
         self._live_names: set[str] = set()
         self._relay = HeartbeatRelay(edge, self._send_to_names)
         self._cold_watch = ColdWatch(edge)
+        self.shares = FleetShares(edge)
         self.mirror_links = MirrorLinks(edge, on_items, self._send, self.broadcast)
         super().__init__(**kwargs)
 
@@ -142,19 +143,11 @@
         live = edge.vms.list_live(now_ms)
         self._update_live_names({heartbeat.sender for heartbeat in live})
         edge.agreed_time.correct_offset({heartbeat.sender for heartbeat in live})
-        edge.retry_budget.set_nodes(len(live) + 1)
         stream_versions = edge.broker.dispatcher.state.stream_versions
         stream_versions.is_registry_current = edge.is_registry_current()
-        edge.broker.dispatcher.set_nodes(
-            {heartbeat.sender for heartbeat in live},
-            now_ms,
-            frozenset(edge.vms.list_current_names(now_ms)),
-        )
+        self.shares.update()
         self._cold_watch.check()
         self._update_serving_vms(now_ms)
-        edge.broker.dispatcher.set_connection_share(
-            compute_share(edge.settings.capacity_percent, live)
-        )
         self._send_or_relay(live, urgent, now_ms)
         if self._messenger is not None:
             self._messenger.close_idle(set(edge.vms.list_addresses().values()))
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -37,6 +37,7 @@
         "client_connections",
         "domain_sent",
         "domain_share",
+        "unheard_vms",
     )
 
     def __init__(self) -> None:
@@ -118,6 +119,9 @@
             "pw_domain_share",
             "Share of what a failure domain sends, by source and target domain.",
         )
+        self.unheard_vms = self._make_gauge(
+            "pw_unheard_vms", "Registered VMs that count as live but were not heard."
+        )
 
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
