--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -42,6 +42,7 @@
         "vm_slowness",
         "vm_weight_share",
         "slow_vms",
+        "unheard_vms",
     )
 
     def __init__(self) -> None:
@@ -139,6 +140,9 @@
         self.slow_vms = self._make_gauge(
             "pw_slow_vms", "VMs that are known here to be slow, this one included."
         )
+        self.unheard_vms = self._make_gauge(
+            "pw_unheard_vms", "Registered VMs that count as live but were not heard."
+        )
 
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
