Links: tests and mutants of the listener's decisions; a stranger's time begins with our answer

Before, it began when the connection was accepted, so that a pause of this VM between the two counted against the sender.

--- a/plantainwood/linkconnection.py
+++ b/plantainwood/linkconnection.py
@@ -37,8 +37,9 @@
         return self._splitter.held_bytes
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Answer as a pull socket."""
+        """Answer as a pull socket; the sender's time to send a frame begins."""
         self._transport = transport
+        self.opened_s = asyncio.get_running_loop().time()
         transport.max_size = READ_BYTES
         sock = transport.get_extra_info("socket")
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
--- a/tests/test_link_listener.py
+++ b/tests/test_link_listener.py
@@ -10,6 +10,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from plantainwood.core.clientlimits import STRANGER_BYTES
 from plantainwood.core.frames import FrameError, is_authentic, seal
 from plantainwood.core.linkstream import MAX_FRAME_BYTES, PUSH_HELLO, FrameSplitter
 from plantainwood.linklistener import MAX_QUEUED_FRAMES, LinkListener
@@ -104,6 +105,42 @@
     run(scenario)
 
 
+# Guards against a frame that somebody else signed, and is queued.
+def test_a_forged_frame_ends_its_connection_and_is_not_queued():
+    async def scenario(site: Site) -> None:
+        forged, known = site.connect(), site.connect()
+        frame, own = seal(b"x", b"f" * 16), seal(b"x", SECRET)
+        forged.sendall(PUSH_HELLO + len(frame).to_bytes(8) + frame)
+        await asyncio.sleep(0.1)
+        known.sendall(PUSH_HELLO + len(own).to_bytes(8) + own)
+        assert await site.receive(1) == [own]
+        forged.settimeout(WAIT_S)
+        with contextlib.suppress(ConnectionResetError):
+            while forged.recv(64):
+                pass
+
+    run(scenario)
+
+
+# Guards against many strangers that each hold a frame within its own bound.
+def test_strangers_hold_a_bounded_number_of_bytes_together():
+    async def scenario(site: Site) -> None:
+        receiving = asyncio.create_task(site.listener.receive())
+        loop = asyncio.get_running_loop()
+        for _ in range(MAX_STRANGERS // 2):
+            sock = site.connect()
+            sock.setblocking(False)
+            start = PUSH_HELLO + MAX_FRAME_BYTES.to_bytes(8)
+            with contextlib.suppress(OSError):
+                await loop.sock_sendall(sock, start + bytes(MAX_FRAME_BYTES // 2))
+        await asyncio.sleep(0.2)
+        held = sum(each.held_bytes for each in site.listener._strangers)
+        assert 0 < held <= STRANGER_BYTES
+        receiving.cancel()
+
+    run(scenario)
+
+
 # Guards against a bound that a frame of the largest size meets, or many in a row.
 def test_the_largest_frame_and_many_in_a_row_arrive():
     async def scenario(site: Site) -> None:
