--- a/plantainwood/lingering.py
+++ b/plantainwood/lingering.py
@@ -71,8 +71,8 @@
 def _shorten_error(item: tuple) -> tuple:
     """Return what the parser yielded, with a short message if that is an error.
 
-    The error loses its traceback: its frames hold the input and refer back to the
-    error, so that both would stay until the next garbage collection.
+    The error loses its traceback, whose frames hold the input: it stays until the next
+    garbage collection.
     """
     message, body = item
     if not isinstance(message, _ErrInfo):
