Fair shares of customers over all VMs, under contention

Cause: each VM's queue was fair only among the requests that wait on that VM, by generated tokens. With 90 VMs few requests wait on each, and the engines' backlogs were filled by the customer that sends most.

Change: with customer_shares.enabled (off by default), VMs report the work that they did for each customer in the heartbeat field customer_work (16 customers at most). Within a tier, the customer with the least recent work by weight goes first, and a rejection falls on the waiting customer furthest above its share. In the least urgent tier of a pool, prompts of a customer above its share go only to engines whose backlog is below a part of the usual bound, so that room is left there for others. A customer passed over for two turns goes next. Metrics pw_customer_share and pw_share_rejections_total, log events customer_limited and customer_work_malformed.

--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -141,12 +141,22 @@
     if state.uses_regions and bounded and _passes_others(state, pool, request, now_ms):
         return
     victim = pool.find_least_urgent(request.tier)
+    above_share = None
+    if victim is None:
+        victim = above_share = tier.queue.find_request_above_share(request.customer)
     if victim is None and full:
         victim = tier.queue.find_excess_request(request.customer)
     if victim is None:
         retry_ms = pool.compute_retry_after_ms(request, now_ms)
         raise _make_refusal(ErrorCode.OVERLOADED, "too much work waits", retry_ms)
-    if not full:
+    if not full and above_share is None:
+        return
+    if above_share is not None and state.shares is not None:
+        retry_ms = pool.compute_retry_after_ms(victim, now_ms)
+        state.shares.record_rejection(victim.customer, now_ms)
+        message = "the customer is above its share"
+        code = ErrorCode.OVERLOADED
+        state.refuse_waiting(victim, code, retry_ms, decisions, message)
         return
     if victim.is_running:
         state.cancel_attempt(victim, now_ms, decisions, beneficiary=request.id)
--- a/plantainwood/core/dispatcheroptions.py
+++ b/plantainwood/core/dispatcheroptions.py
@@ -28,6 +28,8 @@
     probe_suspects: bool = False
     """Whether what crashed upstreams is on probation before it is blocked."""
     max_crashes: int = MAX_CRASHES
+    customer_shares: bool = False
+    """Whether customers get fair shares by their recent work in the whole fleet."""
     max_waiting: int = 256
     subset_size: int = 16
     limit_floor: float = 1.0
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -5,15 +5,17 @@
 
 from plantainwood.core import events as ev
 from plantainwood.core.catalogue import Catalogue, Customer
+from plantainwood.core.customershares import CustomerShares
 from plantainwood.core.dispatcheroptions import Options
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.evacuations import EvacuationChange
-from plantainwood.core.fairness import TokenCounters
+from plantainwood.core.fairness import TokenCounters, WaitingQueue
 from plantainwood.core.limits import CustomerLimit
 from plantainwood.core.partquarantine import PartQuarantine
 from plantainwood.core.pools import Pool, TierQueue
 from plantainwood.core.quarantine import Mark, Quarantine
 from plantainwood.core.requests import Request
+from plantainwood.core.sharequeue import ShareQueue
 from plantainwood.core.upstreamset import UpstreamSet
 
 TOP_TIER = 0
@@ -44,6 +46,8 @@
         "budget",
         "deadlines",
         "counters",
+        "shares",
+        "least_urgent_tiers",
         "_judging_due_ms",
         "uses_regions",
     )
@@ -70,6 +74,10 @@
         self.deadlines: list[tuple[int, str]] = []
         self.counters = TokenCounters()
         """Shared by all tiers: tokens served in one tier count in the others too."""
+        self.shares = CustomerShares() if options.customer_shares else None
+        """None while customers have no shares over the fleet."""
+        self.least_urgent_tiers: dict[str, int] = {}
+        """The least urgent tier that the configuration has for each pool."""
         self._judging_due_ms = 0
         self.uses_regions = False
         """Whether any request was bound to some failure domains."""
@@ -81,6 +89,9 @@
             if name in self.limits:
                 self.limits[name].set_customer(customer)
             self.counters.set_weight(name, customer.weight)
+        if self.shares is not None:
+            weights = {name: item.weight for name, item in catalogue.customers.items()}
+            self.shares.set_weights(weights)
 
     def is_judging_due(self, now_ms: int) -> bool:
         """Tell, once in each JUDGING_INTERVAL_MS, that stragglers are to be found."""
@@ -117,10 +128,15 @@
         level = tier if self.options.strict_tiers else TOP_TIER
         found = pool.tiers.get(level)
         if found is None:
-            found = TierQueue(level, self.options.make_queue(self.counters))
+            found = TierQueue(level, self._make_queue())
             pool.add_tier(found)
         return found
 
+    def _make_queue(self) -> WaitingQueue:
+        if self.shares is not None:
+            return ShareQueue(self.shares)
+        return self.options.make_queue(self.counters)
+
     def get_or_create_pool(self, name: str) -> Pool:
         """Return a pool; one without upstreams is created but not stored."""
         pool = self.pools.get(name)
@@ -199,12 +215,16 @@
         self.limits[request.customer].end_request()
 
     def refuse_waiting(
-        self, request: Request, code: ErrorCode, retry_ms: int, decisions: list
+        self,
+        request: Request,
+        code: ErrorCode,
+        retry_ms: int,
+        decisions: list,
+        message: str = "more urgent work takes all the room",
     ) -> None:
         """End a waiting request with its known outcome and a time to retry after."""
         self.remove_waiting(request)
         self.end_request(request)
-        message = "more urgent work takes all the room"
         error = RequestError(code, message, find_outcome(request), retry_ms)
         decisions.append(ev.Refuse(request.id, error))
 
--- a/plantainwood/core/fairness.py
+++ b/plantainwood/core/fairness.py
@@ -54,8 +54,15 @@
         """Return the request that has waited longest."""
         return next(self.iter_requests(), None)
 
+    def record_dispatch(self, request: Request, now_ms: int) -> None:
+        """Record that a request that was removed has been sent to an upstream."""
 
-def _find_newest_unattempted(requests: OrderedDict[str, Request]) -> Request | None:
+    def find_request_above_share(self, customer: str) -> Request | None:
+        """Return the request to reject for a customer's, by shares of recent work."""
+        return None
+
+
+def find_newest_unattempted(requests: OrderedDict[str, Request]) -> Request | None:
     """Return the last request without an attempt; most queues end with one."""
     for request in reversed(requests.values()):
         if request.attempts_made == 0:
@@ -165,7 +172,7 @@
 
     def find_newest_unattempted(self) -> Request | None:
         """Return the newest request that has had no attempt."""
-        return _find_newest_unattempted(self._order)
+        return find_newest_unattempted(self._order)
 
     def estimate_ahead(self, customer: str) -> int:
         """Estimate as if the waiting customers took turns, one request each."""
@@ -183,7 +190,7 @@
         own = len(self._queues.get(customer, ()))
         if len(self._queues[longest]) <= own + 1:
             return None
-        return _find_newest_unattempted(self._queues[longest])
+        return find_newest_unattempted(self._queues[longest])
 
     def __len__(self) -> int:
         return len(self._order)
@@ -219,7 +226,7 @@
 
     def find_newest_unattempted(self) -> Request | None:
         """Return the newest request that has had no attempt."""
-        return _find_newest_unattempted(self._order)
+        return find_newest_unattempted(self._order)
 
     def estimate_ahead(self, customer: str) -> int:
         """Return the number of waiting requests."""
--- a/plantainwood/core/fleetmessages.py
+++ b/plantainwood/core/fleetmessages.py
@@ -56,6 +56,9 @@
     engine_timings: dict[str, tuple[int, int, int]] = {}
     """Prefills that the sender saw end since the last heartbeat, by engine: tokens,
     milliseconds and count."""
+    customer_work: dict[str, int] = {}
+    """Work for the customers with most of it, sent since the last heartbeat, in tokens
+    to prefill (core/customershares.py)."""
 
 
 class StoreUpdate(msgspec.Struct, tag=31, array_like=True, frozen=True):
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -2,6 +2,7 @@
 
 from plantainwood.core import events as ev
 from plantainwood.core.crashes import record_crash
+from plantainwood.core.customershares import WORK_PER_GENERATED_TOKEN
 from plantainwood.core.dispatcherstate import (
     DispatcherState,
     find_outcome,
@@ -82,6 +83,11 @@
     state.pools[request.pool].update_credits(request, event.count)
     state.counters.charge(request.customer, event.count)
     state.limits[request.customer].charge_tokens(event.count)
+    if state.shares is None or not request.prompt.tokens:
+        return
+    if not is_serving_vm(state.loads[request.upstream]):
+        work = event.count * WORK_PER_GENERATED_TOKEN
+        state.shares.charge(request.customer, work, now_ms)
 
 
 def handle_done(
--- a/plantainwood/core/pools.py
+++ b/plantainwood/core/pools.py
@@ -45,6 +45,7 @@
         """
         self.recent_dispatches = self._compute_recent_dispatches(now_ms) + 1.0
         self._last_dispatch_ms = now_ms
+        self.queue.record_dispatch(request, now_ms)
         if request.on_min_share:
             request.prepaid_tokens = self.mean_answer_tokens
             self.credit_tokens -= self.mean_answer_tokens
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -130,7 +130,7 @@
             return None
         partition = self._partitions.select(request, group, allowed)
         # A prompt that waits asks again at each tick, so what is cheap comes first.
-        candidates = self._list_below_limit(request.pool, partition, now_ms)
+        candidates = self._list_below_limit(request, partition, now_ms)
         if not candidates:
             return None
         extras = DomainExtras()
@@ -146,10 +146,11 @@
         return self._choose_fastest(request, drawn, preferred, holders, extras, now_ms)
 
     def _list_below_limit(
-        self, pool: str, loads: list[UpstreamLoad], now_ms: int
+        self, request: Request, loads: list[UpstreamLoad], now_ms: int
     ) -> list[UpstreamLoad]:
         """Return the engines whose backlog is below the limit."""
-        limit_ms = self._compute_backlog_limit_ms(pool)
+        limit_ms = self._compute_backlog_limit_ms(request.pool)
+        limit_ms *= request.backlog_share
         found: list[UpstreamLoad] = []
         for load in loads:
             backlog = self.engine_states.count_backlog_tokens(load.name, now_ms)
@@ -293,6 +294,11 @@
         estimate = self._estimates.get(request.id)
         return estimate.source if estimate is not None else ""
 
+    def estimate_prefill_tokens(self, request: Request) -> int:
+        """Return what the chosen engine prefills and fetches, as estimated."""
+        estimate = self._estimates.get(request.id)
+        return request.prompt.tokens if estimate is None else round(estimate.cost)
+
     def explain(self, load: UpstreamLoad, now_ms: int) -> dict[str, int]:
         """Return the values that the choice of an upstream rests on, for the logs."""
         found = super().explain(load, now_ms)
--- a/plantainwood/core/requests.py
+++ b/plantainwood/core/requests.py
@@ -43,6 +43,9 @@
         "queue_deadline_ms",
         "max_attempts",
         "attempts_not_run",
+        "charged_attempts",
+        "backlog_share",
+        "was_passed_over",
         "stream",
         "version",
         "version_unknown",
@@ -95,6 +98,12 @@
         self.max_attempts = arrival.max_attempts
         self.attempts_not_run = 0
         """Attempts that upstreams proved not to have run."""
+        self.charged_attempts = 0
+        """Attempts whose work was charged to the customer's share."""
+        self.backlog_share = 1.0
+        """The part of an engine's bound on backlog up to which it may be sent there."""
+        self.was_passed_over = False
+        """Whether its customer was passed over so often that it is served now."""
         self.stream = arrival.stream
         self.version = ""
         """The software version that began the stream; empty before its first event."""
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -33,6 +33,10 @@
         """Return the upstream to fetch a prompt's KV cache from; empty if none."""
         return ""
 
+    def estimate_prefill_tokens(self, request: Request) -> int:
+        """Return the tokens that the chosen upstream prefills for a request."""
+        return request.prompt.tokens
+
     def record_dispatch(
         self, request: Request, load: UpstreamLoad, now_ms: int
     ) -> None:
--- a/plantainwood/core/routes.py
+++ b/plantainwood/core/routes.py
@@ -157,6 +157,19 @@
             raise RequestError(ErrorCode.UNKNOWN_KEY, "the key is not known")
         return customer
 
+    def find_least_urgent_tiers(self) -> dict[str, int]:
+        """Return the least urgent tier of any customer's requests, by pool."""
+        tiers_by_id = {id(item.tiers): item.tiers for item in self._keys.values()}
+        found: dict[str, int] = {}
+        for route in self.list_routes():
+            tier = route.tier
+            for tiers in tiers_by_id.values():
+                tier = max(tier, tiers.get(route.priority, route.tier))
+            for weighted_service in route.weighted_services:
+                pool = make_service_pool(weighted_service.service)
+                found[pool] = max(tier, found.get(pool, 0))
+        return found
+
     def list_regions(self) -> list[str]:
         """Return the regions that routes or customers name, sorted."""
         found: set[str] = set()
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -1,6 +1,7 @@
 """Scheduling: which waiting request runs next, and on which upstream."""
 
 from plantainwood.core import events as ev
+from plantainwood.core.customershares import PLAIN_REQUEST_WORK, CustomerShares
 from plantainwood.core.dispatcherstate import TOP_TIER, DispatcherState
 from plantainwood.core.fairness import REQUEST_CHARGE_TOKENS
 from plantainwood.core.loads import TIERS, UpstreamLoad
@@ -45,6 +46,8 @@
             skipped.append((tier, request))
             continue
         request.on_min_share = on_min_share
+        if state.shares is not None:
+            _set_backlog_share(state, state.shares, pool, request, now_ms)
         load = _choose(state, pool.group, request, now_ms)
         if load is None:
             request.on_min_share = False
@@ -65,6 +68,28 @@
         tier.queue.push(request, front=True)
 
 
+def _set_backlog_share(
+    state: DispatcherState,
+    shares: CustomerShares,
+    pool: Pool,
+    request: Request,
+    now_ms: int,
+) -> None:
+    """Hold back a customer above its share while prompts wait at all engines.
+
+    Only in the least urgent tier of the pool: from a more urgent one, a request that is
+    held back here could be overtaken by a less urgent one on another VM.
+    """
+    request.backlog_share = 1.0
+    if request.was_passed_over:
+        return
+    if state.least_urgent_tiers.get(pool.name) != request.tier:
+        return
+    request.backlog_share = shares.compute_backlog_share(request.customer)
+    if request.backlog_share < 1.0:
+        shares.record_limited(request.customer, now_ms)
+
+
 def _is_constrained(
     state: DispatcherState, pool: Pool, request: Request, now_ms: int
 ) -> bool:
@@ -140,6 +165,7 @@
     source = ""
     if not is_serving_vm(load):
         source = state.router.find_kv_source(request)
+        _charge_share(state, request, now_ms)
         state.router.record_dispatch(request, load, now_ms)
         state.hints.record(request.prefix, load.name, now_ms)
     state.counters.charge(request.customer, REQUEST_CHARGE_TOKENS)
@@ -148,6 +174,17 @@
     )
 
 
+def _charge_share(state: DispatcherState, request: Request, now_ms: int) -> None:
+    """Charge the customer's share for an attempt, once if earlier ones did not run."""
+    if state.shares is None or request.charged_attempts >= request.attempts_made:
+        return
+    request.charged_attempts = request.attempts_made
+    work = PLAIN_REQUEST_WORK
+    if request.prompt.tokens:
+        work = state.router.estimate_prefill_tokens(request)
+    state.shares.charge(request.customer, work, now_ms)
+
+
 def _preempt_on(
     state: DispatcherState,
     load: UpstreamLoad,
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -139,6 +139,7 @@
             preempt=False,
             move_unstarted=False,
             max_crashes=MAX_CRASHES,
+            customer_shares=settings.customer_shares.enabled,
             max_waiting=MAX_WAITING,
             subset_size=SUBSET_SIZE,
         )
@@ -251,6 +252,10 @@
         demand = {pool.removeprefix(SERVICE_POOL_PREFIX): sent[pool] for pool in sent}
         self.record_demand(demand)
         self.record_domain_demand(self.settings.domain, demand, 0)
+        customer_work: dict[str, int] = {}
+        if state.shares is not None:
+            state.shares.update(now_ms)
+            customer_work = state.shares.take_report()
         return VmHeartbeat(
             sender=self.settings.node,
             incarnation=self.incarnation,
@@ -276,6 +281,7 @@
             brittle_pools=state.brittle_pools.list_reports(now_ms),
             cold_ms=state.cold_upstreams.list_reports(now_ms),
             engine_timings=self.router.paces.take_own(),
+            customer_work=customer_work,
         )
 
     def find_weights(self) -> dict[str, int]:
@@ -363,6 +369,8 @@
         for pool, targets_ms in gap_targets_ms.items():
             self.router.set_gap_targets(pool, targets_ms)
             self.router.set_first_token_target(pool, first_token_targets_ms[pool])
+        if self.settings.customer_shares.enabled and view.routes is not None:
+            dispatcher.state.least_urgent_tiers = view.routes.find_least_urgent_tiers()
         self._check_regions(view)
         self._close_unused_connections()
 
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -112,6 +112,12 @@
     """The bytes of one token's KV cache in a transfer between engines."""
 
 
+class EdgeCustomerShares(Section, frozen=True):
+    """Fair shares of customers by their recent work over all VMs, under contention."""
+
+    enabled: bool = False
+
+
 class EdgeSettings(Section, frozen=True):
     """All settings that an edge node reads at its start."""
 
@@ -140,6 +146,7 @@
     regions: dict[str, str] = {}
     """The regions of the failure domains; a domain without one is in no region."""
     overflow: EdgeOverflow = EdgeOverflow()
+    customer_shares: EdgeCustomerShares = EdgeCustomerShares()
     logs: Logs = Logs()
     traces: Traces = Traces()
 
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -30,6 +30,7 @@
     compute_heartbeat_interval_ms,
     compute_share,
 )
+from plantainwood.customerreports import WorkReports
 from plantainwood.edge import Edge
 from plantainwood.guardedtask import contain_errors, guarded_task
 from plantainwood.logs import log_event
@@ -81,6 +82,7 @@
         self._live_names: set[str] = set()
         self._relay = HeartbeatRelay(edge, self._send_to_names)
         self._cold_watch = ColdWatch(edge)
+        self._work_reports = WorkReports(edge)
         self.mirror_links = MirrorLinks(edge, on_items, self._send, self.broadcast)
         super().__init__(**kwargs)
 
@@ -285,6 +287,7 @@
         apply_limit_reports(edge, heartbeat, age_ms)
         apply_brittleness_reports(edge, heartbeat, age_ms)
         apply_cold_reports(edge, heartbeat, age_ms)
+        self._work_reports.apply(heartbeat, age_ms)
         edge.broker.dispatcher.state.stream_versions.record_remote(
             heartbeat.begun_streams, now_ms
         )
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -35,6 +35,8 @@
         "refused_clients",
         "client_bytes",
         "client_connections",
+        "customer_share",
+        "share_rejections",
         "domain_sent",
         "domain_share",
     )
@@ -110,6 +112,14 @@
             "pw_engine_slowness",
             "Learned time per token of the fastest and slowest engine, 1 is typical.",
         )
+        self.customer_share = self._make_gauge(
+            "pw_customer_share",
+            "Share of the fleet's recent work, of the customers with the most.",
+        )
+        self.share_rejections = self._make_counter(
+            "pw_share_rejections_total",
+            "Waiting requests rejected because their customer is above its share.",
+        )
         self.domain_sent = self._make_counter(
             "pw_domain_sent_total",
             "Requests and KV transfers by source and target failure domain.",
--- a/plantainwood/ticker.py
+++ b/plantainwood/ticker.py
@@ -5,6 +5,7 @@
 from mode import Service
 
 from plantainwood.core import events as ev
+from plantainwood.customerreports import ShareReporter
 from plantainwood.edge import Edge
 from plantainwood.guardedtask import guarded_task
 from plantainwood.pacereports import report_paces
@@ -20,6 +21,7 @@
 
     def __init__(self, edge: Edge, **kwargs) -> None:
         self.edge = edge
+        self._share_reporter = ShareReporter(edge)
         super().__init__(**kwargs)
 
     @guarded_task
@@ -40,3 +42,4 @@
         edge.connection_pool.close_idle()
         report_paces(edge.router.paces, edge.metrics, edge.clock.now_ms())
         edge.report_overflow()
+        self._share_reporter.report(edge.clock.now_ms())
--- a/tests/test_two_builds.py
+++ b/tests/test_two_builds.py
@@ -14,10 +14,10 @@
     write_odd_entries,
 )
 
-EARLIER_BUILDS = ("e970768", "f447cae", "18edd98")
+EARLIER_BUILDS = ("e970768", "f447cae", "18edd98", "aa13c7c")
 """The last build whose reading of the store ends at entries that can't be read, the
-landing after it, and the last one whose heartbeats say nothing of cold upstreams and of
-engines' timings."""
+landing after it, and the last ones whose heartbeats say nothing of cold upstreams and
+engines' timings, and nothing of customers' work."""
 
 
 def unpack_build(root: Path, commit: str) -> Path:
--- a/tests/unevenengines.py
+++ b/tests/unevenengines.py
@@ -276,7 +276,7 @@
     ) -> Caller:
         """Send a request to a random VM."""
         number = len(self.callers)
-        vm = self.random.randrange(len(self.dispatchers))
+        vm = self.choose_vm(customer)
         service_class = self.dispatchers[vm].state.catalogue.classes[class_name]
         parts = (Part(f"own{number}", tokens - shared_tokens),)
         if session:
@@ -308,6 +308,10 @@
         self._feed(vm, arrival)
         return caller
 
+    def choose_vm(self, customer: str) -> int:
+        """Return the VM that takes a request of a customer."""
+        return self.random.randrange(len(self.dispatchers))
+
     def advance(self) -> None:
         """Advance the time by one step."""
         self.now_ms += STEP_MS
