--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -26,9 +26,8 @@
         1,
         "refuse an arriving request although less urgent ones wait",
         CORE + "arrivalchecks.py",
-        "    victim = pool.find_least_urgent(request.tier)\n"
-        "    if victim is None and full:",
-        "    victim = None\n    if victim is None and full:",
+        "    shed = pool.find_least_urgent(request.tier)\n",
+        "    shed = None\n",
         PROOFS + "test_requests.py",
     ),
     Mutant(
--- a/plantainwood/core/admission.py
+++ b/plantainwood/core/admission.py
@@ -72,10 +72,15 @@
     )
     if victim is None:
         return
-    if victim.is_running:
-        state.cancel_attempt(victim, now_ms, decisions, beneficiary=request.id)
-    retry_ms = pool.compute_retry_after_ms(victim, now_ms)
-    state.refuse_waiting(victim, ErrorCode.OVERLOADED, retry_ms, decisions)
+    shed = victim.request
+    if shed.is_running:
+        state.cancel_attempt(shed, now_ms, decisions, beneficiary=request.id)
+    message = "more urgent work takes all the room"
+    if victim.is_above_share and state.shares is not None:
+        state.shares.record_rejection(shed.customer, now_ms)
+        message = "the customer is above its share"
+    retry_ms = pool.compute_retry_after_ms(shed, now_ms)
+    state.refuse_waiting(shed, ErrorCode.OVERLOADED, retry_ms, decisions, message)
 
 
 def handle_path_probed(
--- a/plantainwood/core/arrivalchecks.py
+++ b/plantainwood/core/arrivalchecks.py
@@ -3,6 +3,8 @@
 Admission acts on their results; an explanation of a request only reports them.
 """
 
+import msgspec
+
 from plantainwood.core import events as ev
 from plantainwood.core.catalogue import Customer, ServiceClass
 from plantainwood.core.dispatcherstate import RETRY_NOT_RUN_MS, DispatcherState
@@ -26,6 +28,14 @@
 """When to come back with a request that was held for the crashes under it."""
 
 
+class Victim(msgspec.Struct, frozen=True):
+    """A request that is shed so that another one is admitted."""
+
+    request: Request
+    is_above_share: bool = False
+    """Whether it is shed because its customer is above its share."""
+
+
 def check_entry(
     state: DispatcherState, event: ev.Arrival
 ) -> tuple[ServiceClass, Customer]:
@@ -120,7 +130,7 @@
     group: list[UpstreamLoad],
     router: Router,
     now_ms: int,
-) -> Request | None:
+) -> Victim | None:
     """Return what is to be shed for a request, if anything.
 
     Raises RequestError if the request itself is refused. An explanation gives copies of
@@ -136,13 +146,17 @@
     if uses_regions and bounded and _has_bound_waiting(state, pool):
         if router.choose(request, group, now_ms) is not None:
             return None
-    victim = pool.find_least_urgent(request.tier)
-    if victim is None and full:
-        victim = tier.queue.find_excess_request(request.customer)
-    if victim is None:
+    shed = pool.find_least_urgent(request.tier)
+    if shed is None:
+        above_share = tier.queue.find_request_above_share(request.customer)
+        if above_share is not None:
+            return Victim(above_share, is_above_share=True)
+    if shed is None and full:
+        shed = tier.queue.find_excess_request(request.customer)
+    if shed is None:
         retry_ms = pool.compute_retry_after_ms(request, now_ms)
         raise _make_refusal(ErrorCode.OVERLOADED, "too much work waits", retry_ms)
-    return victim if full else None
+    return Victim(shed) if full else None
 
 
 def _has_bound_waiting(state: DispatcherState, pool: Pool) -> bool:
--- a/plantainwood/core/explanations.py
+++ b/plantainwood/core/explanations.py
@@ -26,7 +26,7 @@
 from plantainwood.core.pools import Pool
 from plantainwood.core.requests import Request
 from plantainwood.core.router import Router, find_obstacle
-from plantainwood.core.scheduling import list_vms_instead
+from plantainwood.core.scheduling import find_backlog_share, list_vms_instead
 from plantainwood.core.servingvms import VM_PREFIX, choose_serving_vm
 
 
@@ -128,6 +128,7 @@
     request.domains = state.regions.find_domains(event.allowed_regions)
     found.tier = request.tier
     found.ahead = _count_ahead(state, pool, request)
+    request.backlog_share = find_backlog_share(state, pool, request)
     evaluation = _evaluate(state, explained, request, now_ms)
     found.domain_shares = evaluation.domain_shares
     chosen = evaluation.chosen.name if evaluation.chosen is not None else ""
--- a/plantainwood/edgesettings.py
+++ b/plantainwood/edgesettings.py
@@ -119,6 +119,12 @@
     """Whether a slow VM lowers its weight and hands its duties over."""
 
 
+class EdgeCustomerShares(Section, frozen=True):
+    """Fair shares of customers by their recent work over all VMs, under contention."""
+
+    enabled: bool = False
+
+
 class EdgeSettings(Section, frozen=True):
     """All settings that an edge node reads at its start."""
 
@@ -151,6 +157,7 @@
     """The regions of the failure domains; a domain without one is in no region."""
     overflow: EdgeOverflow = EdgeOverflow()
     slow_vm: EdgeSlowVm = EdgeSlowVm()
+    customer_shares: EdgeCustomerShares = EdgeCustomerShares()
     logs: Logs = Logs()
     traces: Traces = Traces()
 
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -27,6 +27,7 @@
     HeartbeatStatus,
     compute_heartbeat_interval_ms,
 )
+from plantainwood.customerreports import WorkReports
 from plantainwood.edge import Edge
 from plantainwood.fleetshares import FleetShares
 from plantainwood.guardedtask import contain_errors, guarded_task
@@ -59,6 +60,7 @@
         self._relay = HeartbeatRelay(edge, self._send_to_names)
         self._cold_watch = ColdWatch(edge)
         self.shares = FleetShares(edge)
+        self._work_reports = WorkReports(edge)
         self.mirror_links = MirrorLinks(edge, on_items, self._send, self.broadcast)
         super().__init__(**kwargs)
 
@@ -273,6 +275,7 @@
         apply_limit_reports(edge, heartbeat, age_ms)
         apply_brittleness_reports(edge, heartbeat, age_ms)
         apply_cold_reports(edge, heartbeat, age_ms)
+        self._work_reports.apply(heartbeat, age_ms)
         edge.broker.dispatcher.state.stream_versions.record_remote(
             heartbeat.begun_streams, now_ms
         )
