Test: a single VM back while the store can't be reached

503 with a Retry-After of 0.5 to 1.0 s, nothing sent; with the store back it serves, and takes the whole of what is shared after the bounded time.

--- a/tests/test_returning.py
+++ b/tests/test_returning.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from bridge.daemon import EdgeDaemon
 from bridge.directory import compute_lifetime_ms
 from bridge.names import RESOLVE_PATH
 from plantainwood.core.returning import (
@@ -143,7 +144,7 @@
 
 
 # Guards against directory answers that don't follow the registered VMs.
-def test_the_directory_answers_for_a_short_time_while_registered_vms_are_silent():
+def test_the_directory_answers_for_a_short_time_while_vms_are_silent():
     async def scenario(site) -> None:
         edge = site.daemon.edge
         directory = edge.settings.addresses.directory
@@ -173,3 +174,27 @@
         assert not edge.retry_budget.spend(1)
 
     run(scenario)
+
+
+# Guards against denials while the store can't be reached after a return, and against a
+# single VM back that goes on to wait for the others.
+def test_a_single_vm_back_refuses_until_the_store_answers():
+    async def scenario(site) -> None:
+        for number in range(2, 51):
+            site.store.put(f"vms/vm-{number}", f"tcp://127.0.0.1:{number}")
+        await site.lose_vm()
+        site.store.faults.down = True
+        site.daemon = EdgeDaemon(site.daemon.settings)
+        await site.daemon.start()
+        status, headers, _ = await site.call("GET", "/r/x", Request_Id="id-2")
+        assert status == 503
+        assert 0.5 <= float(headers["Retry-After"]) <= 1.0
+        assert not site.runners[0].received
+        site.store.faults.down = False
+        await site.wait_until(site.daemon.edge.is_ready)
+        status, _, _ = await site.call("GET", "/r/x", Request_Id="id-3")
+        assert status == 200
+        state = site.daemon.edge.broker.dispatcher.state
+        await site.wait_until(lambda: state._connection_share == 1.0)
+
+    run(scenario)
