--- a/plantainwood/core/customershares.py
+++ b/plantainwood/core/customershares.py
@@ -48,7 +48,7 @@
         "_weights",
         "_usage",
         "_own_work",
-        "_fair_usage",
+        "_fair_value",
         "_origin_ms",
         "_scale",
         "_scale_ms",
@@ -64,7 +64,7 @@
         self._weights: dict[str, float] = {}
         self._usage: dict[str, float] = {}
         self._own_work: dict[str, int] = {}
-        self._fair_usage = 0.0
+        self._fair_value = 0.0
         self._origin_ms = 0
         self._scale = 1.0
         self._scale_ms = 0
@@ -87,6 +87,8 @@
 
     def charge(self, customer: str, work: int, now_ms: int) -> None:
         """Charge a customer for work on this VM."""
+        if not work:
+            return
         self._own_work[customer] = self._own_work.get(customer, 0) + work
         self._add(customer, work, self._compute_scale(now_ms))
 
@@ -98,7 +100,8 @@
             if not 0 <= work <= MAX_REPORTED_WORK:
                 valid = False
                 continue
-            self._add(customer, work, scale)
+            if work:
+                self._add(customer, work, scale)
         return valid
 
     def _add(self, customer: str, work: int, scale: float) -> None:
@@ -122,6 +125,7 @@
         factor = math.exp(-min(700.0, (now_ms - self._origin_ms) / DECAY_MS))
         for customer in self._usage:
             self._usage[customer] *= factor
+        self._fair_value *= factor
         self._origin_ms = now_ms
         self.generation += 1
 
@@ -134,7 +138,10 @@
         return {name: work[name] for name in names[:MAX_REPORTED_CUSTOMERS]}
 
     def update(self, now_ms: int) -> None:
-        """Forget customers without recent work, and compute the fair share anew."""
+        """Forget customers without recent work, and compute the fair share anew.
+
+        To be called with each heartbeat: until the next call the fair share stays.
+        """
         scale = self._compute_scale(now_ms)
         work = 0.0
         weights = 0.0
@@ -144,15 +151,16 @@
                 continue
             work += usage * self._weights[customer]
             weights += self._weights[customer]
-        self._fair_usage = work / weights / scale if weights else 0.0
+        self._fair_value = work / weights if weights else 0.0
 
     def compute_excess(self, customer: str) -> float:
         """Return a customer's usage relative to a fair share among those active.
 
         It is 1 if its share is not known.
         """
-        fair_value = self._fair_usage * self._scale
-        return self.get_value(customer) / fair_value if fair_value else 1.0
+        if not self._fair_value:
+            return 1.0
+        return self.get_value(customer) / self._fair_value
 
     def is_above_share(self, customer: str) -> bool:
         """Tell whether a customer's usage is above its fair share."""
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -48,10 +48,10 @@
         request.on_min_share = on_min_share
         if state.shares is not None:
             request.backlog_share = find_backlog_share(state, pool, request)
-            if request.backlog_share < 1.0:
-                state.shares.record_limited(request.customer, now_ms)
         load = _choose(state, pool.group, request, now_ms)
         if load is None:
+            if state.shares is not None and request.backlog_share < 1.0:
+                state.shares.record_limited(request.customer, now_ms)
             request.on_min_share = False
             skipped.append((tier, request))
             if _is_constrained(state, pool, request, now_ms):
@@ -77,7 +77,7 @@
     in the least urgent tier of the pool: from a more urgent one, a request that is held
     back here could be overtaken by a less urgent one on another VM.
     """
-    if state.shares is None or request.was_passed_over:
+    if state.shares is None or request.was_passed_over or request.on_min_share:
         return 1.0
     if state.least_urgent_tiers.get(pool.name) != request.tier:
         return 1.0
--- a/plantainwood/core/sharequeue.py
+++ b/plantainwood/core/sharequeue.py
@@ -18,13 +18,14 @@
 class ShareQueue(FairQueue):
     """Serve the customer with the least recent work in the fleet, by weight."""
 
-    __slots__ = ("_shares", "_generation", "_turns", "_served")
+    __slots__ = ("_shares", "_generation", "_turns", "_served", "_is_popping")
 
     def __init__(self, shares: CustomerShares) -> None:
         super().__init__(shares)
         self._shares = shares
         self._generation = shares.generation
         self._served = 0
+        self._is_popping = False
         self._turns: OrderedDict[str, int] = OrderedDict()
         """What `_served` was when each customer began to wait or was served last."""
 
@@ -43,21 +44,35 @@
     def pop(self) -> Request | None:
         """Return the first request of the customer passed over too often or due."""
         passed_over = self._find_passed_over()
+        self._is_popping = True
         if passed_over is None:
             request = super().pop()
         else:
             request = next(iter(self._queues[passed_over].values()))
-            self.remove(request.id)
+            super().remove(request.id)
+        self._is_popping = False
         if request is not None:
             request.was_passed_over = passed_over is not None
         return request
 
+    def remove(self, request_id: str) -> bool:
+        """Remove a request; a customer's turn ends with the last one that is given up.
+
+        One that is taken to be sent keeps the turn until it is.
+        """
+        request = self._order.get(request_id)
+        removed = super().remove(request_id)
+        if request is None or self._is_popping:
+            return removed
+        if request.customer not in self._queues:
+            self._turns.pop(request.customer, None)
+        return removed
+
     def _find_passed_over(self) -> str | None:
         """Return the customer that has waited longest for its turn, if for too long."""
-        while self._turns:
-            customer, since = next(iter(self._turns.items()))
+        for customer, since in self._turns.items():
+            # Its only request may have been taken and found no upstream; it comes back.
             if customer not in self._queues:
-                del self._turns[customer]
                 continue
             bound = PASSED_OVER_TURNS * len(self._queues)
             return customer if self._served - since >= bound else None
@@ -74,8 +89,10 @@
     def record_dispatch(self, request: Request, now_ms: int) -> None:
         """Record that a request was sent; a customer above its share waits for it."""
         self._served += 1
-        if request.customer in self._turns:
+        if request.customer in self._queues:
             self._restart_turn(request.customer)
+        else:
+            self._turns.pop(request.customer, None)
         oldest = self.find_oldest()
         if oldest is None or oldest.customer == request.customer:
             return
--- a/tests/test_customer_shares.py
+++ b/tests/test_customer_shares.py
@@ -33,6 +33,7 @@
 from plantainwood.core.promptrouter import make_prompt_router
 from plantainwood.core.prompts import Part, Prompt
 from plantainwood.core.routes import ConfiguredCustomer, RouteTable
+from plantainwood.core.scheduling import find_backlog_share
 from plantainwood.core.sharequeue import PASSED_OVER_TURNS
 from plantainwood.customerreports import ShareReporter
 from plantainwood.edge import Edge
@@ -480,3 +481,55 @@
     with pytest.raises(SettingsError) as caught:
         parse_edge_settings(VALID + "customer_shares: {enabled: 3}\n")
     assert "customer_shares" in str(caught.value.problems)
+
+
+# Guards against a less urgent tier that is held back and thereby blocks a more urgent
+# one, since it takes the next slot on its minimum share.
+def test_a_request_on_its_minimum_share_is_not_held_back():
+    vm = Vm()
+    vm.state.least_urgent_tiers = {POOL: 1}
+    vm.hear(big=1_000_000, small=100)
+    vm.send("big", 1)
+    request = vm.state.requests["big-1-0"]
+    pool = vm.state.pools[POOL]
+    assert find_backlog_share(vm.state, pool, request) < 1.0
+    request.on_min_share = True
+    assert find_backlog_share(vm.state, pool, request) == 1.0
+
+
+# Guards against a division by zero after prompts that were cached as a whole.
+def test_work_of_zero_is_no_work():
+    shares = make_shares()
+    shares.charge("big", 0, 0)
+    assert shares.record_remote({"small": 0}, 0, 0)
+    assert shares.list_largest() == []
+    assert shares.take_report() == {}
+
+
+# Guards against shares that drift with the time since the last heartbeat.
+def test_the_excess_does_not_change_between_updates():
+    shares = make_shares()
+    shares.charge("big", 3_000, 0)
+    shares.charge("small", 1_000, 0)
+    shares.update(0)
+    before = shares.compute_excess("big")
+    shares.charge("other", 1, 500)
+    assert shares.compute_excess("big") == before
+
+
+# Guards against a customer that loses its turn when its only request finds no slot.
+def test_a_request_that_returns_to_the_queue_keeps_its_customers_turn():
+    vm = Vm()
+    vm.send("other", 1)
+    vm.hear(big=10**9 // 100, small=1, other=1)
+    vm.send("big", 1)
+    queue = vm.state.pools[POOL].tiers[1].queue
+    vm.send("small", 20)
+    for _ in range(2 * PASSED_OVER_TURNS):
+        assert queue.pop().customer == "small"
+        queue.record_dispatch(vm.state.requests["small-1-0"], vm.now_ms)
+    skipped = queue.pop()
+    assert skipped.customer == "big"
+    queue.pop()
+    queue.push(skipped, front=True)
+    assert queue.pop().customer == "big"
