Links: idle ones to a VM that has restarted, frames lost by a second dial

And a VM heard for the first time was dialled twice within one interval, which dropped the frames that waited for its handshake. Errors of accepting left no log line.

Change: each VM sends one frame without content to a VM that has started; a second dial within a second is left out; errors of accepting count as refusals, and a connection that can't be read is forgotten. Open: links that are all reset at once without a restart, in a fleet with more VMs than places.

--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -109,6 +109,14 @@
         known = self.edge.vms.list_addresses()
         return self._send([known[name] for name in names if name in known], message)
 
+    def _authenticate_link(self, name: str) -> None:
+        """Send a frame without content to a VM that has started.
+
+        Most links between VMs carry nothing for long. Without a frame they would take
+        the places that the VM has for connections of strangers, and displace others.
+        """
+        self.send(name, CountsReport(self.edge.settings.node, []))
+
     def _reconnect(self, name: str) -> None:
         """Dial a VM that was heard, if it did not listen when it was dialled last."""
         address = self.edge.vms.list_addresses().get(name)
@@ -260,6 +268,7 @@
         if status is HeartbeatStatus.NEW:
             log_event("vm_heard", vm=heartbeat.sender, domain=heartbeat.domain)
             self._reconnect(heartbeat.sender)
+            self._authenticate_link(heartbeat.sender)
             self._hand_over_notices(heartbeat.sender)
             if is_mesh(len(edge.vms.list_live(now_ms))):
                 self.trigger_heartbeat()
--- a/plantainwood/linklistener.py
+++ b/plantainwood/linklistener.py
@@ -95,13 +95,22 @@
             try:
                 sock, _ = await loop.sock_accept(self._socket)
             except OSError:
+                self._count_refusal("accept_failed")
                 await asyncio.sleep(ACCEPT_PAUSE_S)
                 continue
-            connection = LinkConnection(self, loop.time())
-            self._strangers[connection] = None
-            self._report()
-            with contain_errors("LinkListener"):
-                await loop.connect_accepted_socket(lambda: connection, sock)
+            await self._serve(sock)
+
+    async def _serve(self, sock: socket.socket) -> None:
+        """Read from an accepted connection; forget one that can't be read."""
+        loop = asyncio.get_running_loop()
+        connection = LinkConnection(self, loop.time())
+        self._strangers[connection] = None
+        self._report()
+        with contain_errors("LinkListener"):
+            await loop.connect_accepted_socket(lambda: connection, sock)
+            return
+        self.remove(connection)
+        sock.close()
 
     async def _make_place(self) -> None:
         """Wait for a place for a new connection; drop the oldest stranger in time."""
@@ -168,7 +177,9 @@
         """Drop a connection; count it for the metric and the next log line."""
         self.remove(connection)
         connection.drop()
-        reason = reason.replace(" ", "_")
+        self._count_refusal(reason.replace(" ", "_"))
+
+    def _count_refusal(self, reason: str) -> None:
         self._metrics.refused_links.inc({"reason": reason})
         self._refusals[reason] += 1
         if self._log_timer is None:
--- a/plantainwood/transport.py
+++ b/plantainwood/transport.py
@@ -8,6 +8,7 @@
 
 import pynng
 
+from plantainwood.core.clock import make_clock
 from plantainwood.linklistener import LinkListener
 from plantainwood.logs import log_event
 
@@ -22,6 +23,10 @@
 see `Transport.reconnect`.
 """
 
+MIN_RECONNECT_GAP_MS = 1_000
+"""A VM that has just started may need some hundred ms to accept; closing its connection
+meanwhile would drop the frames that wait for it."""
+
 
 class Transport(ABC):
     """Send frames to other daemons; a frame may be lost."""
@@ -63,6 +68,8 @@
         self._idle_rounds: dict[str, int] = {}
         self._dropped_frames = 0
         self._refused_addresses: set[str] = set()
+        self._clock = make_clock()
+        self._reconnected_ms: dict[str, int] = {}
 
     def send(self, address: str, frame: bytes) -> None:
         """Send a frame; the first one to an address dials it in the background."""
@@ -106,6 +113,11 @@
         push_socket = self._push_sockets.get(address)
         if push_socket is None or push_socket.pipes:
             return
+        now_ms = self._clock.now_ms()
+        last_ms = self._reconnected_ms.get(address)
+        if last_ms is not None and now_ms - last_ms < MIN_RECONNECT_GAP_MS:
+            return
+        self._reconnected_ms[address] = now_ms
         self._close_socket(address)
 
     def _close_socket(self, address: str) -> None:
--- a/tests/test_reconnections.py
+++ b/tests/test_reconnections.py
@@ -92,3 +92,46 @@
             links._messenger.close()
 
     asyncio.run(scenario())
+
+
+# Guards against frames that wait for a VM which has just started, and are dropped when
+# it is dialled a second time.
+def test_a_vm_is_not_dialled_again_while_it_may_not_accept_yet(long_pauses):
+    async def scenario() -> None:
+        own_port, late_port = find_ports(2)
+        links = make_links(own_port, {"vm-2": late_port})
+        address = f"tcp://127.0.0.1:{late_port}"
+        push_sockets = links._messenger._transport._push_sockets
+        links.send_heartbeat(urgent=True)
+        links._messenger.reconnect(address)
+        links.send_heartbeat(urgent=True)
+        before = push_sockets[address]
+        links._messenger.reconnect(address)
+        assert push_sockets[address] is before
+        links._messenger.close()
+
+    asyncio.run(scenario())
+
+
+# Guards against idle links to a VM that has restarted: they count as strangers there
+# until a frame comes, and displace each other without end.
+def test_a_vm_that_has_started_gets_a_frame_from_each_other_one():
+    async def scenario() -> None:
+        own_port, new_port = find_ports(2)
+        links = make_links(own_port, {})
+        new = make_messenger("127.0.0.1", new_port, SETTINGS.fleet, Metrics())
+        try:
+            heartbeat = make_heartbeat("vm-2", 100)
+            address = f"tcp://127.0.0.1:{new_port}"
+            links.handle_message(
+                msgspec.structs.replace(heartbeat, link_address=address)
+            )
+            async with asyncio.timeout(TIMEOUT_S):
+                async for message in new.receive():
+                    assert message.sender == "vm-1"
+                    break
+        finally:
+            new.close()
+            links._messenger.close()
+
+    asyncio.run(scenario())
