Lease: a stale record of this VM keeps no slow VM from standing in

Cause: a record that names this VM while it does not hold the lease is stale, but it reset the wait after which a slow VM takes a duty that nobody else takes. Found by review with fakes: nobody held the duty for 60 s of virtual time.

--- a/plantainwood/core/returning.py
+++ b/plantainwood/core/returning.py
@@ -38,6 +38,10 @@
     def _is_within(self, duration_ms: int, now_ms: int) -> bool:
         return self._began_ms is None or now_ms - self._began_ms < duration_ms
 
+    def expects_others(self, now_ms: int) -> bool:
+        """Tell whether registered VMs may still return."""
+        return self._is_within(RETURN_MS, now_ms)
+
     def find_unheard(
         self, live: set[str], registered: set[str], now_ms: int
     ) -> set[str]:
--- a/plantainwood/fleetlease.py
+++ b/plantainwood/fleetlease.py
@@ -52,9 +52,13 @@
         """
         edge = self.edge
         node = edge.settings.node
-        holder = find_holder(edge) if edge.weights.is_slow(node) else node
+        if not edge.weights.is_slow(node):
+            self._unheld_since_ms = None
+            return False
         now_ms = edge.clock.now_ms()
-        if holder == node or holder in edge.vms.list_live_names(now_ms):
+        # A record that names this VM is stale: it would renew a lease that it holds.
+        holder = find_holder(edge)
+        if holder != node and holder in edge.vms.list_live_names(now_ms):
             self._unheld_since_ms = None
             return False
         if self._unheld_since_ms is None:
