Test of the first frame to a started VM: other senders of notices and no mirror, red without the frame

The form committed before was green without the frame, since that VM's notices or its request for a mirror came in its place; says otherwise.

--- a/tests/test_reconnections.py
+++ b/tests/test_reconnections.py
@@ -119,12 +119,16 @@
     async def scenario() -> None:
         own_port, new_port = find_ports(2)
         links = make_links(own_port, {})
+        vms = links.edge.vms
+        # VMs that run longer are the ones that hand notices over.
+        for name in ("old-1", "old-2", "old-3", "old-4"):
+            vms.record(make_heartbeat(name, 100), links.edge.clock.now_ms())
         new = make_messenger("127.0.0.1", new_port, SETTINGS.fleet, Metrics())
         try:
             heartbeat = make_heartbeat("vm-2", 100)
             address = f"tcp://127.0.0.1:{new_port}"
             links.handle_message(
-                msgspec.structs.replace(heartbeat, link_address=address)
+                msgspec.structs.replace(heartbeat, link_address=address, revision=0)
             )
             async with asyncio.timeout(TIMEOUT_S):
                 async for message in new.receive():
