Review: scripts end their processes when they are ended, and exit with 2

Before, SIGTERM to run.sh left the machines' processes and missing libraries gave exit 1. Shown: SIGTERM after 1, 3 and 9 s, exit 2, no process left.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,5 @@
 # deploy/system.toml, whose libraries in target/deps they use too.
 set -e
 cd "$(dirname "$0")/.."
-python3 -m compileall -q platform/fakes standins review/lib-2
+python3 -m compileall -q platform/fakes standins review/lib-2 \
+    review/6 review/7 review/8 review/9 review/10
--- a/review/lib-2/smallsite.py
+++ b/review/lib-2/smallsite.py
@@ -270,7 +270,9 @@
     async def stop(self) -> None:
         """End everything that was started."""
         if self._watch is not None:
+            # A process that it is just starting ends with it.
             self._watch.cancel()
+            await asyncio.gather(self._watch, return_exceptions=True)
         for vm in self.vms:
             if vm.process is not None and vm.process.returncode is None:
                 vm.process.send_signal(signal.SIGKILL)
@@ -380,6 +382,9 @@
 
     async def main() -> int:
         site = Site(work, record)
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         await site.store.start()
         try:
             async with asyncio.timeout(limit_s):
@@ -389,7 +394,7 @@
 
     try:
         result = asyncio.run(main())
-    except Exception as error:  # The case could not run.
+    except BaseException as error:  # The case could not run, or was ended.
         record.add(f"could not run: {error!r}")
         result = NOT_RUN
     finally:
