Event streams: comments and empty lines are no events, each byte is searched once

Callers saw: a stream that a faulty runner goes on with by comments or empty lines was held until its deadline, where another runner could have gone on; and events in tiny pieces held up the whole process, as with each piece the incomplete event was copied and searched again.

Cause: an empty line ended an event whatever stood before it; no position was kept between two pieces.

Change: an event ends with the first empty line after a field; what is before that belongs to the next event and is relayed with it, or at the end of the stream. An incomplete event above 64 KiB waits for room.

--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -315,8 +315,8 @@
         8,
         "a partial event is relayed before the connection breaks",
         CORE + "eventstream.py",
-        "        return buffer[:end]\n",
-        "        self._partial = b''\n        return buffer\n",
+        "        return complete_events\n",
+        "        return complete_events + self.take_rest()\n",
         "tests/test_edge.py",
     ),
     Mutant(
--- a/plantainwood/answerreader.py
+++ b/plantainwood/answerreader.py
@@ -4,12 +4,17 @@
 
 from plantainwood.attempterrors import AttemptError
 from plantainwood.connections import Connection
-from plantainwood.core.eventstream import EventSplitter, EventTooLong, NoContinuation
+from plantainwood.core.eventstream import (
+    MAX_EVENT_BYTES,
+    EventSplitter,
+    EventTooLong,
+    NoContinuation,
+)
 
 MAX_ANSWER_BYTES = 1_048_576
 """The size of an answer that is collected in memory before it is relayed."""
 UNRESERVED_BYTES = 65_536
-"""An answer up to this size needs no room."""
+"""An answer, or an incomplete event, up to this size needs no room."""
 
 
 async def reserve_nothing(size_bytes: int) -> None:
@@ -40,27 +45,34 @@
 class EventReader:
     """Read one attempt's event stream; the splitter lives as long as its call."""
 
-    __slots__ = ("_connection", "_splitter", "_has_read")
+    __slots__ = ("_connection", "_splitter", "_reserve", "_has_read")
 
-    def __init__(self, connection: Connection, splitter: EventSplitter) -> None:
+    def __init__(
+        self,
+        connection: Connection,
+        splitter: EventSplitter,
+        reserve: Callable[[int], Awaitable[None]] = reserve_nothing,
+    ) -> None:
         self._connection = connection
         self._splitter = splitter
+        self._reserve = reserve
+        """Waits for room for an event that is not small."""
         self._has_read = False
         splitter.begin_attempt()
 
     async def read(self) -> bytes:
         """Return the next complete events, empty at the end of a complete stream.
 
-        Bytes that complete no event don't count as progress. Raises AttemptError for a
-        stream that was broken off: one that ends inside an event, or with its
-        connection before its first event; and for one that does not continue the
-        events relayed so far.
+        Bytes that complete no event, as comments, don't count as progress. Raises
+        AttemptError for a stream that was broken off: one that ends inside an event, or
+        with its connection before its first event; and for one that does not continue
+        the events relayed so far.
         """
         while True:
             chunk = await self._connection.read_chunk()
             if not chunk:
                 self._check_end()
-                return b""
+                return self._splitter.take_rest()
             try:
                 complete_events = self._splitter.feed(chunk)
             except (EventTooLong, NoContinuation) as error:
@@ -68,9 +80,11 @@
             if complete_events:
                 self._has_read = True
                 return complete_events
+            if self._splitter.held_bytes > UNRESERVED_BYTES:
+                await self._reserve(MAX_EVENT_BYTES)
 
     def _check_end(self) -> None:
-        if self._splitter.partial:
+        if self._splitter.is_inside_event:
             message = "the stream ended in the middle of an event"
             raise AttemptError(message, False, False)
         if not self._has_read and self._connection.ends_with_connection:
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -363,7 +363,7 @@
         self, connection: Connection, response: ResponseHead, dispatch: ev.Dispatch
     ) -> None:
         """Relay complete events only; a failed attempt leaves no partial event."""
-        events = EventReader(connection, self.splitter)
+        events = EventReader(connection, self.splitter, self.sink.reserve)
         self.summary.status = response.status
         stall_ms = compute_gap_stall_ms(self.call.route, self.summary.attempts)
         is_first = True
--- a/tests/seeds.py
+++ b/tests/seeds.py
@@ -106,12 +106,17 @@
         "fa3dae02f930c3cbb0a251a84df32d59c14ab651c555c273"
         "64cc163f85b567833f8f55a1de20e16b256af36a3f59dabc"
     ),
+    "test_comments_and_empty_lines_are_no_events": (
+        "d331bc2fd8c96204593c89ea0a5ed71642f46f25c4bdfdcb"
+        "953dde2721e17d08f72eb2dbf11426585459251379ed90d2"
+    ),
     "test_merging_does_not_depend_on_order_or_repetition": (
         "9a32294eb854d869930694b25dd58c1cd43f4ac7aebd5888"
         "faf341460cc39154b0d24953b6d3191e7b0fdeec6bf6c97f"
     ),
 }
-"""Hexadecimal seeds by state machine or test, as derived from the source of 18099e1."""
+"""Hexadecimal seeds by state machine or test: as derived from the source of 18099e1,
+or, for later tests, any number."""
 
 
 def pin_seed(name: str) -> Callable:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -3,10 +3,13 @@
 import asyncio
 import time
 
+import aiohttp
 import pytest
 
 from fakes.runner import make_response
-from tests.edgesite import STREAM, answer_stream, run
+from tests.edgesite import STREAM, answer_stream, make_entry, run
+from tests.processsite import ProcessSite, run_processes
+from tests.test_body_memory import read_peak_mb
 
 CHUNK = b"x" * 16_384
 MAX_SENT_BYTES = 16 * 1_048_576
@@ -95,14 +98,16 @@
     run(scenario, script=script, runners=2)
 
 
+# Guards against a stream that is held until its deadline by bytes that are no event,
+# also slow ones, so that the connection is never silent.
 @pytest.mark.parametrize("pause_s", [0.0, TRICKLE_PAUSE_S])
-def test_a_stream_without_the_end_of_an_event_goes_on_elsewhere(pause_s):
-    """Also where the bytes come slowly, so that the connection is never silent."""
+@pytest.mark.parametrize("unit", [b"y", b"\n", b":\n\n", b"data: y\n"])
+def test_a_stream_without_the_end_of_an_event_goes_on_elsewhere(unit, pause_s):
     prefix = (
         b"HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Seal: s\r\n"
         b"Content-Type: text/event-stream\r\n\r\n" + STREAM[: STREAM.index(b"id: 3")]
     )
-    chunk = b"y" if pause_s else CHUNK
+    chunk = unit if pause_s else unit * 16_384
     script = EndlessRunner(prefix, chunk, pause_s)
 
     async def scenario(site):
@@ -135,3 +140,60 @@
         assert script.sent_bytes < MAX_SENT_BYTES, "the node read on"
 
     run(scenario, script=script, runners=2)
+
+
+MEMORY_MB = 128
+"""The memory of the smallest VM."""
+STREAMS = 120
+"""A third of a service's connectionLimit of 360, as one of three VMs has."""
+UNENDED = {
+    "events": b"data: " + b"x" * 16_378,
+    "tiny chunks": b"1\r\nx\r\n" * 4_000,
+    "trailers": b"x-debug: 0\r\n" * 2_000,
+}
+
+
+# Guards against many bounded streams that together take a process over its memory.
+@pytest.mark.parametrize("name", UNENDED)
+def test_many_streams_without_end_stay_within_the_memory_of_a_vm(name, tmp_path):
+    framing = (
+        b"Connection: close" if name == "events" else b"Transfer-Encoding: chunked"
+    )
+    last_chunk = b"0\r\n" if name == "trailers" else b""
+
+    async def script(request, writer):
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nRequest-Id: " + request.request_id + b"\r\n"
+            b"Response-Seal: s\r\n" + framing + b"\r\n\r\n" + last_chunk
+        )
+        for _ in range(MAX_SENT_BYTES // len(UNENDED[name])):
+            writer.write(UNENDED[name])
+            await writer.drain()
+
+    async def scenario(site: ProcessSite) -> None:
+        vm = site.vms[0]
+        for runner in range(3):
+            entry = {"slots": STREAMS, "sequence": 2}
+            site.store.put(
+                f"servers/i-{runner}", make_entry(site.runners[runner], **entry)
+            )
+        await asyncio.sleep(0.5)
+        statuses = set()
+
+        async def call(number: int) -> None:
+            try:
+                statuses.add((await site.call(vm, "/s/x", f"r-{number}"))[0])
+            except aiohttp.ClientError:
+                statuses.add(0)
+
+        async with asyncio.TaskGroup() as group:
+            for number in range(STREAMS):
+                group.create_task(call(number))
+        assert statuses <= {0, 502, 503, 504}
+        assert vm.process.returncode is None
+        assert read_peak_mb(vm) < MEMORY_MB
+
+    more_settings = f"memory_mb: {MEMORY_MB}\n"
+    run_processes(
+        scenario, script, tmp_path, runners=3, vms=1, more_settings=more_settings
+    )
