HTTP clients: bodies that aiohttp reads have one bound, and are not decoded

Callers would see: a store, cloud API, engine or plain service that answers without end, or with a few bytes that expand without end, takes the process over its memory; an engine that sends comments, or tokens, without end holds a request and memory for as long as it likes. A peer on a link between VMs can do the same where nothing is to be received.

Cause: response.read() and json() have no bound, and aiohttp decodes gzip by itself. The stream of an engine was read by lines, each of which renewed the time-out; the tokens of an answer, kept for resumption, had no bound. nng's recv_max_size was 0, which is none.

Change: httpclient.py makes the sessions (identity only) and reads bodies: 8 MiB at most, those of plain services above 64 KiB within the room for answers. The parts of an engine's stream are found by the event splitter; what brings no part counts as no progress. The tokens of an answer take 8 MiB at most. A link that only sends takes one byte.

--- a/plantainwood/callers.py
+++ b/plantainwood/callers.py
@@ -171,7 +171,7 @@
         self, exchange: Exchange, reservation: BodyReservation
     ) -> web.StreamResponse:
         """Run the filters and return the response in the format that was asked for."""
-        with reservation:
+        with reservation, exchange.answer_reservation:
             return await self._run_filters(exchange)
 
     async def _run_filters(self, exchange: Exchange) -> web.StreamResponse:
--- a/plantainwood/daemon.py
+++ b/plantainwood/daemon.py
@@ -21,6 +21,7 @@
     PlainClient,
     make_single_connection_config,
 )
+from plantainwood.httpclient import make_session
 from plantainwood.links import PeerLinks
 from plantainwood.logs import log_event, setup_logs
 from plantainwood.node import Clients, Node, make_node
@@ -85,10 +86,10 @@
 
     def _make_clients(self) -> None:
         settings = self.settings
-        general = aiohttp.ClientSession(
+        general = make_session(
             connector=aiohttp.TCPConnector(limit=UNLIMITED_CONNECTIONS),
         )
-        plain = aiohttp.ClientSession(
+        plain = make_session(
             connector=aiohttp.TCPConnector(
                 limit=UNLIMITED_CONNECTIONS, force_close=True
             ),
--- a/plantainwood/engines.py
+++ b/plantainwood/engines.py
@@ -3,18 +3,31 @@
 import asyncio
 from abc import ABC, abstractmethod
 from types import SimpleNamespace
-from typing import Any, AsyncIterator
+from typing import Any, AsyncIterator, Awaitable, Callable
 
 import aiohttp
 import msgspec
 
 from plantainwood.attempterrors import AttemptError, make_unreached_error
 from plantainwood.core.decoding import MalformedError, decode_json
+from plantainwood.core.eventstream import EventSplitter, EventTooLong
+from plantainwood.httpclient import (
+    BodyError,
+    check_encoding,
+    read_body,
+    reserve_nothing,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 READ_TIMEOUT_S = 30.0
-MAX_EVENT_BYTES = 262_144
+"""The longest wait for the head of an answer, and for each of its parts."""
+MAX_UNUSED_BYTES = 262_144
+"""Bytes of a stream since its last part."""
 MAX_ANSWER_BYTES = 8_388_608
+"""The tokens of an answer, which are kept to its end."""
+TOKEN_BYTES = 64
+"""What a token takes beside its text."""
+MAX_REPORT_BYTES = 65_536
 
 
 class AnswerPart(msgspec.Struct, frozen=True):
@@ -89,23 +102,26 @@
             body["resume_from"] = call.resume_from
             body["resume_text"] = call.resume_text
         try:
-            async with self._session.post(
-                address + call.path,
-                data=msgspec.json.encode(body),
-                headers={**call.headers, "Content-Type": "application/json"},
-                timeout=self._timeout,
-            ) as response:
+            async with asyncio.timeout(READ_TIMEOUT_S):
+                response = await self._session.post(
+                    address + call.path,
+                    data=msgspec.json.encode(body),
+                    headers={**call.headers, "Content-Type": "application/json"},
+                    timeout=self._timeout,
+                )
+            async with response:
                 if response.status != 200:
                     reason = f"the engine answered {response.status}"
                     raise AttemptError(reason, crashed=False, proved_not_run=False)
-                async for part in _parse_events(response.content):
+                check_encoding(response)
+                async for part in _read_parts(response.content):
                     yield part
         except aiohttp.ClientConnectorError as error:
             raise make_unreached_error(repr(error)) from error
         except aiohttp.ConnectionTimeoutError as error:
             raise make_unreached_error(repr(error)) from error
         except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError) as error:
-            crashed = not isinstance(error, asyncio.TimeoutError)
+            crashed = not isinstance(error, (asyncio.TimeoutError, BodyError))
             raise AttemptError(repr(error), crashed, False) from error
 
     async def read_load(self, address: str) -> tuple[tuple[int, ...], int] | None:
@@ -115,7 +131,8 @@
             async with self._session.get(
                 f"{address}/load", timeout=timeout
             ) as response:
-                report = decode_json(await response.read(), LoadReport)
+                data = await read_body(response, MAX_REPORT_BYTES)
+            report = decode_json(data, LoadReport)
         except (aiohttp.ClientError, asyncio.TimeoutError, MalformedError):
             return None
         return report.by_tier, report.lag_ms
@@ -128,35 +145,91 @@
     lag_ms: int = 0
 
 
-async def _parse_events(content: aiohttp.StreamReader) -> AsyncIterator[AnswerPart]:
-    """Parse server-sent events; raise AttemptError if the stream is malformed."""
-    count: int | None = None
-    finished = False
-    async for line in content:
-        if len(line) > MAX_EVENT_BYTES:
-            raise _make_malformed_error("an event is too long")
-        line = line.strip()
-        if not line or line.startswith(b":"):
-            continue
-        if not line.startswith(b"data:"):
-            raise _make_malformed_error("a line is not an event")
-        data = line[len(b"data:") :].strip()
+async def _read_parts(content: aiohttp.StreamReader) -> AsyncIterator[AnswerPart]:
+    """Yield the parts of an answer; raise AttemptError if the stream is malformed.
+
+    Bytes that bring no part are no progress, whether they are many or slow.
+    """
+    parser = PartParser()
+    loop = asyncio.get_running_loop()
+    deadline_s = loop.time() + READ_TIMEOUT_S
+    unused_bytes = 0
+    while True:
+        async with asyncio.timeout_at(deadline_s):
+            chunk = await content.readany()
+        parts = parser.feed(chunk) if chunk else parser.end()
+        unused_bytes += len(chunk)
+        for part in parts:
+            yield part
+            if part.end:
+                return
+        if not chunk:
+            raise AttemptError(
+                "the stream ended before [DONE]", crashed=True, proved_not_run=False
+            )
+        if parts:
+            unused_bytes = 0
+            deadline_s = loop.time() + READ_TIMEOUT_S
+        if unused_bytes > MAX_UNUSED_BYTES:
+            raise _make_malformed_error("too many bytes without a part of the answer")
+
+
+class PartParser:
+    """Parse an OpenAI-compatible stream; raise AttemptError if it is malformed."""
+
+    __slots__ = ("_splitter", "_count", "_has_finished", "_held_bytes")
+
+    def __init__(self) -> None:
+        self._splitter = EventSplitter()
+        self._count: int | None = None
+        """The engine's own count of the answer's tokens."""
+        self._has_finished = False
+        self._held_bytes = 0
+
+    def feed(self, data: bytes) -> list[AnswerPart]:
+        """Return the parts that this data completes."""
+        try:
+            return self._parse_lines(self._splitter.feed(data))
+        except EventTooLong as error:
+            raise _make_malformed_error(str(error)) from error
+
+    def end(self) -> list[AnswerPart]:
+        """Return the parts after the last empty line."""
+        return self._parse_lines(self._splitter.take_rest())
+
+    def _parse_lines(self, text: bytes) -> list[AnswerPart]:
+        parts: list[AnswerPart] = []
+        for line in text.splitlines():
+            line = line.strip()
+            if not line or line.startswith(b":"):
+                continue
+            if not line.startswith(b"data:"):
+                raise _make_malformed_error("a line is not an event")
+            self._parse_data(line[len(b"data:") :].strip(), parts)
+            if parts and parts[-1].end:
+                break
+        return parts
+
+    def _parse_data(self, data: bytes, parts: list[AnswerPart]) -> None:
         if data == b"[DONE]":
-            if not finished:
+            if not self._has_finished:
                 raise _make_malformed_error("the stream ended without a finish reason")
-            yield AnswerPart(end=True, count=count)
+            parts.append(AnswerPart(end=True, count=self._count))
             return
         chunk = _decode_chunk(data)
         if chunk.usage is not None:
-            count = chunk.usage.completion_tokens
+            self._count = chunk.usage.completion_tokens
         for choice in chunk.choices:
             text = choice.delta.content or choice.text
             if text:
-                yield AnswerPart(token=text)
-            finished = finished or choice.finish_reason is not None
-    raise AttemptError(
-        "the stream ended before [DONE]", crashed=True, proved_not_run=False
-    )
+                parts.append(AnswerPart(token=text))
+                self._count_token(text)
+            self._has_finished = self._has_finished or choice.finish_reason is not None
+
+    def _count_token(self, text: str) -> None:
+        self._held_bytes += len(text) + TOKEN_BYTES
+        if self._held_bytes > MAX_ANSWER_BYTES:
+            raise _make_malformed_error("the answer is too long")
 
 
 class Delta(msgspec.Struct, frozen=True):
@@ -232,16 +305,6 @@
     return config
 
 
-async def _read_body(content: aiohttp.StreamReader) -> bytes:
-    """Read a whole body; raise AttemptError if it exceeds MAX_ANSWER_BYTES."""
-    body = bytearray()
-    async for chunk in content.iter_any():
-        body += chunk
-        if len(body) > MAX_ANSWER_BYTES:
-            raise AttemptError("the response body is too long", False, False)
-    return bytes(body)
-
-
 class PlainClient:
     """Call a plain service over HTTP, sending each call at most once.
 
@@ -255,8 +318,16 @@
             total=READ_TIMEOUT_S, sock_connect=CONNECT_TIMEOUT_S
         )
 
-    async def call(self, address: str, call: PlainCall) -> PlainAnswer:
-        """Return the complete response; raise AttemptError if none arrived."""
+    async def call(
+        self,
+        address: str,
+        call: PlainCall,
+        reserve: Callable[[int], Awaitable[None]] = reserve_nothing,
+    ) -> PlainAnswer:
+        """Return the complete response; raise AttemptError if none arrived.
+
+        `reserve` waits for room for a response that is not small.
+        """
         try:
             async with self._session.request(
                 call.method,
@@ -267,11 +338,13 @@
                 allow_redirects=False,
                 trace_request_ctx=SingleConnection(),
             ) as response:
-                body = await _read_body(response.content)
+                body = await read_body(response, MAX_ANSWER_BYTES, reserve)
                 content_type = response.headers.get("Content-Type", "")
                 return PlainAnswer(response.status, content_type, body)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise make_unreached_error(repr(error)) from error
+        except BodyError as error:
+            raise AttemptError(str(error), False, proved_not_run=False) from error
         except (aiohttp.ClientError, asyncio.TimeoutError, ConnectionError) as error:
             raise AttemptError(repr(error), True, proved_not_run=False) from error
         except SecondConnectionError as error:
--- a/plantainwood/pipeline/exchange.py
+++ b/plantainwood/pipeline/exchange.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from plantainwood.bodyroom import BodyReservation
 from plantainwood.broker import ActiveRequest
 from plantainwood.core.catalogue import ServiceClass
 from plantainwood.core.keys import Identity
@@ -47,6 +48,7 @@
         "attempts",
         "upstream",
         "replayed",
+        "answer_reservation",
     )
 
     def __init__(
@@ -78,6 +80,7 @@
         self.attempts = 0
         self.upstream = ""
         self.replayed = False
+        self.answer_reservation = BodyReservation(node.client_guard.answer_room)
 
 
 class TokenSink(ABC):
--- a/plantainwood/pipeline/relay.py
+++ b/plantainwood/pipeline/relay.py
@@ -151,4 +151,6 @@
     if request.query_string:
         path = f"{path}?{request.query_string}"
     call = PlainCall(request.method, path, exchange.body, headers)
-    exchange.plain_answer = await exchange.node.clients.plain.call(address, call)
+    exchange.plain_answer = await exchange.node.clients.plain.call(
+        address, call, exchange.answer_reservation.reserve
+    )
--- a/plantainwood/platform.py
+++ b/plantainwood/platform.py
@@ -10,6 +10,7 @@
 from plantainwood.core.effects import SendDesiredCount, SendOrder, SendReport
 from plantainwood.core.errors import NotAppliedError
 from plantainwood.dutycalls import DutyCaller
+from plantainwood.httpclient import read_body
 
 OK = 200
 
@@ -99,7 +100,7 @@
         timeout = aiohttp.ClientTimeout(total=self._caller.timeout_ms / 1_000)
         try:
             async with self._session.get(self._vms_url, timeout=timeout) as response:
-                data = await response.read()
+                data = await read_body(response)
             return decode_json(data, dict[str, Vm])
         except (aiohttp.ClientError, asyncio.TimeoutError, MalformedError):
             return None
--- a/plantainwood/store.py
+++ b/plantainwood/store.py
@@ -7,9 +7,11 @@
 import aiohttp
 
 from plantainwood.core.clock import Clock
+from plantainwood.core.decoding import decode_json
 from plantainwood.core.effects import StoredValue
 from plantainwood.core.errors import NotAppliedError, StoreError
 from plantainwood.core.limits import Bucket
+from plantainwood.httpclient import read_body
 from plantainwood.metrics import Metrics
 
 GROUP_WAIT_MS = 2
@@ -227,14 +229,13 @@
                 ) as response:
                     if response.status != 200:
                         raise StoreError(f"status {response.status}")
-                    return await response.json(content_type=None)
+                    return decode_json(await read_body(response), dict)
             except aiohttp.ClientConnectorError:
                 continue
             except (
                 aiohttp.ClientError,
                 asyncio.TimeoutError,
                 ValueError,
-                RecursionError,
             ) as error:
                 raise StoreError(repr(error)) from error
         raise NotAppliedError("no endpoint accepts connections")
--- a/plantainwood/transport.py
+++ b/plantainwood/transport.py
@@ -27,6 +27,9 @@
 """A VM that has just started may need some hundred ms to accept; closing its connection
 meanwhile would drop the frames that wait for it."""
 
+MAX_RECEIVED_BYTES = 1
+"""What a peer may send on a connection that only sends; nng's own value is no bound."""
+
 
 class Transport(ABC):
     """Send frames to other daemons; a frame may be lost."""
@@ -96,6 +99,7 @@
             send_buffer_size=SEND_BUFFER_MESSAGES,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
+            recv_max_size=MAX_RECEIVED_BYTES,
         )
         try:
             push_socket.dial(address, block=False)
