What counts as a runner's answer is decided from its head in one place

Cause: classify_response asked only whether another process had answered (none of three headers); the rest of the definition was spread over the relay, the retry and other VMs.

Change: a 2xx needs one seal and no Not-Executed, no body may be encoded, a promise needs Not-Executed. What fails goes to another runner if the call may run twice, else ends with 502; it is never counted as not run. A spoilt success says nothing of its runner.

--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -103,6 +103,10 @@
     """Not run: a different process now listens at the address."""
     FOREIGN = "foreign"
     """It is no upstream's: a process of another kind listens at the address."""
+    INVALID = "invalid"
+    """Nothing to rely on: a success that is not signed, or a body that is encoded."""
+    UNPROVED = "unproved"
+    """Its status says that the request did not run, without the upstream's proof."""
     FAILED = "failed"
     """Failed, and has or may have run."""
 
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -261,6 +261,8 @@
         upstream = take_served_upstream(response)
         if not upstream:
             raise await read_refusal(connection)
+        # The other VM may be of an earlier build, which passes on what does not count.
+        _check_reliable(self.forwarder.codec.classify_response(response), response)
         self.summary.upstream = upstream
         self.sink.upstream = upstream
         self.forwarder.report_recorder.record_elsewhere(
@@ -304,8 +306,7 @@
             if response.may_be_earlier:
                 raise AttemptError("a refusal that names no request", False, False)
             self._refused_by.add(dispatch.upstream)
-        if result is AttemptResult.FOREIGN:
-            raise AttemptError("the answer is no upstream's", False, False)
+        _check_reliable(result, response)
         if result is AttemptResult.BUSY:
             raise make_not_run_error("the upstream is at capacity", BUSY_PAUSE_MS)
         if result is AttemptResult.WRONG_INSTANCE:
@@ -401,3 +402,16 @@
         if events:
             self.summary.events += events
             broker.feed(ev.TokensRelayed(dispatch.request_id, dispatch.attempt, events))
+
+
+def _check_reliable(result: AttemptResult, response: ResponseHead) -> None:
+    """Raise AttemptError for a response that is no answer and proves nothing."""
+    if result is AttemptResult.FOREIGN:
+        reason = "the answer is no upstream's"
+    elif result is AttemptResult.INVALID:
+        reason = f"status {response.status} without a seal, or encoded"
+    elif result is AttemptResult.UNPROVED:
+        reason = f"status {response.status} without proof that the call did not run"
+    else:
+        return
+    raise AttemptError(reason, crashed=False, proved_not_run=False)
--- a/plantainwood/upstreamreports.py
+++ b/plantainwood/upstreamreports.py
@@ -29,10 +29,11 @@
     ) -> AttemptResult:
         """Record what a head says of its upstream; return what it says of the attempt.
 
-        The answer of another process at the address says nothing of the upstream.
+        The answer of another process at the address, or one that is not to be relied
+        on, says nothing of the upstream.
         """
         result = self._codec.classify_response(response)
-        if result is AttemptResult.WRONG_INSTANCE:
+        if result in (AttemptResult.WRONG_INSTANCE, AttemptResult.INVALID):
             return result
         if result is AttemptResult.FOREIGN:
             self._broker.feed(ev.PauseNamed(upstream, FOREIGN_PAUSE_MS))
--- a/tests/test_streams_of_lost_vms.py
+++ b/tests/test_streams_of_lost_vms.py
@@ -119,6 +119,7 @@
     stream = {**route, "kind": "stream", "resumable": True, "gapTargetMs": 1_000}
     routes = [
         {**stream, "name": "r1", "prefix": "/s/"},
+        {**route, "name": "r2", "prefix": "/u/", "kind": "unsafe"},
         {**route, "name": "r3", "prefix": "/r/", "kind": "safe"},
     ]
     site.store.put("op/config", make_config(version=2, routes=routes))
