Room for bodies is not lost with clients that leave as it is granted

Cause: a reservation awaited a task of its own that took the room; cancelled between the end of that task and its own next step, it neither had the room nor gave it back.

Change: the room fills a future (ask, withdraw); what was taken meanwhile is given back by whoever does not go on.

--- a/plantainwood/bodyroom.py
+++ b/plantainwood/bodyroom.py
@@ -53,20 +53,36 @@
         since = [queue[0][2] for queue in self._queues if queue]
         return asyncio.get_running_loop().time() - min(since) if since else 0.0
 
-    async def take(self, needed: int) -> None:
-        """Wait until this many bytes are free, in order, and take them."""
+    def ask(self, needed: int) -> asyncio.Future[None]:
+        """Return a future that is done once this many bytes are taken, in order.
+
+        Whoever does not wait for its end any more withdraws it.
+        """
+        loop = asyncio.get_running_loop()
+        granted: asyncio.Future[None] = loop.create_future()
         queue = self._queues[not self._is_small(needed)]
         if not queue and self._fits(needed):
             self._free_bytes -= needed
+            granted.set_result(None)
+        else:
+            queue.append((needed, granted, loop.time()))
+        return granted
+
+    def withdraw(self, needed: int, granted: asyncio.Future[None]) -> None:
+        """Ask for bytes no more; give them back if they were taken meanwhile."""
+        if granted.done() and not granted.cancelled():
+            self.give_back(needed)
             return
-        loop = asyncio.get_running_loop()
-        granted: asyncio.Future[None] = loop.create_future()
-        queue.append((needed, granted, loop.time()))
+        granted.cancel()
+        self.give_back(0)
+
+    async def take(self, needed: int) -> None:
+        """Wait until this many bytes are free, in order, and take them."""
+        granted = self.ask(needed)
         try:
             await granted
         except asyncio.CancelledError:
-            was_granted = granted.done() and not granted.cancelled()
-            self.give_back(needed if was_granted else 0)
+            self.withdraw(needed, granted)
             raise
 
     def give_back(self, taken: int) -> None:
@@ -117,8 +133,8 @@
         self._taken = 0
         self._counted = 0
         self._is_released = False
-        self._waiting: asyncio.Task[None] | None = None
-        """Waits for room."""
+        self._waiting: asyncio.Future[None] | None = None
+        """Is done once room is granted."""
 
     def __enter__(self) -> "BodyReservation":
         return self
@@ -146,10 +162,12 @@
 
     async def _wait_for_room(self, needed: int) -> bool:
         """Return whether room was taken: not if the reservation was released."""
-        self._waiting = asyncio.ensure_future(self._room.take(needed))
+        granted = self._room.ask(needed)
+        self._waiting = granted
         try:
-            await self._waiting
+            await granted
         except asyncio.CancelledError:
+            self._room.withdraw(needed, granted)
             task = asyncio.current_task()
             if not self._is_released or (task is not None and task.cancelling()):
                 raise
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -1,9 +1,13 @@
 """Large bodies that come at once are served within the memory of a small VM."""
 
 import asyncio
+import gc
 import re
+import tracemalloc
 from pathlib import Path
 
+import pytest
+
 from fakes.runner import make_response
 from plantainwood.bodyroom import (
     FREE_BYTES,
@@ -11,7 +15,8 @@
     BodyReservation,
     BodyRoom,
 )
-from tests.edgesite import HOST, make_config
+from plantainwood.core.errors import ErrorCode
+from tests.edgesite import AUTHORIZATION, HOST, make_config, run
 from tests.processsite import ProcessSite, run_processes
 
 BODY_BYTES = 4_194_304
@@ -104,3 +109,41 @@
         await asyncio.wait_for(room.take(MAX_BODY_BYTES), 1)
 
     asyncio.run(scenario())
+
+
+# Guards against room that is lost for good with a client that leaves in the turn of the
+# event loop in which it was granted: machines then refused each body in chunks.
+@pytest.mark.parametrize("turns", range(6))
+@pytest.mark.parametrize("leaves", ["cancelled", "released", "released and cancelled"])
+@pytest.mark.parametrize("waits", [False, True])
+def test_no_room_is_lost_whenever_a_client_leaves(waits, leaves, turns):
+    async def scenario() -> None:
+        room = BodyRoom()
+        if waits:
+            await room.take(MAX_BODY_BYTES)
+        reservation = BodyReservation(room)
+
+        async def hold() -> None:
+            with reservation:
+                await reservation.reserve(BODY_BYTES)
+                await asyncio.sleep(3_600)
+
+        task = asyncio.create_task(hold())
+        if waits:
+            await asyncio.sleep(0.01)
+            room.give_back(MAX_BODY_BYTES)
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        if "released" in leaves:
+            reservation.release()
+        if "cancelled" in leaves:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+        await asyncio.sleep(0.01)
+        assert room.held_bytes == 0
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert room.held_bytes == 0
+        await asyncio.wait_for(room.take(MAX_BODY_BYTES), 1)
+
+    asyncio.run(scenario())
