Bodies that are refused while they come leave the memory at once

Cause: the error that refuses a body stays in the request's stream, and its traceback holds the frames with the request and the pieces of the body: a cycle, freed only by a garbage collection. A malformed chunk did not end the reading at all: room and memory were held until the time of the route.

--- a/plantainwood/clienthandler.py
+++ b/plantainwood/clienthandler.py
@@ -94,6 +94,9 @@
         was_reading_body = self.is_reading_body()
         super().data_received(data)
         if self._request_count > request_count:
+            if was_reading_body and self.has_malformed_message():
+                message = "the body is malformed"
+                self.refuse_body(RequestError(ErrorCode.BAD_REQUEST, message))
             self._body = self._messages[-1][1]
             self._wire_bytes = 0
             self._head_part_bytes = 0
--- a/plantainwood/lingering.py
+++ b/plantainwood/lingering.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 
 from aiohttp.http_exceptions import HttpProcessingError
 from aiohttp.web_protocol import RequestHandler, _ErrInfo
@@ -33,6 +34,10 @@
         if self._messages:
             self._messages[-1] = _shorten_error(self._messages[-1])
 
+    def has_malformed_message(self) -> bool:
+        """Return whether an error of the parser waits to be handled."""
+        return bool(self._messages) and isinstance(self._messages[-1][0], _ErrInfo)
+
     def handle_error(self, request, status=500, exc=None, message=None):
         """Return the response to a request that failed.
 
@@ -64,7 +69,10 @@
 
     def _stop_sending(self) -> None:
         transport = self.transport
-        if transport is not None and transport.can_write_eof():
+        if transport is None or not transport.can_write_eof():
+            return
+        # The client may have gone; that is seen only once its connection is read.
+        with contextlib.suppress(OSError):
             transport.write_eof()
 
 
--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -147,3 +147,66 @@
         await asyncio.wait_for(room.take(MAX_BODY_BYTES), 1)
 
     asyncio.run(scenario())
+
+
+REFUSED = 20
+REFUSED_BYTES = 500_000
+MAX_LEFT_BYTES = 1_000_000
+"""A tenth of what the refused bodies held."""
+
+
+async def send_part(site, ending: str) -> asyncio.StreamWriter:
+    """Send a chunked body without its end, or with one that is malformed."""
+    host, port = site.base_url.removeprefix("http://").split(":")
+    _, writer = await asyncio.open_connection(host, int(port))
+    head = (
+        f"POST /u/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: p-1\r\n"
+        f"Authorization: {AUTHORIZATION}\r\nDeadline-Remaining: 9000\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    )
+    writer.write(head.encode())
+    for _ in range(REFUSED_BYTES // 10_000):
+        writer.write(b"2710\r\n" + b"x" * 10_000 + b"\r\n")
+        await writer.drain()
+    if ending == "malformed":
+        writer.write(b"no size\r\n")
+    if ending == "too large":
+        writer.write(b"100000\r\n" + b"x" * 1_048_576 + b"\r\n")
+    return writer
+
+
+# Guards against bodies that are refused while they come and stay in memory until a
+# garbage collection: 300 clients took a process over its memory.
+@pytest.mark.parametrize("ending", ["refused", "malformed", "too large", "left"])
+def test_a_body_that_is_not_served_leaves_nothing_in_memory(ending):
+    async def scenario(site):
+        limits = {"headerBytes": 16_384, "bodyBytes": 1_048_576}
+        site.store.put("op/config", make_config(2, limits=limits))
+        edge = site.daemon.edge
+        await site.wait_until(lambda: edge.view.limits.body_bytes == 1_048_576)
+        guard = edge.client_guard
+        gc.collect()
+        gc.disable()
+        tracemalloc.start()
+        try:
+            before = tracemalloc.get_traced_memory()[0]
+            sending = [send_part(site, ending) for _ in range(REFUSED)]
+            writers = await asyncio.gather(*sending)
+            await asyncio.sleep(0.3)
+            if ending == "refused":
+                held = tracemalloc.get_traced_memory()[0] - before
+                assert held > REFUSED * REFUSED_BYTES // 2
+                for connection in list(guard._connections):
+                    guard._refuse_body(connection, "stalled", ErrorCode.BODY_TIMEOUT)
+            await asyncio.sleep(0.3)
+            for writer in writers:
+                writer.transport.abort()
+            await asyncio.sleep(1.5)
+            left = tracemalloc.get_traced_memory()[0] - before
+        finally:
+            tracemalloc.stop()
+            gc.enable()
+        assert left < MAX_LEFT_BYTES
+        assert guard.body_room.held_bytes == 0
+
+    run(scenario)
--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -26,6 +26,7 @@
     wait_until_listening,
 )
 from tests.processsite import ProcessSite, run_processes
+from tests.test_body_memory import read_peak_mb
 
 MEMORY_MB = 128
 """The memory of the smallest VM: what the process may have resident at most."""
@@ -34,6 +35,9 @@
 TRIES = 30
 WAIT_S = 20
 ORDINARY_BYTES = 100_000
+REFUSED_CLIENTS = 150
+REFUSALS_S = 8.0
+"""Long enough for some ten rounds of refusals, as many as review/8 has."""
 ANSWER_BYTES = 1_000_000
 CHUNKED = "Transfer-Encoding: chunked"
 FAR_TOO_LONG = "Content-Length: 400000000"
@@ -216,6 +220,25 @@
     run_vm(scenario, tmp_path)
 
 
+# Guards against a crowd that is measured before the first of its bodies are refused:
+# what refused ones held stayed in memory, so that the process grew with each refusal.
+@pytest.mark.parametrize("kind", ["stalled", "stalled-large-chunks", "stalled-length"])
+def test_the_process_stays_within_its_machine_while_bodies_are_refused(tmp_path, kind):
+    _, make = make_kinds("")[kind]
+
+    async def scenario(site: ProcessSite, vm) -> None:
+        address = vm.caller_url.removeprefix("http://")
+        async with connect_clients(address, REFUSED_CLIENTS, make):
+            await asyncio.sleep(REFUSALS_S)
+            assert await send_ordinary(vm.caller_url + "/u/x") == 200
+        assert vm.process.returncode is None
+        assert vm.list_events("clients_refused")
+        print("peak_mb:", read_peak_mb(vm))
+        assert read_peak_mb(vm) < MEMORY_MB
+
+    run_vm(scenario, tmp_path)
+
+
 # Guards against the addresses beside the callers': anyone who reaches them can hold
 # memory and descriptors of the same process.
 @pytest.mark.parametrize("kind", ["stalled", "announced", "silent", "head"])
