Bodies in tiny chunks are parsed in turn, so that others are served

Cause: reads are bounded in bytes, but 32 KB of one-byte chunks take some 8 ms to parse, and all connections are read once in each turn of the event loop.

A first form that looked at the bytes of a read changed nothing.

Change: the library stops after some hundred chunks until their reader has taken them. If these brought few bytes, the connection goes on in its turn: one at a time, 2 ms apart while others wait, at once if it is alone (chunkturns.py).

--- a/plantainwood/clientguard.py
+++ b/plantainwood/clientguard.py
@@ -12,6 +12,7 @@
 from mode import Service
 
 from plantainwood.bodyroom import BodyRoom
+from plantainwood.chunkturns import ChunkTurns
 from plantainwood.clienthandler import ClientHandler
 from plantainwood.core.clientlimits import ClientLimits, compute_client_limits
 from plantainwood.core.errors import ErrorCode, RequestError
@@ -55,6 +56,7 @@
         self.answer_room = BodyRoom(self.limits.answer_bytes)
         self.body_room.small_bytes = self.limits.small_bytes
         self.body_room.on_counted = self._relieve_small
+        self.chunk_turns = ChunkTurns()
         self._metrics = metrics
         self._connections: set[ClientHandler] = set()
         self._refusals: dict[str, int] = {}
--- a/plantainwood/clienthandler.py
+++ b/plantainwood/clienthandler.py
@@ -11,6 +11,7 @@
 
 from plantainwood import web
 from plantainwood.bodyroom import BodyReservation
+from plantainwood.chunkturns import TurnTaker
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.lingering import LingeringHandler
 
@@ -33,7 +34,7 @@
 """How long a client may read nothing until this node counts as waiting for it."""
 
 
-class ClientHandler(LingeringHandler):
+class ClientHandler(LingeringHandler, TurnTaker):
     """Serve one connection within bounds on its bytes, in either direction."""
 
     __slots__ = (
@@ -48,6 +49,8 @@
         "_dropped_bytes",
         "_progress",
         "_max_head_bytes",
+        "_awaits_turn",
+        "_resumed_bytes",
     )
 
     def __init__(self, manager, guard: "ClientGuard", **kwargs) -> None:
@@ -69,6 +72,10 @@
         """Bytes received of a head that is not complete yet."""
         self._dropped_bytes = 0
         self._progress = 0
+        self._awaits_turn = False
+        """Whether the body comes in tiny chunks and is parsed in turn with others."""
+        self._resumed_bytes = 0
+        """Bytes of the body that had come when its parsing was last resumed."""
         limit = 2 * kwargs.get("max_field_size", 0)
         self._max_head_bytes = max(MAX_HEAD_BYTES, limit)
 
@@ -98,6 +105,7 @@
                 message = "the body is malformed"
                 self.refuse_body(RequestError(ErrorCode.BAD_REQUEST, message))
             self._body = self._messages[-1][1]
+            self._resumed_bytes = 0
             self._wire_bytes = 0
             self._head_part_bytes = 0
             self._start_waiting()
@@ -108,6 +116,37 @@
         elif not was_reading_body and self._request_count == request_count:
             self._check_head_bytes(len(data))
 
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Go on with a body whose bytes were read, in turn if its chunks are tiny.
+
+        The library parses some hundred chunks and then waits for their reader, so few
+        bytes since the last time mean that they came in tiny chunks.
+        """
+        if not resume_parser or not self._has_tiny_chunks():
+            if self._body is not None:
+                self._resumed_bytes = self._body.total_bytes
+            super().resume_reading(resume_parser)
+            return
+        if not self._awaits_turn:
+            self._awaits_turn = True
+            self.guard.chunk_turns.wait(self)
+
+    def _has_tiny_chunks(self) -> bool:
+        if self._body is None or self._is_ending:
+            return False
+        received, before = self._body.total_bytes, self._resumed_bytes
+        return received - before < READ_BUFFER_BYTES
+
+    def take_turn(self) -> bool:
+        """Go on with the body; return False if the connection waits no longer."""
+        if not self._awaits_turn or self.transport is None:
+            return False
+        self._awaits_turn = False
+        if self._body is not None:
+            self._resumed_bytes = self._body.total_bytes
+        super().resume_reading()
+        return True
+
     def _pause_behind_requests(self) -> None:
         if len(self._messages) >= MAX_WAITING_REQUESTS and not self._buffer_paused:
             self._pause_reading_for_buffer()
@@ -235,6 +274,7 @@
             self._lingering_time = 0.0
             return
         self._is_ending = True
+        self._awaits_turn = False
         self._resume_transport_reading()
 
     async def finish_response(self, request, resp, start_time):
