Tests: paths that wait share their readings of the kernel's list of connections

Cause: the test's process, which also serves the store, read all of /proc/net/tcp for each question of each of 14 paths, every 2 ms. Where the list is long (connections of the tests before, of other runs) it answered the store's callers too late; the holder lost its lease, and nobody took it again. And the path with a full window read all the same, so that bytes waited at the sender for milliseconds only.

No bound changed; the case is stricter.

--- a/tests/tcppath.py
+++ b/tests/tcppath.py
@@ -13,6 +13,8 @@
 
 import msgspec
 
+from tests.kerneltable import SYN_SENT, TABLE
+
 SO_ATTACH_FILTER = 26
 SO_DETACH_FILTER = 27
 DROP = (0x06, 0, 0, 0)
@@ -29,8 +31,6 @@
     ACCEPT,
 )
 CHUNK_BYTES = 65_536
-SYN_SENT = 2
-"""The state's number in the kernel's list."""
 SMALL_WINDOW_BYTES = 1
 """The kernel raises this to the least window that it supports."""
 
@@ -43,13 +43,6 @@
     sock.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, program)
 
 
-class KernelEntry(msgspec.Struct, frozen=True):
-    """The state of a connection, and the bytes that its sender's kernel keeps."""
-
-    state: int
-    queued_bytes: int
-
-
 class Piece(msgspec.Struct, frozen=True):
     """What was read at once, and when it arrives, on the event loop's clock."""
 
@@ -72,6 +65,7 @@
         self._listener = socket.socket()
         self._server: asyncio.Server
         self._sockets: set[socket.socket] = set()
+        self._near_transports: set[asyncio.Transport] = set()
         self._dropped: tuple = ()
         """The instructions of the filter in force; empty without one."""
         self._passing = asyncio.Event()
@@ -116,8 +110,10 @@
         self._attach(DROP_PAYLOAD)
 
     def stop_reading(self) -> None:
-        """Hold back what arrives: the sender's kernel keeps what exceeds the window."""
+        """Read no more: the sender's kernel keeps what exceeds the window."""
         self._passing.clear()
+        for transport in self._near_transports:
+            transport.pause_reading()
 
     def heal(self) -> None:
         """Let everything pass again."""
@@ -125,6 +121,8 @@
         for sock in [self._listener, *self._sockets]:
             with contextlib.suppress(OSError):
                 sock.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
+        for transport in self._near_transports:
+            transport.resume_reading()
         self._passing.set()
         self._answering.set()
 
@@ -141,23 +139,11 @@
 
     def has_unacknowledged_bytes(self) -> bool:
         """Return whether the sender's kernel keeps bytes for this path."""
-        return any(entry.queued_bytes for entry in self._list_connections())
+        return any(entry.queued_bytes for entry in TABLE.list_connections(self.port))
 
     def is_connecting(self) -> bool:
         """Return whether the sender's kernel opens a connection on this path."""
-        return any(entry.state == SYN_SENT for entry in self._list_connections())
-
-    def _list_connections(self) -> list[KernelEntry]:
-        """Return the sender's connections, as the kernel lists them."""
-        found: list[KernelEntry] = []
-        with open("/proc/net/tcp", encoding="ascii") as table:
-            for line in table.readlines()[1:]:
-                fields = line.split()
-                if int(fields[2].rpartition(":")[2], 16) != self.port:
-                    continue
-                queued_bytes = int(fields[4].partition(":")[0], 16)
-                found.append(KernelEntry(int(fields[3], 16), queued_bytes))
-        return found
+        return any(e.state == SYN_SENT for e in TABLE.list_connections(self.port))
 
     async def _forward(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -167,6 +153,10 @@
         self._tasks.add(task)
         near = writer.get_extra_info("socket")
         self._sockets.add(near)
+        self._near_transports.add(writer.transport)
+        if not self._passing.is_set():
+            # Nothing was read yet, as this comes before the loop's first look.
+            writer.transport.pause_reading()
         if self._dropped and near.fileno() >= 0:
             # The connection may have been opened just before the filter was attached.
             attach_filter(near, self._dropped)
@@ -183,6 +173,7 @@
             pass
         finally:
             self._sockets.discard(near)
+            self._near_transports.discard(writer.transport)
             self._tasks.discard(task)
             writer.transport.abort()
 
--- a/tests/test_tcppath.py
+++ b/tests/test_tcppath.py
@@ -5,9 +5,11 @@
 
 import pytest
 
-from tests.tcppath import TcpPath
+from tests.tcppath import SMALL_WINDOW_BYTES, TcpPath
 
 HEARD_S = 0.3
+REPORT_BYTES = 5_000
+"""As long as a report of test_duty_handovers.py, each on a new connection."""
 RESENT_S = 1.5
 """Within this the kernel sends again what was lost."""
 
@@ -82,3 +84,37 @@
             server.close()
 
     asyncio.run(scenario())
+
+
+# Guards against a test of a full window whose path reads all the same: what exceeds the
+# window stayed at the sender for some milliseconds only.
+@pytest.mark.parametrize(
+    ("stops_first", "written_bytes"), [(True, REPORT_BYTES), (False, 4 * REPORT_BYTES)]
+)
+def test_what_exceeds_a_full_window_stays_at_the_sender(stops_first, written_bytes):
+    async def scenario() -> None:
+        server, heard = await listen()
+        path = TcpPath(
+            f"127.0.0.1:{server.sockets[0].getsockname()[1]}", SMALL_WINDOW_BYTES
+        )
+        await path.start()
+        if stops_first:
+            path.stop_reading()
+        _, writer = await asyncio.open_connection("127.0.0.1", path.port)
+        try:
+            await asyncio.sleep(HEARD_S)
+            path.stop_reading()
+            writer.write(b"x" * written_bytes)
+            for _ in range(3):
+                await asyncio.sleep(HEARD_S)
+                assert path.has_unacknowledged_bytes()
+            assert not heard
+            path.heal()
+            await asyncio.sleep(RESENT_S)
+            assert heard and not path.has_unacknowledged_bytes()
+        finally:
+            writer.transport.abort()
+            await path.stop()
+            server.close()
+
+    asyncio.run(scenario())
