A HEAD's answer ends with its head, whatever length that states

What callers saw: HEAD on any route ended with 504 after its deadline (2.98 s in a test), since the answer's stated body never came.

Cause: the answer's parser wasn't told what was asked; the library takes the length for that of a body to come.

Ruled out: the callers' side, which sends no body after HEAD; the product's own interface, whose client library knows the method.

Why this works: the head completes an answer that is known to have no body. The connection isn't used again, so a body that comes all the same belongs to no answer.

--- a/plantainwood/answerparser.py
+++ b/plantainwood/answerparser.py
@@ -66,6 +66,7 @@
         "_request_id",
         "_id_header",
         "_may_omit_id",
+        "_is_bodiless",
         "_request_count",
         "_echoes_ids",
     )
@@ -81,16 +82,26 @@
         self._request_id = b""
         self._id_header = b""
         self._may_omit_id = False
+        self._is_bodiless = False
         self._begin_answer()
 
     def expect(
-        self, request_id: bytes, id_header: bytes, may_omit_id: bool = False
+        self,
+        request_id: bytes,
+        id_header: bytes,
+        may_omit_id: bool = False,
+        is_bodiless: bool = False,
     ) -> None:
-        """Begin with the answer to the next request."""
+        """Begin with the answer to the next request.
+
+        If that is HEAD, its answer `is_bodiless`, whatever length its head states; the
+        connection isn't used again, as the library's parser waits for a body.
+        """
         self._request_count += 1
         self._request_id = request_id
         self._id_header = id_header
         self._may_omit_id = may_omit_id
+        self._is_bodiless = is_bodiless
         self._begin_answer()
 
     def _begin_answer(self) -> None:
@@ -207,6 +218,10 @@
         if (response.get_header(b"connection") or b"").lower() == b"close":
             self.is_last = True
         self.head = response
+        if self._is_bodiless:
+            self.ends_with_connection = False
+            self.is_complete = True
+            self.is_last = True
 
     def _is_foreign(self, response: ResponseHead) -> bool:
         """Tell whether a response is not that to the current request.
--- a/plantainwood/connections.py
+++ b/plantainwood/connections.py
@@ -90,13 +90,15 @@
         request_id: bytes,
         id_header: bytes,
         may_omit_id: bool = False,
+        is_bodiless: bool = False,
     ) -> None:
         """Write a request; from here on it may have run unless proved otherwise.
 
-        With `may_omit_id`, a response without an id always counts as the request's.
+        With `may_omit_id`, a response without an id always counts as the request's; if
+        it `is_bodiless`, its head is all of it.
         """
         self._awaiting_response = True
-        self._parser.expect(request_id, id_header, may_omit_id)
+        self._parser.expect(request_id, id_header, may_omit_id, is_bodiless)
         self.request_written = True
         self._transport.write(data)
 
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -196,6 +196,7 @@
                 self.call.request_id.encode(),
                 self.forwarder.codec.id_header,
                 may_omit_id=self._via_vm,
+                is_bodiless=self.call.method == b"HEAD" and not self._via_vm,
             )
             if self._via_vm:
                 response = await self._read_head_from_vm(connection)
--- a/tests/test_failures_through_vms.py
+++ b/tests/test_failures_through_vms.py
@@ -19,17 +19,20 @@
 CUTS = (5, 30, 60, 100)
 
 
-async def read_all(site: ProcessSite, path: str, name: str) -> bytes:
+async def read_all(
+    site: ProcessSite, path: str, name: str, method: str = "POST"
+) -> bytes:
     """Send a request to the first VM; return all that comes back."""
     port = site.vms[0].ports[0]
     reader, writer = await asyncio.open_connection("127.0.0.1", port)
     try:
         head = (
-            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {name}\r\n"
+            f"{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {name}\r\n"
             f"Authorization: {AUTHORIZATION}\r\nDeadline-Remaining: 6000\r\n"
-            "Connection: close\r\nContent-Length: 1\r\n\r\nb"
+            "Connection: close\r\n"
         )
-        writer.write(head.encode())
+        body = "Content-Length: 1\r\n\r\nb" if method == "POST" else "\r\n"
+        writer.write((head + body).encode())
         async with asyncio.timeout(TIMEOUT_S):
             return await reader.read()
     finally:
--- a/tests/test_sealed_answers.py
+++ b/tests/test_sealed_answers.py
@@ -27,7 +27,7 @@
     "encoded": (SEAL, b"Content-Encoding: gzip\r\n" + SEAL),
     "not executed": (SEAL, b"Not-Executed: 1\r\n" + SEAL),
 }
-STATUSES = (200, 201, 202, 204, 206)
+STATUSES = (200, 201, 202, 203, 204, 205, 206, 226, 299)
 SAFE_PATHS = ("/r/x", "/o/x")
 UNSAFE_PATHS = ("/u/x", "/n/x")
 """Calls that run once at most: a booking, and a stream that can't be resumed."""
