Answers: one id, one seal, no encoding of any kind, whatever Connection lists

Cause: classify_response looked at the first value of a header; a transfer coding counted as framing; select_response_headers dropped what Connection lists, the seal too, and passed on repetitions.

One of its checks was wrong: it asked for Content-Encoding: identity to pass.

--- a/tests/test_sealed_answers.py
+++ b/tests/test_sealed_answers.py
@@ -25,6 +25,12 @@
     "empty seal": (SEAL, SEAL + b"\r\nX-Seal: "),
     "two seals": (SEAL, SEAL + b"other\r\n" + SEAL),
     "encoded": (SEAL, b"Content-Encoding: gzip\r\n" + SEAL),
+    "encoded as itself": (SEAL, b"Content-Encoding: identity\r\n" + SEAL),
+    "encoded again": (
+        SEAL,
+        b"Content-Encoding: identity\r\nContent-Encoding: gzip\r\n" + SEAL,
+    ),
+    "two ids": (SEAL, b"Request-Id: other\r\n" + SEAL),
     "not executed": (SEAL, b"Not-Executed: 1\r\n" + SEAL),
 }
 STATUSES = (200, 201, 202, 203, 204, 205, 206, 226, 299)
@@ -37,6 +43,14 @@
 )
 
 
+CODED = (
+    b"Response-Seal: s\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+    b"2\r\nok\r\n0\r\n\r\n"
+)
+BODIES = {"seal in a trailer": TRAILERS, "coded on the way": CODED}
+"""What replaces the answer from its seal on."""
+
+
 class SpoilingRunner:
     """A script: the first answer is spoilt, later ones are sound."""
 
@@ -58,16 +72,15 @@
     def _make_spoilt(self, request) -> bytes:
         body = b"" if self.status == 204 else b"id: 1\ndata: spoilt\n\n"
         answer = make_response(request, body, self.status)
-        if self.spoil == "seal in a trailer":
-            head = answer.partition(SEAL)[0]
-            return head + TRAILERS
+        if self.spoil in BODIES:
+            return answer.partition(SEAL)[0] + BODIES[self.spoil]
         return answer.replace(*SPOILT[self.spoil])
 
 
 # Guards against a success without the runner's seal, or with another body than its own
 # (MIXED): any 2xx that named the request was passed on.
 @pytest.mark.parametrize("status", STATUSES)
-@pytest.mark.parametrize("spoil", [*SPOILT, "seal in a trailer"])
+@pytest.mark.parametrize("spoil", [*SPOILT, *BODIES])
 def test_a_call_that_may_run_twice_is_answered_by_another_runner(spoil, status):
     async def scenario(site):
         for path in (*SAFE_PATHS, "/s/x"):
@@ -85,7 +98,7 @@
 # Guards against the same for calls that may have run: they are not sent again, and the
 # caller is promised nothing.
 @pytest.mark.parametrize("status", STATUSES)
-@pytest.mark.parametrize("spoil", [*SPOILT, "seal in a trailer"])
+@pytest.mark.parametrize("spoil", [*SPOILT, *BODIES])
 def test_a_call_that_may_have_run_ends_with_an_error(spoil, status):
     async def scenario(site):
         for path in UNSAFE_PATHS:
@@ -101,7 +114,7 @@
 
 # Guards against a stream that is taken over by what is no answer of a runner.
 @pytest.mark.parametrize("status", STATUSES)
-@pytest.mark.parametrize("spoil", [*SPOILT, "seal in a trailer"])
+@pytest.mark.parametrize("spoil", [*SPOILT, *BODIES])
 def test_a_stream_goes_on_with_an_answer_of_a_runner_only(spoil, status):
     spoiling = SpoilingRunner(spoil, status)
 
@@ -151,7 +164,8 @@
     identity = (b"Content-Encoding", b"identity")
     for status in STATUSES:
         assert classify(status, seal) is AttemptResult.ANSWER
-        assert classify(status, seal, seal, identity) is AttemptResult.ANSWER
+        assert classify(status, seal, seal) is AttemptResult.ANSWER
+        assert classify(status, seal, identity) is AttemptResult.INVALID
         assert classify(status) is AttemptResult.INVALID
     for status in (301, 304, 400, 401, 404, 413, 431):
         assert classify(status) is AttemptResult.ANSWER
@@ -168,6 +182,33 @@
     assert classify(421) is AttemptResult.WRONG_INSTANCE
 
 
+# Guards against a success that reaches its caller without its seal, or with two: the
+# Connection of the runner listed it, or its head repeated it.
+@pytest.mark.parametrize("path", ["/r/x", "/u/x", "/s/x"])
+@pytest.mark.parametrize(
+    "extra",
+    [
+        b"Connection: Response-Seal, Request-Id\r\n",
+        b"Connection: keep-alive\r\nconnection: response-seal\r\n",
+        b"Response-Seal: seal-id-1\r\n",
+        b"Request-Id: id-1\r\nresponse-seal: seal-id-1\r\n",
+    ],
+)
+def test_a_success_reaches_its_caller_with_one_id_and_one_seal(path, extra):
+    async def script(request, writer):
+        answer = make_response(request, b"id: 1\ndata: x\n\n")
+        writer.write(answer.replace(SEAL, extra + SEAL))
+
+    async def scenario(site):
+        for _ in range(2):
+            status, headers, _ = await site.call("POST", path, b"b")
+            assert status == 200
+            assert headers.getall("Response-Seal") == ["seal-id-1"]
+            assert headers.getall("Request-Id") == ["id-1"]
+
+    run(scenario, script=script)
+
+
 # Guards against what does not count and comes through another VM, also one of the build
 # that passes it on.
 @pytest.mark.parametrize("path", ["/r/x", "/u/x", "/s/x"])
