A standstill fails no connection, crashes no upstream and loses no path

Callers' requests failed over, or were refused, after their VM stood still: it judged connections that had been accepted meanwhile as not opened, since the timers of the connection (350 ms) and of its probes (80 and 250 ms) are due before the loop sees that the connection is open. A probe that ends so makes a sound upstream count as crashed; if the probes of all witnesses do, the VM tells the fleet that its path is lost and hands its requests over.

The limits are now measured in the time in which the process ran, and the loop reads its sockets before one ends. A connection that was opened over a standstill is no path time.

--- a/plantainwood/connectionpool.py
+++ b/plantainwood/connectionpool.py
@@ -4,22 +4,32 @@
 from typing import Callable
 
 from plantainwood.attempterrors import AttemptError, make_unreached_error
+from plantainwood.awakewaits import limit_awake
 from plantainwood.connections import Connection
 from plantainwood.core.clock import Clock
 
 CONNECT_TIMEOUT_MS = 350
 PROBE_TIMEOUT_MS = 80
+CLOCK_STEP_MS = 1
 
 
 class ConnectionPool:
-    """Keep idle connections to upstreams; the most recently used is reused first."""
+    """Keep idle connections to upstreams; the most recently used is reused first.
 
-    def __init__(self, clock: Clock) -> None:
+    How long an upstream may take is measured with `awake_clock`, in real time without
+    one.
+    """
+
+    def __init__(self, clock: Clock, awake_clock: Clock | None = None) -> None:
         self._clock = clock
+        self._awake_clock = awake_clock or clock
         self._idle: dict[str, list[Connection]] = {}
         self.opened_count = 0
         self.on_connected: Callable[[str, float], None] | None = None
-        """Is told the address and the time in ms of each connection opened."""
+        """Is told the address and the time in ms of each connection opened.
+
+        Not if this process stood still meanwhile.
+        """
 
     async def acquire(self, address: str, fresh: bool = False) -> Connection:
         """Return an idle or new connection; raise AttemptError if connecting fails.
@@ -40,15 +50,18 @@
         loop = asyncio.get_running_loop()
         self.opened_count += 1
         began_s = loop.time()
+        began_ms = self._awake_clock.now_ms()
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_MS / 1_000):
+            async with limit_awake(CONNECT_TIMEOUT_MS, self._awake_clock):
                 _, connection = await loop.create_connection(
                     lambda: Connection(address, self._clock), host, int(port)
                 )
         except (OSError, TimeoutError, ValueError, OverflowError) as error:
             raise make_unreached_error(repr(error)) from error
-        if self.on_connected is not None:
-            self.on_connected(address, 1_000 * (loop.time() - began_s))
+        took_ms = 1_000 * (loop.time() - began_s)
+        awake_ms = self._awake_clock.now_ms() - began_ms
+        if self.on_connected is not None and took_ms <= awake_ms + CLOCK_STEP_MS:
+            self.on_connected(address, took_ms)
         return connection
 
     async def probe_refused(self, address: str) -> bool:
@@ -57,7 +70,7 @@
         No connection within PROBE_TIMEOUT_MS counts as refused.
         """
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_MS / 1_000):
+            async with limit_awake(PROBE_TIMEOUT_MS, self._awake_clock):
                 connection = await self.acquire(address, fresh=True)
         except (AttemptError, TimeoutError):
             return True
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -161,10 +161,12 @@
         if self.overflow is not None:
             self.router.set_overflow(self.overflow)
             self._overflow_reporter = OverflowReporter(self.overflow, metrics)
-        self.connection_pool = ConnectionPool(clock)
+        self.connection_pool = ConnectionPool(clock, self.awake_clock)
         if self.overflow is not None:
             self.connection_pool.on_connected = self._record_connection
-        self.path_prober = PathProber(self.broker, self.connection_pool, clock)
+        self.path_prober = PathProber(
+            self.broker, self.connection_pool, clock, self.awake_clock
+        )
         self.start_counter = StartCounter(
             settings.node, self.incarnation, settings.duties.window_ms
         )
--- a/plantainwood/pathprobe.py
+++ b/plantainwood/pathprobe.py
@@ -7,6 +7,7 @@
 from mode import Service
 
 from plantainwood.attempterrors import AttemptError
+from plantainwood.awakewaits import limit_awake
 from plantainwood.broker import RequestBroker
 from plantainwood.connectionpool import ConnectionPool
 from plantainwood.connections import Connection
@@ -32,15 +33,21 @@
     """Open connections to other upstreams after an attempt at one has failed.
 
     If none of them accepts a connection, the path of this node is at fault and not the
-    upstream. Failures at the same time share one probe.
+    upstream. Failures at the same time share one probe. How long a probe may take is
+    measured with `awake_clock`.
     """
 
     def __init__(
-        self, broker: RequestBroker, connection_pool: ConnectionPool, clock: Clock
+        self,
+        broker: RequestBroker,
+        connection_pool: ConnectionPool,
+        clock: Clock,
+        awake_clock: Clock,
     ) -> None:
         self._broker = broker
         self._connection_pool = connection_pool
         self._clock = clock
+        self._awake_clock = awake_clock
         self._random = random.Random()
         self._probe: asyncio.Task[bool] | None = None
         self._probed_ms = -RESULT_LIFETIME_MS
@@ -169,7 +176,7 @@
 
     async def _accepts_connection(self, address: str) -> bool:
         try:
-            async with asyncio.timeout(PROBE_TIMEOUT_MS / 1_000):
+            async with limit_awake(PROBE_TIMEOUT_MS, self._awake_clock):
                 connection = await self._connection_pool.acquire(address, fresh=True)
         except (AttemptError, TimeoutError):
             return False
