A standstill loses no other VM: liveness counts the time in which this one ran

Callers of a VM that had stood still for a second and more were all named this VM alone by its directory, and it took the whole of the fleet's retry budget, rates and slots, until the heartbeats that waited in its sockets were read: by its clock all other VMs had been silent. If its path was lost just then, no VM was left to serve its callers. It logged vm_lost for each.

VmTable now gets times of the awake clock from all its callers. What the liveness of others proves about the store (is_registry_current) stays in real time, by when the heartbeats were sent: a VM that stood still may have missed changes of the registry.

The virtual fleets of the tests let their awake clocks beat as their time passes (tests/awakeclocks.py); their bounds are unchanged.

--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -1,4 +1,8 @@
-"""The VMs of a fleet as known from heartbeats, received directly or over relays."""
+"""The VMs of a fleet as known from heartbeats, received directly or over relays.
+
+Times are those of an awake clock (core/awake.py): a VM that stood still has not yet
+read the heartbeats that came meanwhile, so their senders are no less live.
+"""
 
 from enum import Enum
 from statistics import median
@@ -76,7 +80,7 @@
 
 
 class KnownVm:
-    """The newest heartbeat of another VM, and when it was made by this node's clock."""
+    """The newest heartbeat of another VM, and when it was made by the awake clock."""
 
     __slots__ = ("heartbeat", "made_ms")
 
@@ -122,7 +126,7 @@
         return found
 
     def record(self, heartbeat: VmHeartbeat, made_ms: int) -> HeartbeatStatus:
-        """Record a heartbeat that was made at `made_ms` on this node's clock."""
+        """Record a heartbeat that was made at `made_ms` on this node's awake clock."""
         if heartbeat.sender == self.node:
             return HeartbeatStatus.STALE
         current = self._vms.get(heartbeat.sender)
@@ -172,6 +176,14 @@
                 count += 1
         return count
 
+    def count_heard_since(self, since_ms: int) -> int:
+        """Return how many VMs' newest heartbeats were sent since an agreed time."""
+        count = 0
+        for vm in self._vms.values():
+            if vm.heartbeat.agreed_ms >= since_ms:
+                count += 1
+        return count
+
     def list_live_names(self, now_ms: int) -> list[str]:
         """Return the names of the other VMs that are live and not leaving."""
         return [heartbeat.sender for heartbeat in self.list_staying(now_ms)]
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -48,7 +48,11 @@
 from plantainwood.core.sizing import DemandPeak, EngineCounts, Scaling
 from plantainwood.core.slowvms import SlowVm
 from plantainwood.core.storecopies import SecondRead
-from plantainwood.core.vms import AgreedTime, VmTable
+from plantainwood.core.vms import (
+    AgreedTime,
+    VmTable,
+    compute_liveness_timeout_ms,
+)
 from plantainwood.core.windows import StartCounter, WindowTotals
 from plantainwood.edgesettings import EdgeSettings
 from plantainwood.evacuationlogs import EvacuationReporter
@@ -303,7 +307,7 @@
 
     def find_weights(self) -> dict[str, int]:
         """Return the weight of each live VM that is not leaving, and of this one."""
-        return self.compare_weights(self.vms.list_staying(self.clock.now_ms()))
+        return self.compare_weights(self.vms.list_staying(self.awake_clock.now_ms()))
 
     def compare_weights(self, heartbeats: list[VmHeartbeat]) -> dict[str, int]:
         """Return the weights of some VMs and of this one, by name."""
@@ -316,7 +320,7 @@
     def find_domains(self) -> dict[str, str]:
         """Return the failure domain of each VM that `find_weights` has."""
         domains = {self.settings.node: self.settings.domain}
-        for heartbeat in self.vms.list_staying(self.clock.now_ms()):
+        for heartbeat in self.vms.list_staying(self.awake_clock.now_ms()):
             domains[heartbeat.sender] = heartbeat.domain
         return domains
 
@@ -330,8 +334,11 @@
         age_ms = self.mirror.compute_age_ms(now_ms)
         if age_ms is not None and age_ms <= MAX_CONFIRM_AGE_MS:
             return True
+        # In real time: what came while this process stood still is not read yet.
         known = len(self.vms.list_addresses())
-        return hears_quorum(len(self.vms.list_live(now_ms)), known)
+        since_ms = now_ms - compute_liveness_timeout_ms(known)
+        heard = self.vms.count_heard_since(self.agreed_time.now(since_ms))
+        return hears_quorum(heard, known)
 
     def note_registry_read(self, began_ms: int) -> None:
         """Record that a read of the store that began at a time is applied here."""
--- a/plantainwood/edgeduties.py
+++ b/plantainwood/edgeduties.py
@@ -70,7 +70,7 @@
                 self.send_changes()
 
     def _compute_interval_ms(self) -> int:
-        count = len(self.edge.vms.list_live(self.edge.clock.now_ms()))
+        count = len(self.edge.vms.list_live(self.edge.awake_clock.now_ms()))
         return max(SEND_INTERVAL_MS, SEND_INTERVAL_MS_PER_VM * count)
 
     def send_changes(self) -> None:
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -134,7 +134,7 @@
         urgent = False
         while not self.should_stop:
             self.send_heartbeat(urgent)
-            count = len(self.edge.vms.list_live(self.edge.clock.now_ms()))
+            count = len(self.edge.vms.list_live(self.edge.awake_clock.now_ms()))
             try:
                 await asyncio.wait_for(
                     self._heartbeat_triggered.wait(),
@@ -152,10 +152,11 @@
         """
         edge = self.edge
         now_ms = edge.clock.now_ms()
-        for name in edge.vms.forget_silent(now_ms):
+        awake_ms = edge.awake_clock.now_ms()
+        for name in edge.vms.forget_silent(awake_ms):
             log_event("vm_forgotten", vm=name)
             edge.weights.forget(name)
-        live = edge.vms.list_live(now_ms)
+        live = edge.vms.list_live(awake_ms)
         edge.weights.report(live)
         self._update_live_names({heartbeat.sender for heartbeat in live})
         edge.agreed_time.correct_offset({heartbeat.sender for heartbeat in live})
@@ -163,15 +164,15 @@
         stream_versions.is_registry_current = edge.is_registry_current()
         self.shares.update()
         self._cold_watch.check()
-        self._update_serving_vms(now_ms)
+        self._update_serving_vms()
         self._send_or_relay(live, urgent, now_ms)
         if self._messenger is not None:
             self._messenger.close_idle(set(edge.vms.list_addresses().values()))
 
-    def _update_serving_vms(self, now_ms: int) -> None:
+    def _update_serving_vms(self) -> None:
         """Tell the dispatcher which VMs may serve in this one's place."""
         edge = self.edge
-        fresh = edge.vms.list_fresh(now_ms)
+        fresh = edge.vms.list_fresh(edge.awake_clock.now_ms())
         serving_vms = find_serving_vms(fresh, edge.compare_weights(fresh))
         edge.broker.dispatcher.set_serving_vms(serving_vms)
 
@@ -258,19 +259,20 @@
     def _handle_heartbeat(self, heartbeat: VmHeartbeat, age_ms: int) -> None:
         edge = self.edge
         now_ms = edge.clock.now_ms()
-        status = edge.vms.record(heartbeat, now_ms - age_ms)
+        awake_ms = edge.awake_clock.now_ms()
+        status = edge.vms.record(heartbeat, awake_ms - age_ms)
         if status is HeartbeatStatus.STALE:
             return
         interval_ms = compute_heartbeat_interval_ms(len(self._live_names))
         edge.weights.record_heartbeat(heartbeat, interval_ms, now_ms)
-        self._note_path(heartbeat, now_ms)
+        self._note_path(heartbeat)
         self._relay.record(heartbeat, now_ms - age_ms)
         if status is HeartbeatStatus.NEW:
             log_event("vm_heard", vm=heartbeat.sender, domain=heartbeat.domain)
             self._reconnect(heartbeat.sender)
             self._authenticate_link(heartbeat.sender)
             self._hand_over_notices(heartbeat.sender)
-            if is_mesh(len(edge.vms.list_live(now_ms))):
+            if is_mesh(len(edge.vms.list_live(awake_ms))):
                 self.trigger_heartbeat()
         edge.agreed_time.record(heartbeat.sender, heartbeat.agreed_ms + age_ms, now_ms)
         edge.record_demand(heartbeat.demand)
@@ -291,7 +293,7 @@
         if heartbeat.revision > edge.mirror.revision and edge.mirror.revision == 0:
             self.mirror_links.request_mirror(heartbeat.sender)
 
-    def _note_path(self, heartbeat: VmHeartbeat, now_ms: int) -> None:
+    def _note_path(self, heartbeat: VmHeartbeat) -> None:
         """Apply at once that a VM reaches fewer or more of the upstreams."""
         serving_vms = self.edge.broker.dispatcher.state.serving_vms
         known = serving_vms.get(make_load_name(heartbeat.sender))
@@ -299,4 +301,4 @@
             return
         before = (known.path_lost, known.unreached_pools)
         if before != (heartbeat.path_lost, heartbeat.unreached_pools):
-            self._update_serving_vms(now_ms)
+            self._update_serving_vms()
--- a/plantainwood/fleetlease.py
+++ b/plantainwood/fleetlease.py
@@ -58,7 +58,8 @@
         now_ms = edge.clock.now_ms()
         # A record that names this VM is stale: it would renew a lease that it holds.
         holder = find_holder(edge)
-        if holder != node and holder in edge.vms.list_live_names(now_ms):
+        live = edge.vms.list_live_names(edge.awake_clock.now_ms())
+        if holder != node and holder in live:
             self._unheld_since_ms = None
             return False
         if self._unheld_since_ms is None:
@@ -99,7 +100,7 @@
         """Return whether a VM that is not slow tries to acquire a released lease."""
         edge = self.edge
         candidates = find_lease_candidates(edge)
-        for heartbeat in edge.vms.list_staying(edge.clock.now_ms()):
+        for heartbeat in edge.vms.list_staying(edge.awake_clock.now_ms()):
             if heartbeat.sender not in candidates or not heartbeat.revision:
                 continue
             if not edge.weights.is_slow(heartbeat.sender):
--- a/plantainwood/fleetshares.py
+++ b/plantainwood/fleetshares.py
@@ -26,9 +26,10 @@
         """Update the shares; log a line when the first registered VMs count unheard."""
         edge = self._edge
         now_ms = edge.clock.now_ms()
-        live = edge.vms.list_live(now_ms)
+        awake_ms = edge.awake_clock.now_ms()
+        live = edge.vms.list_live(awake_ms)
         names = {heartbeat.sender for heartbeat in live}
-        known = edge.vms.list_current_names(now_ms)
+        known = edge.vms.list_current_names(awake_ms)
         unheard = edge.returning.find_unheard(names, known, now_ms)
         edge.retry_budget.set_nodes(len(names) + len(unheard) + 1)
         dispatcher = edge.broker.dispatcher
--- a/plantainwood/notices.py
+++ b/plantainwood/notices.py
@@ -48,7 +48,7 @@
     now_ms = edge.clock.now_ms()
     own = (edge.incarnation, edge.settings.node)
     senders = [own]
-    for heartbeat in edge.vms.list_live(now_ms):
+    for heartbeat in edge.vms.list_live(edge.awake_clock.now_ms()):
         if heartbeat.sender != name:
             senders.append((heartbeat.incarnation, heartbeat.sender))
     if own not in sorted(senders)[:NOTICE_SENDERS]:
--- a/tests/fleetsite.py
+++ b/tests/fleetsite.py
@@ -149,7 +149,7 @@
             edge = daemon.edge
             if len(edge.view.catalogue.upstreams) < len(self.runners):
                 return False
-            live = edge.vms.list_fresh(edge.clock.now_ms())
+            live = edge.vms.list_fresh(edge.awake_clock.now_ms())
             ready = [heartbeat for heartbeat in live if heartbeat.caller_address]
             if len(ready) < len(self.daemons) - 1:
                 return False
--- a/tests/largefleet.py
+++ b/tests/largefleet.py
@@ -12,6 +12,7 @@
 from plantainwood.edgesettings import EdgeAddresses
 from plantainwood.fleet import FleetLinks
 from plantainwood.metrics import Metrics
+from tests.awakeclocks import advance_awake
 from tests.samples import SETTINGS
 
 DOMAINS = 4
@@ -108,7 +109,9 @@
             for links in list(self.network.fleet_links.values()):
                 links.send_heartbeat(urgent=False)
             self.network.deliver()
-            self.clock.advance(RELAYED_HEARTBEAT_INTERVAL_MS)
+            advance_awake(
+                self.clock, self.edges.values(), RELAYED_HEARTBEAT_INTERVAL_MS
+            )
 
     def kill(self, name: str) -> None:
         """Remove a VM without notice to the others."""
@@ -117,9 +120,8 @@
 
     def get_live_vms(self, name: str) -> set[str]:
         """Return the other VMs that a VM counts as live."""
-        heartbeats: list[VmHeartbeat] = self.edges[name].vms.list_live(
-            self.clock.now_ms()
-        )
+        edge = self.edges[name]
+        heartbeats: list[VmHeartbeat] = edge.vms.list_live(edge.awake_clock.now_ms())
         return {heartbeat.sender for heartbeat in heartbeats}
 
     def get_domains(self) -> dict[str, str]:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -71,7 +71,7 @@
 def count_live_nodes(daemon: EdgeDaemon) -> int:
     """Return how many other nodes a node counts as live."""
     edge = daemon.edge
-    return len(edge.vms.list_live(edge.clock.now_ms()))
+    return len(edge.vms.list_live(edge.awake_clock.now_ms()))
 
 
 async def wait_until(condition) -> None:
--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -56,7 +56,9 @@
     fleet.network.fleet_links["tcp://h7:4"].send_heartbeat(urgent=True)
     fleet.network.deliver()
     for name in set(fleet.edges) - {"vm-7"}:
-        assert "vm-7" not in fleet.edges[name].vms.list_live_names(fleet.clock.now_ms())
+        other = fleet.edges[name]
+        live = other.vms.list_live_names(other.awake_clock.now_ms())
+        assert "vm-7" not in live
 
 
 def test_demand_forwarded_by_two_relays_counts_once():
--- a/tests/test_reconnections.py
+++ b/tests/test_reconnections.py
@@ -122,7 +122,7 @@
         vms = links.edge.vms
         # VMs that run longer are the ones that hand notices over.
         for name in ("old-1", "old-2", "old-3", "old-4"):
-            vms.record(make_heartbeat(name, 100), links.edge.clock.now_ms())
+            vms.record(make_heartbeat(name, 100), links.edge.awake_clock.now_ms())
         new = make_messenger("127.0.0.1", new_port, SETTINGS.fleet, Metrics())
         try:
             heartbeat = make_heartbeat("vm-2", 100)
--- a/tests/test_slow_vms.py
+++ b/tests/test_slow_vms.py
@@ -16,6 +16,7 @@
 from plantainwood.fleetlease import FleetLeaseRenewer, find_lease_candidates
 from plantainwood.metrics import Metrics
 from plantainwood.settings import SettingsError
+from tests.awakeclocks import advance_awake
 from tests.fakes import FakeStore, ProcedureRun
 from tests.samples import SETTINGS, make_heartbeat
 from tests.test_edge_settings import VALID
@@ -42,7 +43,7 @@
     ) -> None:
         """Receive a heartbeat of each VM; the late ones were made after `gap_ms`."""
         self._sequence += 1
-        self.clock.advance(INTERVAL_MS)
+        advance_awake(self.clock, [self.edge], INTERVAL_MS)
         for name in self._names:
             made_ms = self._sequence * (gap_ms if name in late else INTERVAL_MS)
             heartbeat = msgspec.structs.replace(
@@ -52,7 +53,7 @@
                 agreed_ms=made_ms,
             )
             now_ms = self.clock.now_ms()
-            self.edge.vms.record(heartbeat, now_ms)
+            self.edge.vms.record(heartbeat, self.edge.awake_clock.now_ms())
             self.edge.weights.record_heartbeat(heartbeat, INTERVAL_MS, now_ms)
 
     def find_answers(self) -> list[list[str]]:
@@ -205,7 +206,7 @@
         for renewer, other in zip(self.renewers, reversed(self.renewers)):
             heartbeat: VmHeartbeat = other.edge.make_heartbeat()
             now_ms = self.clock.now_ms()
-            renewer.edge.vms.record(heartbeat, now_ms)
+            renewer.edge.vms.record(heartbeat, renewer.edge.awake_clock.now_ms())
             renewer.edge.weights.record_heartbeat(heartbeat, 100, now_ms)
 
     def set_slow(self, number: int, is_slow: bool) -> None:
@@ -222,7 +223,8 @@
     async def run(self, duration_ms: int) -> None:
         """Let both VMs act; check that at most one holds the lease."""
         for _ in range(duration_ms // 200):
-            self.clock.advance(200)
+            edges = [renewer.edge for renewer in self.renewers]
+            advance_awake(self.clock, edges, 200)
             self.exchange()
             for number, renewer in enumerate(self.renewers):
                 await renewer.hand_over_if_slow()
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -7,7 +7,17 @@
 import asyncio
 import time
 
+import msgspec
+
+from bridge.directory import find_addresses
+from plantainwood.core.clock import VirtualClock
+from plantainwood.core.vms import MIN_LIVENESS_TIMEOUT_MS
+from plantainwood.edge import Edge
+from plantainwood.fleetshares import FleetShares
+from plantainwood.metrics import Metrics
+from tests.awakeclocks import advance_awake
 from tests.edgesite import answer_request_line, run_site
+from tests.samples import SETTINGS, make_heartbeat
 
 STANDSTILL_S = 0.6
 """Longer than each limit on opening a connection."""
@@ -92,3 +102,60 @@
         assert samples[0] < 1_000 * STANDSTILL_S
 
     run_with_runners(scenario)
+
+
+def make_peers_known(edge: Edge, count: int) -> None:
+    """Let a VM hear some others now."""
+    for number in range(count):
+        heartbeat = msgspec.structs.replace(
+            make_heartbeat(f"peer-{number}", 100),
+            caller_address=f"peer-{number}:80",
+            agreed_ms=edge.agreed_time.now(edge.clock.now_ms()),
+        )
+        edge.vms.record(heartbeat, edge.awake_clock.now_ms())
+
+
+# Guards against a VM that counts all others as lost since it stood still itself: it
+# would take their shares of retries and rates, and name only itself to clients.
+def test_a_standstill_loses_no_other_vm():
+    clock = VirtualClock(100_000)
+    edge = Edge(SETTINGS, clock, Metrics())
+    make_peers_known(edge, 3)
+    clock.advance(5_000)
+    shares = FleetShares(edge)
+    shares.update()
+    assert len(edge.vms.list_live(edge.awake_clock.now_ms())) == 3
+    assert len(edge.find_weights()) == 4
+    assert len(find_addresses(edge, "caller")) == 3
+    edge.awake_clock.record_beat()
+    assert len(edge.find_weights()) == 4
+
+
+def test_a_vm_that_stays_silent_while_this_one_runs_is_lost():
+    clock = VirtualClock(100_000)
+    edge = Edge(SETTINGS, clock, Metrics())
+    make_peers_known(edge, 3)
+    advance_awake(clock, [edge], MIN_LIVENESS_TIMEOUT_MS + 1)
+    assert len(edge.find_weights()) == 1
+
+
+# Guards against a registry that counts as current though changes wait to be read.
+def test_a_standstill_makes_no_registry_current():
+    clock = VirtualClock(100_000)
+    edge = Edge(SETTINGS, clock, Metrics())
+    for number in range(3):
+        edge.vms.learn_address(f"peer-{number}", f"tcp://peer-{number}:1")
+    make_peers_known(edge, 3)
+    assert edge.is_registry_current()
+    clock.advance(5_000)
+    assert not edge.is_registry_current()
+    make_peers_known(edge, 3)
+    assert not edge.is_registry_current()
+    for heartbeat in edge.vms.list_live(edge.awake_clock.now_ms()):
+        later = msgspec.structs.replace(
+            heartbeat,
+            sequence=heartbeat.sequence + 1,
+            agreed_ms=edge.agreed_time.now(clock.now_ms()),
+        )
+        edge.vms.record(later, edge.awake_clock.now_ms())
+    assert edge.is_registry_current()
