A thawed VM counts the rewriting time from the first read of the store's copy

Cause: a VM keeps what it knows for 2.5 s after it was told of the copy. Told at its thaw, it still kept it when another VM's second whole read arrived, and read the store itself 3.5 s later.

Why this works: heartbeats name the revision of their sender's mirror. The difference between a sender's first heartbeat of the era and its newest says for how long the era has been known at least, whatever the clocks say; the time counts from there. Nothing that VMs send changes.

--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -400,6 +400,14 @@
         "                self._due_ms = at_ms + REWRITE_GRACE_MS\n",
         "tests/test_store_copies.py",
     ),
+    Mutant(
+        4,
+        "a thawed VM counts the writers' time from its thaw",
+        CORE + "storecopies.py",
+        "        heard_ms = now_ms - max(0, passed_ms)\n",
+        "        heard_ms = now_ms\n",
+        "tests/test_store_copies.py",
+    ),
     Mutant(
         4,
         "a second read of the store's copy puts it in force",
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -264,6 +264,7 @@
         interval_ms = compute_heartbeat_interval_ms(len(self._live_names))
         edge.weights.record_heartbeat(heartbeat, interval_ms, now_ms)
         self._note_path(heartbeat, now_ms)
+        edge.second_read.note_heartbeat(heartbeat, now_ms)
         self._relay.record(heartbeat, now_ms - age_ms)
         if status is HeartbeatStatus.NEW:
             log_event("vm_heard", vm=heartbeat.sender, domain=heartbeat.domain)
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -2,15 +2,19 @@
 
 import asyncio
 
+import msgspec
+import pytest
+
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.errors import StoreError
-from plantainwood.core.fleetmessages import MirrorSnapshot
+from plantainwood.core.fleetmessages import MirrorSnapshot, VmHeartbeat
 from plantainwood.core.mirror import Item, Mirror
 from plantainwood.core.storecopies import (
     REWRITE_GRACE_MS,
     compute_second_read_delay_ms,
 )
 from plantainwood.core.storeeras import make_revision
+from plantainwood.core.vms import MIN_HEARTBEAT_INTERVAL_MS
 from plantainwood.edge import Edge
 from plantainwood.fleet import FleetLinks
 from plantainwood.metrics import Metrics
@@ -22,6 +26,8 @@
 
 KEY = "servers/i-1"
 VMS = 4
+FROZEN_MS = 1_000
+EPOCH_MS = 1_000_000
 LONGEST_DELAY_MS = compute_second_read_delay_ms(VMS - 1)
 DRAINING = Item(KEY, 6, b"draining")
 COPIED = Item(KEY, make_revision(1, 5), b"ready")
@@ -127,6 +133,99 @@
     assert source.whole_reads == 0
 
 
+def send_heartbeats(clock: VirtualClock, until_ms: int) -> list[VmHeartbeat]:
+    """Return the heartbeats up to a time of a VM that has read the copy just now."""
+    other = Edge(msgspec.structs.replace(SETTINGS, node="vm-2"), clock, Metrics())
+    links = FleetLinks(other, lambda items: None)
+    links.handle_message(MirrorSnapshot("vm-3", COPY_REVISION, 0, [KEPT]))
+    sent = [other.make_heartbeat()]
+    while clock.now_ms() < until_ms:
+        clock.advance(MIN_HEARTBEAT_INTERVAL_MS)
+        sent.append(other.make_heartbeat())
+    return sent
+
+
+def make_thawed_survivor(clock: VirtualClock) -> tuple[Edge, FleetLinks]:
+    """Return a VM frozen for FROZEN_MS since another one read the store's copy.
+
+    What the other one sent meanwhile is handled at the thaw.
+    """
+    edge, links = make_survivor(clock)
+    heartbeats = send_heartbeats(clock, FROZEN_MS)
+    links.handle_message(MirrorSnapshot("vm-2", COPY_REVISION, 0, [KEPT]))
+    for heartbeat in heartbeats:
+        links.handle_message(heartbeat)
+    return edge, links
+
+
+# Guards against CONFIG: a VM that was frozen when the copy was read counted from its
+# thaw, and refused what the others had read again (soak, seed 9319).
+def test_a_thawed_vm_takes_the_second_read_of_another():
+    clock = VirtualClock(epoch_ms=EPOCH_MS)
+    edge, links = make_thawed_survivor(clock)
+    clock.advance(REWRITE_GRACE_MS - FROZEN_MS)
+    settled = Item(KEY, COPY_REVISION, b"ready")
+    links.handle_message(MirrorSnapshot("vm-2", COPY_REVISION, 0, [settled]))
+    assert edge.mirror.items[KEY].value == b"ready"
+    assert not edge.second_read.is_due(clock.now_ms() + 10 * REWRITE_GRACE_MS)
+
+
+# Guards against the same where the others end before their second read.
+def test_a_thawed_vm_reads_the_store_as_soon_as_one_that_was_not_frozen():
+    clock = VirtualClock(epoch_ms=EPOCH_MS)
+    edge, _ = make_thawed_survivor(clock)
+    clock.advance(REWRITE_GRACE_MS - FROZEN_MS)
+    assert not edge.second_read.is_due(clock.now_ms())
+    clock.advance(LONGEST_DELAY_MS)
+    assert edge.second_read.is_due(clock.now_ms())
+
+
+# Guards against the same for a thawed VM that reads the copy before it hears others.
+def test_a_thawed_vm_that_read_the_copy_by_itself_takes_the_second_read_of_another():
+    clock = VirtualClock(epoch_ms=EPOCH_MS)
+    edge, links = make_survivor(clock)
+    reader, _ = make_reader(edge, ReturnedSource())
+    heartbeats = send_heartbeats(clock, FROZEN_MS)
+    asyncio.run(reader._read_once())
+    for heartbeat in heartbeats:
+        links.handle_message(heartbeat)
+    clock.advance(REWRITE_GRACE_MS - FROZEN_MS)
+    settled = Item(KEY, COPY_REVISION, b"ready")
+    links.handle_message(MirrorSnapshot("vm-2", COPY_REVISION, 0, [settled]))
+    assert edge.mirror.items[KEY].value == b"ready"
+
+
+# Guards against DRAIN: a clock that is wrong, or set at that moment, must not let a VM
+# give up what the writers still have time to write again.
+@pytest.mark.parametrize("field", ["agreed_ms", "wall_ms"])
+@pytest.mark.parametrize("wrong_from", [0, 1])
+def test_a_wrong_clock_shortens_no_writers_time(field, wrong_from):
+    clock = VirtualClock(epoch_ms=EPOCH_MS)
+    edge, links = make_survivor(clock)
+    reader, _ = make_reader(edge, ReturnedSource())
+    asyncio.run(reader._read_once())
+    began_ms = clock.now_ms()
+    for number, heartbeat in enumerate(send_heartbeats(clock, 100)):
+        if number >= wrong_from:
+            wrong = {field: getattr(heartbeat, field) + 60_000}
+            heartbeat = msgspec.structs.replace(heartbeat, **wrong)
+        links.handle_message(heartbeat)
+    clock.advance(began_ms + REWRITE_GRACE_MS - 1 - clock.now_ms())
+    assert not edge.second_read.is_due(clock.now_ms())
+
+
+# Guards against a record of heartbeats that grows with each VM that comes and goes.
+def test_nothing_is_kept_of_heartbeats_once_the_store_was_read_again():
+    clock = VirtualClock(epoch_ms=EPOCH_MS)
+    edge, links = make_thawed_survivor(clock)
+    clock.advance(REWRITE_GRACE_MS)
+    settled = Item(KEY, COPY_REVISION, b"ready")
+    links.handle_message(MirrorSnapshot("vm-2", COPY_REVISION, 0, [settled]))
+    for heartbeat in send_heartbeats(clock, clock.now_ms() + FROZEN_MS):
+        links.handle_message(heartbeat)
+    assert not edge.second_read._first_heard
+
+
 # Guards against the second whole read being dropped for good when it fails once.
 def test_a_failed_second_read_is_tried_again():
     clock = VirtualClock()
