A standstill makes no upstream look slow: timings leave out what this process stood still

Callers' requests left sound upstreams after their VM had stood still: the first tokens and streams that spanned the standstill counted as the upstreams' own time. One sample of 2 s against the usual 50 ms ejects the upstream as a straggler, and its learned slowness told the other VMs the same. On the second interface all requests without a first token were moved to other engines at once.

The broker tells the dispatcher how long the process has stood still in all. A first token that spans a standstill is no sample; the time between tokens and the wait before a move leave the standstill out.

--- a/plantainwood/broker.py
+++ b/plantainwood/broker.py
@@ -4,6 +4,7 @@
 from typing import Callable
 
 from plantainwood.core import events as ev
+from plantainwood.core.awake import AwakeClock
 from plantainwood.core.clock import Clock
 from plantainwood.core.dispatcher import Dispatcher
 from plantainwood.core.keys import Identity
@@ -29,6 +30,7 @@
         "active_requests",
         "event_count",
         "_clock",
+        "_awake_clock",
         "_on_fleet_decision",
     )
 
@@ -36,6 +38,7 @@
         self,
         dispatcher: Dispatcher,
         clock: Clock,
+        awake_clock: AwakeClock,
         on_fleet_decision: Callable[[ev.FleetDecision], None],
     ) -> None:
         self.dispatcher = dispatcher
@@ -43,6 +46,7 @@
         self.event_count = 0
         """The events since the start, as a measure of the work that is done."""
         self._clock = clock
+        self._awake_clock = awake_clock
         self._on_fleet_decision = on_fleet_decision
 
     def register(self, request: ActiveRequest) -> None:
@@ -59,6 +63,7 @@
     def feed(self, event: ev.Event) -> None:
         """Let the dispatcher decide on an event and deliver its decisions at once."""
         self.event_count += 1
+        self.dispatcher.state.stood_still_ms = self._awake_clock.count_left_out_ms()
         for decision in self.dispatcher.decide(event, self._clock.now_ms()):
             if isinstance(decision, ev.FleetDecision):
                 self._on_fleet_decision(decision)
--- a/plantainwood/core/awake.py
+++ b/plantainwood/core/awake.py
@@ -18,18 +18,23 @@
     others, such as leases and deadlines, which end in real time.
     """
 
-    __slots__ = ("_clock", "_counted_ms", "_beat_ms")
+    __slots__ = ("_clock", "_counted_ms", "_left_out_ms", "_beat_ms")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._beat_ms = clock.now_ms()
         self._counted_ms = self._beat_ms
         """The time of this clock at the last beat."""
+        self._left_out_ms = 0
 
     def now_ms(self) -> int:
         """Return the counted time since an arbitrary origin; it never goes back."""
         return self._counted_ms + min(self._measure_step(), MAX_STEP_MS)
 
+    def count_left_out_ms(self) -> int:
+        """Return the ms that this clock has left out since it was made."""
+        return self._left_out_ms + max(0, self._measure_step() - MAX_STEP_MS)
+
     def wall_ms(self) -> int:
         """Return Unix time in milliseconds, standstills included."""
         return self._clock.wall_ms()
@@ -37,7 +42,9 @@
     def record_beat(self) -> int:
         """Record that the loop runs; return the real ms since the last beat."""
         step_ms = self._measure_step()
-        self._counted_ms += min(step_ms, MAX_STEP_MS)
+        counted_ms = min(step_ms, MAX_STEP_MS)
+        self._counted_ms += counted_ms
+        self._left_out_ms += step_ms - counted_ms
         self._beat_ms += step_ms
         return step_ms
 
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -48,6 +48,7 @@
         "counters",
         "shares",
         "least_urgent_tiers",
+        "stood_still_ms",
         "_judging_due_ms",
         "uses_regions",
     )
@@ -78,6 +79,8 @@
         """None while customers have no shares over the fleet."""
         self.least_urgent_tiers: dict[str, int] = {}
         """The least urgent tier that the configuration has for each pool."""
+        self.stood_still_ms = 0
+        """How long this process has stood still in all, as its awake clock counts."""
         self._judging_due_ms = 0
         self.uses_regions = False
         """Whether any request was bound to some failure domains."""
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -35,9 +35,13 @@
     request.first_token_ms = now_ms
     load = state.loads[request.upstream]
     load.unstarted_attempts -= 1
-    took_ms = now_ms - request.dispatched_ms
-    load.record_first_token(took_ms, state.router.find_prefill_tokens(request))
-    state.router.record_started(request, load)
+    # The time of a standstill of this process says nothing of the upstream.
+    is_timed = request.stood_still_ms == state.stood_still_ms
+    request.stood_still_ms = state.stood_still_ms
+    if is_timed:
+        took_ms = now_ms - request.dispatched_ms
+        load.record_first_token(took_ms, state.router.find_prefill_tokens(request))
+    state.router.record_started(request, load, is_timed)
     _record_stream(state, request, load, event.served_by, now_ms)
     if not request.shared_parts:
         return
@@ -100,6 +104,7 @@
     load = state.loads[request.upstream]
     if request.first_token_ms and request.tokens > 1:
         took_ms = now_ms - request.first_token_ms
+        took_ms -= state.stood_still_ms - request.stood_still_ms
         load.record_between_tokens(took_ms / request.tokens)
     pool = state.pools[request.pool]
     state.get_or_create_tier(pool, request.tier).record_answer_length(request.tokens)
--- a/plantainwood/core/promptrouter.py
+++ b/plantainwood/core/promptrouter.py
@@ -450,9 +450,14 @@
         """Return the tokens to prefill before the first token, as of the dispatch."""
         return self._pending_work_tokens.get(request.id, 0.0)
 
-    def record_started(self, request: Request, load: UpstreamLoad) -> None:
+    def record_started(
+        self, request: Request, load: UpstreamLoad, is_timed: bool = True
+    ) -> None:
         """Remove a prompt from the backlog, since its first token has arrived."""
         self.engine_states.record_prefilled(load.name, request.id)
+        if not is_timed:
+            self.paces.drop_timing(request.id)
+            return
         first_ms = request.first_token_ms
         took_ms = first_ms - request.dispatched_ms
         self.paces.end_timing(request.id, load.name, took_ms, first_ms)
--- a/plantainwood/core/requests.py
+++ b/plantainwood/core/requests.py
@@ -29,6 +29,7 @@
         "upstream",
         "dispatched_ms",
         "first_token_ms",
+        "stood_still_ms",
         "tokens",
         "on_min_share",
         "prepaid_tokens",
@@ -78,6 +79,9 @@
         self.upstream = ""
         self.dispatched_ms = 0
         self.first_token_ms = 0
+        self.stood_still_ms = 0
+        """How long this process had stood still in all at the dispatch, then at the
+        first token."""
         self.tokens = 0
         self.on_min_share = False
         """Whether it runs on its tier's minimum share, at the top priority."""
--- a/plantainwood/core/router.py
+++ b/plantainwood/core/router.py
@@ -48,8 +48,10 @@
         """Return the tokens to prefill before an attempt's first token, or 0."""
         return 0.0
 
-    def record_started(self, request: Request, load: UpstreamLoad) -> None:
-        """Record an attempt's first token."""
+    def record_started(
+        self, request: Request, load: UpstreamLoad, is_timed: bool = True
+    ) -> None:
+        """Record an attempt's first token; its time counts only if it `is_timed`."""
 
     def record_end(self, request: Request, load: UpstreamLoad) -> None:
         """Record an attempt that ended, with or without an answer."""
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -158,6 +158,7 @@
     request.upstream = load.name
     request.dispatched_ms = now_ms
     request.first_token_ms = 0
+    request.stood_still_ms = state.stood_still_ms
     load.record_dispatch(request.priority, now_ms)
     state.cold_upstreams.record_sent(load.entry.address, now_ms)
     load.unstarted_attempts += 1
@@ -223,7 +224,9 @@
         ):
             continue
         typical_ms = state.loads[request.upstream].first_token_ms
-        if now_ms - request.dispatched_ms < max(MIN_MOVE_MS, 2 * typical_ms):
+        waited_ms = now_ms - request.dispatched_ms
+        waited_ms -= state.stood_still_ms - request.stood_still_ms
+        if waited_ms < max(MIN_MOVE_MS, 2 * typical_ms):
             continue
         others = [load for load in pool.group if load.name != request.upstream]
         load = _choose(state, others, request, now_ms)
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -159,7 +159,9 @@
         )
         dispatcher = Dispatcher(settings.node, secrets.randbits(32), options)
         dispatcher.set_regions(settings.domain, settings.regions)
-        self.broker = RequestBroker(dispatcher, clock, self._queue_notice)
+        self.broker = RequestBroker(
+            dispatcher, clock, self.awake_clock, self._queue_notice
+        )
         self._apply_cold_bounds()
         self.overflow = make_overflow(settings)
         if self.overflow is not None:
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -111,7 +111,9 @@
         self.stored_revision = 0
         """Key-value revision of the catalogue that was last read."""
         dispatcher = Dispatcher(settings.node, secrets.randbits(32), Options())
-        self.broker = RequestBroker(dispatcher, clock, self._apply_fleet_decision)
+        self.broker = RequestBroker(
+            dispatcher, clock, self.awake_clock, self._apply_fleet_decision
+        )
         self.members = Members(settings.node)
         self.gossip_table = GossipTable()
         self.confirmation = Confirmation()
