An update that waited in a standstill confirms the mirror as of when it was sent

A VM that had stood still could deny callers (404, 401) by a configuration that was older than allowed: the first update that it read from its socket counted as just sent, so its mirror counted as confirmed now, while later updates with a new route or key still waited behind it.

The age of the confirmation now includes the time since the update was sent, by the agreed time, less what the clocks of two VMs may differ by. The same time already counted for the registry.

The test failed before (age 100 ms of an update sent 2,200 ms ago).

--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -347,15 +347,21 @@
         if self._registry_read_ms is None or began_ms > self._registry_read_ms:
             self._registry_read_ms = began_ms
 
+    def compute_waited_ms(self, sent_ms: int) -> int:
+        """Return for how long a message, sent at an agreed time, was not read here.
+
+        This VM may have stood still. The agreed times of two VMs may differ by as much
+        as MAX_CLOCK_ERROR_MS.
+        """
+        return max(0, self.agreed_time.now(self.clock.now_ms()) - sent_ms)
+
     def note_update(self, sent_ms: int, age_ms: int) -> None:
         """Record another VM's read, sent at an agreed time, when it was `age_ms` old.
 
-        What was sent earlier than it is found here is older by as much: this VM may
-        have stood still.
+        What was sent earlier than it is found here is older by as much.
         """
-        now_ms = self.clock.now_ms()
-        waited_ms = max(0, self.agreed_time.now(now_ms) - sent_ms)
-        self.note_registry_read(now_ms - waited_ms - age_ms)
+        waited_ms = self.compute_waited_ms(sent_ms)
+        self.note_registry_read(self.clock.now_ms() - waited_ms - age_ms)
 
     def is_registry_confirmed(self, since_ms: int) -> bool:
         """Return whether all changes of the registry before a time are known here.
--- a/plantainwood/mirrorlinks.py
+++ b/plantainwood/mirrorlinks.py
@@ -12,6 +12,7 @@
 from plantainwood.core.storecopies import compute_second_read_delay_ms, keep_kept_items
 from plantainwood.core.storeeras import get_era
 from plantainwood.core.storereaders import find_rank
+from plantainwood.core.vms import MAX_CLOCK_ERROR_MS
 from plantainwood.edge import Edge
 from plantainwood.reader import MirrorPublisher
 
@@ -54,7 +55,11 @@
         if changed_items is None:
             self.request_mirror(update.sender)
             return
-        edge.mirror.confirm(update.revision, edge.clock.now_ms() - update.age_ms)
+        read_ms = edge.clock.now_ms() - update.age_ms
+        if update.sent_ms:
+            waited_ms = edge.compute_waited_ms(update.sent_ms)
+            read_ms -= max(0, waited_ms - MAX_CLOCK_ERROR_MS)
+        edge.mirror.confirm(update.revision, read_ms)
         self._on_items(changed_items)
         if update.sent_ms:
             edge.note_update(update.sent_ms, update.age_ms)
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -11,10 +11,12 @@
 
 from bridge.directory import find_addresses
 from plantainwood.core.clock import VirtualClock
-from plantainwood.core.vms import MIN_LIVENESS_TIMEOUT_MS
+from plantainwood.core.fleetmessages import StoreUpdate
+from plantainwood.core.vms import MAX_CLOCK_ERROR_MS, MIN_LIVENESS_TIMEOUT_MS
 from plantainwood.edge import Edge
 from plantainwood.fleetshares import FleetShares
 from plantainwood.metrics import Metrics
+from plantainwood.mirrorlinks import MirrorLinks
 from tests.awakeclocks import advance_awake
 from tests.edgesite import answer_request_line, run_site
 from tests.samples import SETTINGS, make_heartbeat
@@ -159,3 +161,18 @@
         )
         edge.vms.record(later, edge.awake_clock.now_ms())
     assert edge.is_registry_current()
+
+
+# Guards against a denial by a configuration that is older than its confirmation says:
+# the update waited in a socket while this VM stood still.
+def test_an_update_that_waited_in_a_standstill_confirms_when_it_was_sent():
+    edge = Edge(SETTINGS, VirtualClock(100_000), Metrics())
+    links = MirrorLinks(
+        edge, lambda items: None, lambda names, message: 0, lambda message: None
+    )
+    now_ms = edge.clock.now_ms()
+    sent_ms = edge.agreed_time.now(now_ms - 2_200)
+    links.apply_update(StoreUpdate("peer-0", 0, 1, 100, [], sent_ms))
+    assert edge.mirror.compute_age_ms(now_ms) == 2_300 - MAX_CLOCK_ERROR_MS
+    links.apply_update(StoreUpdate("peer-0", 1, 2, 100, []))
+    assert edge.mirror.compute_age_ms(now_ms) == 100
