A standstill refuses no caller whose wait for a confirmation spans it

Callers got 503 with a return later after their VM had stood still: a request that waits for the configuration to be confirmed (700 ms), or a stream that is taken up and waits for the word that its version is the only one (1,200 ms), was refused as the VM went on, although the word waited in a socket.

The wait of a stream that is taken up now begins when its body has come.

--- a/plantainwood/takeups.py
+++ b/plantainwood/takeups.py
@@ -22,14 +22,16 @@
 async def confirm_version(edge: Edge, call: Call) -> None:
     """Return once the version that may continue a call's stream is sure.
 
-    Raise RequestError (not run) if it can't be within MAX_WAIT_MS.
+    Raise RequestError (not run) if it can't be within MAX_WAIT_MS, in which this
+    process ran, or by the call's deadline.
     """
     if not call.resumes or not _is_guess(edge, call):
         return
-    until_ms = min(call.arrived_ms + MAX_WAIT_MS, call.deadline_ms)
+    until_ms = edge.awake_clock.now_ms() + MAX_WAIT_MS
     state = edge.broker.dispatcher.state
     while not edge.is_registry_confirmed(call.arrived_ms):
-        if state.draining or edge.clock.now_ms() >= until_ms:
+        is_late = edge.clock.now_ms() >= call.deadline_ms
+        if state.draining or is_late or edge.awake_clock.now_ms() >= until_ms:
             log_event("take_up_unconfirmed", request=call.request_id)
             message = "it is not known whether another version began the stream"
             raise RequestError(
--- a/tests/awakeclocks.py
+++ b/tests/awakeclocks.py
@@ -1,11 +1,14 @@
-"""Virtual time in which processes run: their awake clocks beat as it passes."""
+"""Time in which processes run: their awake clocks beat as it passes."""
 
+import asyncio
 from typing import Iterable
 
-from plantainwood.core.awake import MAX_STEP_MS
+from plantainwood.core.awake import MAX_STEP_MS, AwakeClock
 from plantainwood.core.clock import VirtualClock
 from plantainwood.edge import Edge
 
+BEAT_S = 0.02
+
 
 def advance_awake(clock: VirtualClock, edges: Iterable[Edge], by_ms: int) -> None:
     """Advance the clock of some VMs, all of which run meanwhile."""
@@ -17,3 +20,10 @@
         left_ms -= step_ms
         for edge in edges:
             edge.awake_clock.record_beat()
+
+
+async def beat(awake_clock: AwakeClock) -> None:
+    """Let an awake clock beat until this is cancelled."""
+    while True:
+        awake_clock.record_beat()
+        await asyncio.sleep(BEAT_S)
--- a/tests/test_awake.py
+++ b/tests/test_awake.py
@@ -19,6 +19,7 @@
     measure_used_time,
 )
 from plantainwood.ticker import IDLE_TICK_MS
+from tests.awakeclocks import beat
 from tests.edgesite import run_site
 
 
@@ -67,13 +68,6 @@
     assert BEAT_INTERVAL_MS < MAX_STEP_MS
 
 
-async def beat(awake_clock) -> None:
-    """Beat until cancelled."""
-    while True:
-        awake_clock.record_beat()
-        await asyncio.sleep(0.02)
-
-
 def run_with_beats(scenario) -> None:
     """Run a scenario with an awake clock that beats."""
 
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -9,15 +9,17 @@
 
 import msgspec
 
+from bridge.callers import CONFIRM_WAIT_MS, MAX_CONFIRM_AGE_FOR_DENIAL_MS
 from bridge.directory import find_addresses
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.fleetmessages import StoreUpdate
 from plantainwood.core.vms import MAX_CLOCK_ERROR_MS, MIN_LIVENESS_TIMEOUT_MS
-from plantainwood.edge import Edge
+from plantainwood.edge import Edge, make_edge
 from plantainwood.fleetshares import FleetShares
 from plantainwood.metrics import Metrics
 from plantainwood.mirrorlinks import MirrorLinks
-from tests.awakeclocks import advance_awake
+from plantainwood.takeups import MAX_WAIT_MS, confirm_version
+from tests.awakeclocks import advance_awake, beat
 from tests.edgesite import answer_request_line, run_site
 from tests.samples import SETTINGS, make_heartbeat
 
@@ -176,3 +178,52 @@
     assert edge.mirror.compute_age_ms(now_ms) == 2_300 - MAX_CLOCK_ERROR_MS
     links.apply_update(StoreUpdate("peer-0", 1, 2, 100, []))
     assert edge.mirror.compute_age_ms(now_ms) == 100
+
+
+class TakenUp:
+    """What is looked at of a call that takes up a stream."""
+
+    request_id = "r-1"
+    resumes = "r-0"
+    service = "pool"
+
+    def __init__(self, edge: Edge) -> None:
+        self.arrived_ms = edge.clock.now_ms()
+        self.deadline_ms = self.arrived_ms + 10_000
+
+
+# Guards against a stream that can't be taken up since the word that its version is the
+# only one waits in a socket as the VM goes on.
+def test_a_standstill_refuses_no_stream_that_is_taken_up():
+    async def scenario() -> None:
+        edge = make_edge(SETTINGS)
+        edge.vms.learn_address("peer-0", "tcp://peer-0:1")
+        edge.broker.dispatcher.set_versions(
+            {"service/pool": {"v1"}}, edge.clock.now_ms()
+        )
+        beats = asyncio.create_task(beat(edge.awake_clock))
+        confirming = asyncio.create_task(confirm_version(edge, TakenUp(edge)))
+        await asyncio.sleep(0.05)
+        assert not confirming.done()
+        time.sleep(MAX_WAIT_MS / 1_000 + 0.2)
+        await asyncio.sleep(0.05)
+        edge.note_registry_read(edge.clock.now_ms())
+        await confirming
+        beats.cancel()
+
+    asyncio.run(scenario())
+
+
+# Guards against a refusal as unconfirmed, with a return later, in place of the denial.
+def test_a_caller_is_denied_once_a_standstill_has_ended():
+    async def scenario(site) -> None:
+        site.store.faults.down = True
+        await asyncio.sleep(MAX_CONFIRM_AGE_FOR_DENIAL_MS / 1_000 + 0.7)
+        denied = asyncio.create_task(site.call("GET", "/none"))
+        await asyncio.sleep(0.2)
+        assert not denied.done()
+        site.store.faults.down = False
+        time.sleep(CONFIRM_WAIT_MS / 1_000)
+        assert (await denied)[0] == 404
+
+    run_with_runners(scenario)
