The log of standstills times collections by the processor time that they used

In plays on a busy machine the log's gc_ms was larger than its cpu_ms (87 against 71): a process that lost the processor within a collection counted the wait as collecting, and one that was stopped there would have been logged with the cause "collection".

The test failed before: 200 ms without work counted as a collection.

--- a/plantainwood/standstills.py
+++ b/plantainwood/standstills.py
@@ -22,7 +22,10 @@
 
 
 class CollectionTimer:
-    """Add up the time of this process's garbage collections."""
+    """Add up the processor time of this process's garbage collections.
+
+    A process that is stopped within a collection doesn't collect meanwhile.
+    """
 
     __slots__ = ("total_ns", "_began_ns")
 
@@ -32,7 +35,7 @@
 
     def record(self, phase: str, _: dict[str, Any]) -> None:
         """Record the start or the end of a collection; gc calls this."""
-        now_ns = time.monotonic_ns()
+        now_ns = time.thread_time_ns()
         if phase == "start":
             self._began_ns = now_ns
         else:
@@ -43,14 +46,14 @@
 
 
 class UsedTime(msgspec.Struct, frozen=True):
-    """What this thread's time went to, in ms since an arbitrary origin."""
+    """What processor time was used for, in ms since an arbitrary origin."""
 
     cpu_ms: int
     gc_ms: int
 
 
 def measure_used_time() -> UsedTime:
-    """Return this thread's processor time and the time of all collections."""
+    """Return the processor time of this thread and of all collections."""
     if _collection_timer.record not in gc.callbacks:
         gc.callbacks.append(_collection_timer.record)
     return UsedTime(
--- a/tests/test_awake.py
+++ b/tests/test_awake.py
@@ -14,6 +14,7 @@
 from plantainwood.standstills import (
     BEAT_INTERVAL_MS,
     LOG_INTERVAL_MS,
+    CollectionTimer,
     StandstillRecorder,
     find_cause,
     measure_used_time,
@@ -218,3 +219,12 @@
         )
 
     asyncio.run(scenario())
+
+
+# Guards against a stop that the log takes for a collection.
+def test_a_collection_is_timed_by_what_it_used_of_the_processor():
+    timer = CollectionTimer()
+    timer.record("start", {})
+    time.sleep(0.2)
+    timer.record("stop", {})
+    assert timer.total_ns < 100_000_000
