Heartbeats that waited in a standstill don't set the agreed time back

A VM that had stood still set its agreed time back by as long as the first heartbeats that it read had waited in its sockets (2,100 ms of 2,200 in the test), until the newest were read and it went forward again. In between it counted starts of customers' calls for an earlier window, and took word of the registry from before a question for word from after it, by which a stream may be continued at another version (ORDER).

Each heartbeat was one sample of the sender's time, and the median of the newest samples replaced the own time. A message that waits can only make its sender seem to lag, so the largest offset of the last two periods counts now, one second each, in which this process ran. An agreed time of others that does go back counts after two seconds.

The calls in tests/test_windows.py name the time by the awake clock too.

--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -22,6 +22,7 @@
 MIN_FRESHNESS_TIMEOUT_MS = 500
 FORGET_MS = 60_000
 MAX_CLOCK_ERROR_MS = 400
+OFFSET_PERIOD_MS = 1_000
 MIN_HEARTBEAT_INTERVAL_MS = 100
 HEARTBEAT_INTERVAL_MS_PER_VM = 15
 
@@ -207,6 +208,37 @@
         return silent
 
 
+class HeardOffset:
+    """The offset of another VM's agreed time, as the newest messages told it.
+
+    A message that waited before it was read makes the sender's time seem to lag, so
+    the largest offset of the last two periods counts. The periods are those in which
+    this process ran: before a standstill ends, nothing tells how long messages wait.
+    """
+
+    __slots__ = ("_largest_ms", "_before_ms", "_period_ms")
+
+    def __init__(self, offset_ms: int, awake_ms: int) -> None:
+        self._largest_ms = offset_ms
+        self._before_ms = offset_ms
+        self._period_ms = awake_ms
+        """When the current period began."""
+
+    @property
+    def offset_ms(self) -> int:
+        """Return the offset that counts."""
+        return max(self._largest_ms, self._before_ms)
+
+    def record(self, offset_ms: int, awake_ms: int) -> None:
+        """Record what a message told."""
+        if awake_ms - self._period_ms < OFFSET_PERIOD_MS:
+            self._largest_ms = max(self._largest_ms, offset_ms)
+            return
+        self._period_ms = awake_ms
+        self._before_ms = self._largest_ms
+        self._largest_ms = offset_ms
+
+
 class AgreedTime:
     """The wall-clock time that the fleet agrees on; it ignores jumps of wall clocks.
 
@@ -219,15 +251,23 @@
 
     def __init__(self, wall_ms: int, now_ms: int) -> None:
         self._offset_ms = wall_ms - now_ms
-        self._others: dict[str, int] = {}
+        self._others: dict[str, HeardOffset] = {}
 
     def now(self, now_ms: int) -> int:
         """Return the agreed time in Unix milliseconds."""
         return now_ms + self._offset_ms
 
-    def record(self, name: str, agreed_ms: int, now_ms: int) -> None:
-        """Record another VM's agreed time, received at `now_ms`."""
-        self._others[name] = agreed_ms - now_ms
+    def record(self, name: str, agreed_ms: int, now_ms: int, awake_ms: int) -> None:
+        """Record another VM's agreed time, received at `now_ms`.
+
+        `awake_ms` is the same time by this process's awake clock.
+        """
+        offset_ms = agreed_ms - now_ms
+        heard = self._others.get(name)
+        if heard is None:
+            self._others[name] = HeardOffset(offset_ms, awake_ms)
+        else:
+            heard.record(offset_ms, awake_ms)
 
     def correct_offset(self, live: set[str]) -> None:
         """Correct the offset by the median of the live VMs and this one.
@@ -239,6 +279,7 @@
                 del self._others[name]
         if len(self._others) < 2:
             return
-        median_offset_ms = round(median([*self._others.values(), self._offset_ms]))
+        offsets_ms = [heard.offset_ms for heard in self._others.values()]
+        median_offset_ms = round(median([*offsets_ms, self._offset_ms]))
         if abs(median_offset_ms - self._offset_ms) > MAX_CLOCK_ERROR_MS:
             self._offset_ms = median_offset_ms
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -274,7 +274,9 @@
             self._hand_over_notices(heartbeat.sender)
             if is_mesh(len(edge.vms.list_live(awake_ms))):
                 self.trigger_heartbeat()
-        edge.agreed_time.record(heartbeat.sender, heartbeat.agreed_ms + age_ms, now_ms)
+        edge.agreed_time.record(
+            heartbeat.sender, heartbeat.agreed_ms + age_ms, now_ms, awake_ms
+        )
         edge.record_demand(heartbeat.demand)
         if heartbeat.demand or heartbeat.begun_streams:
             edge.has_heard_demand = True
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -12,9 +12,14 @@
 from bridge.callers import CONFIRM_WAIT_MS, MAX_CONFIRM_AGE_FOR_DENIAL_MS
 from bridge.directory import find_addresses
 from plantainwood.core.clock import VirtualClock
-from plantainwood.core.fleetmessages import StoreUpdate
-from plantainwood.core.vms import MAX_CLOCK_ERROR_MS, MIN_LIVENESS_TIMEOUT_MS
+from plantainwood.core.fleetmessages import StoreUpdate, VmHeartbeat
+from plantainwood.core.vms import (
+    MAX_CLOCK_ERROR_MS,
+    MIN_LIVENESS_TIMEOUT_MS,
+    AgreedTime,
+)
 from plantainwood.edge import Edge, make_edge
+from plantainwood.fleet import FleetLinks
 from plantainwood.fleetshares import FleetShares
 from plantainwood.metrics import Metrics
 from plantainwood.mirrorlinks import MirrorLinks
@@ -25,6 +30,8 @@
 
 STANDSTILL_S = 0.6
 """Longer than each limit on opening a connection."""
+STOP_MS = 2_200
+PEER_INTERVAL_MS = 100
 TURNS_BEFORE_PROBES = 2
 """Of the loop, from the failure of an attempt until the probes of the path begin."""
 
@@ -227,3 +234,47 @@
         assert (await denied)[0] == 404
 
     run_with_runners(scenario)
+
+
+def make_waiting_heartbeats(edge: Edge, number: int) -> list[VmHeartbeat]:
+    """Return what a peer sends in the next STOP_MS, in which this VM stands still."""
+    heartbeats: list[VmHeartbeat] = []
+    agreed_ms = edge.agreed_time.now(edge.clock.now_ms())
+    for sequence in range(1, STOP_MS // PEER_INTERVAL_MS + 1):
+        heartbeats.append(
+            msgspec.structs.replace(
+                make_heartbeat(f"peer-{number}", 100),
+                sequence=sequence + 2,
+                agreed_ms=agreed_ms + sequence * PEER_INTERVAL_MS,
+            )
+        )
+    return heartbeats
+
+
+# Guards against an agreed time that goes back since heartbeats waited while this VM
+# stood still: starts would count for the wrong window, and old word for new (ORDER).
+def test_heartbeats_that_waited_in_a_standstill_move_no_agreed_time():
+    clock = VirtualClock(100_000, epoch_ms=1_700_000_000_000)
+    edge = Edge(SETTINGS, clock, Metrics())
+    links = FleetLinks(edge, lambda items: None)
+    make_peers_known(edge, 3)
+    for heartbeat in edge.vms.list_live(edge.awake_clock.now_ms()):
+        links.handle_message(msgspec.structs.replace(heartbeat, sequence=2))
+    waiting = [make_waiting_heartbeats(edge, number) for number in range(3)]
+    before_ms = edge.agreed_time.now(0)
+    clock.advance(STOP_MS)
+    for heartbeats in zip(*waiting):
+        for heartbeat in heartbeats:
+            links.handle_message(heartbeat)
+        links.send_heartbeat(urgent=False)
+        assert edge.agreed_time.now(0) == before_ms
+
+
+def test_another_agreed_time_that_stays_behind_counts_in_the_end():
+    agreed = AgreedTime(wall_ms=1_000_000, now_ms=0)
+    for now_ms in range(0, 6_000, 100):
+        behind_ms = 1_000 if now_ms >= 1_000 else 0
+        for name in ("vm-2", "vm-3"):
+            agreed.record(name, 1_000_000 + now_ms - behind_ms, now_ms, now_ms)
+        agreed.correct_offset({"vm-2", "vm-3"})
+    assert agreed.now(6_000) == 1_000_000 + 6_000 - 1_000
--- a/tests/test_windows.py
+++ b/tests/test_windows.py
@@ -138,15 +138,15 @@
 
 def test_the_agreed_time_ignores_a_clock_that_is_off():
     agreed = AgreedTime(wall_ms=1_002_400, now_ms=0)
-    agreed.record("vm-2", 1_000_010, 10)
-    agreed.record("vm-3", 1_000_020, 10)
+    agreed.record("vm-2", 1_000_010, 10, 10)
+    agreed.record("vm-3", 1_000_020, 10, 10)
     agreed.correct_offset({"vm-2", "vm-3"})
     assert abs(agreed.now(10) - 1_000_010) < 50
 
 
 def test_the_agreed_time_ignores_small_differences():
     agreed = AgreedTime(wall_ms=1_000_000, now_ms=0)
-    agreed.record("vm-2", 1_000_110, 10)
-    agreed.record("vm-3", 1_000_120, 10)
+    agreed.record("vm-2", 1_000_110, 10, 10)
+    agreed.record("vm-3", 1_000_120, 10, 10)
     agreed.correct_offset({"vm-2", "vm-3"})
     assert agreed.now(10) == 1_000_010
