--- a/tests/test_awake.py
+++ b/tests/test_awake.py
@@ -14,11 +14,13 @@
 from plantainwood.standstills import (
     BEAT_INTERVAL_MS,
     LOG_INTERVAL_MS,
+    CollectionTimer,
     StandstillRecorder,
     find_cause,
     measure_used_time,
 )
 from plantainwood.ticker import IDLE_TICK_MS
+from tests.awakeclocks import beat
 from tests.edgesite import run_site
 
 
@@ -67,13 +69,6 @@
     assert BEAT_INTERVAL_MS < MAX_STEP_MS
 
 
-async def beat(awake_clock) -> None:
-    """Beat until cancelled."""
-    while True:
-        awake_clock.record_beat()
-        await asyncio.sleep(0.02)
-
-
 def run_with_beats(scenario) -> None:
     """Run a scenario with an awake clock that beats."""
 
@@ -224,3 +219,12 @@
         )
 
     asyncio.run(scenario())
+
+
+# Guards against a stop that the log takes for a collection.
+def test_a_collection_is_timed_by_what_it_used_of_the_processor():
+    timer = CollectionTimer()
+    timer.record("start", {})
+    time.sleep(0.2)
+    timer.record("stop", {})
+    assert timer.total_ns < 100_000_000
