Begun answers that end unfinished: one line and a count by cause

answer_cut names a typed cause, the upstream, the attempt, the configuration in force, the time since the last event, the time left, the events passed and the budget left, on the VM that took the request and on the one that served it for another; pw_cut_answers_total counts by cause. One line an end, none for whole answers.

--- a/plantainwood/callers.py
+++ b/plantainwood/callers.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from mode import Service
 
+from plantainwood.answerends import find_cause, record_end
 from plantainwood.answers import JsonSink, StreamSink, make_error_response
 from plantainwood.bodyreading import read_whole_body
 from plantainwood.bodyroom import BodyReservation
@@ -184,15 +185,36 @@
         except RequestError as error:
             log_event("refused", request=exchange.request_id, code=error.code.value)
             if isinstance(sink, StreamSink) and sink.response is not None:
+                _record_end(exchange, error)
                 await sink.fail(error)
                 return sink.response
             return make_error_response(error, exchange.request_id)
+        except BaseException as error:
+            if isinstance(sink, StreamSink) and sink.response is not None:
+                _record_end(exchange, error)
+            raise
         if exchange.kind is ApiKind.PLAIN:
             return _make_plain_response(exchange)
         assert sink.response is not None
         return sink.response
 
 
+def _record_end(exchange: Exchange, error: BaseException) -> None:
+    """Log and count a stream that has begun and ends unfinished."""
+    node = exchange.node
+    now_ms = node.clock.now_ms()
+    record_end(
+        node.metrics,
+        find_cause(error),
+        request=exchange.request_id,
+        upstream=exchange.upstream,
+        attempt=exchange.attempts,
+        events=len(exchange.answer.tokens),
+        took_ms=now_ms - exchange.arrived_ms,
+        registry=node.catalogue.revision,
+    )
+
+
 def find_address_candidates(node: Node) -> list[Candidate]:
     """Return the live VMs, including this one, that callers may be sent to."""
     candidates: list[Candidate] = []
--- a/plantainwood/calls.py
+++ b/plantainwood/calls.py
@@ -8,6 +8,7 @@
 from plantainwood import web
 from plantainwood.answerparser import Headers, ResponseHead
 from plantainwood.core.catalogue import DiscoveredUpstream
+from plantainwood.core.endcauses import EndCause
 from plantainwood.core.events import Arrival
 from plantainwood.core.prompts import Prompt
 from plantainwood.core.regions import Regions
@@ -176,6 +177,8 @@
     """Whether sending the answer to the caller has begun."""
     upstream: str
     """The upstream whose answer is sent; set before the answer begins."""
+    last_event_ms: int | None = None
+    """When the last part of the answer was sent; None before."""
 
     @abstractmethod
     async def send_answer(self, response: ResponseHead, body: bytes) -> None:
@@ -197,6 +200,10 @@
     def abort(self) -> None:
         """Cut a stream off so that the caller can't mistake it for a complete one."""
 
+    def find_closing(self) -> EndCause:
+        """Return why the connection to the receiver was closed under an answer."""
+        return EndCause.CLIENT_LEFT
+
 
 class ResponseSink(Sink):
     """A sink that answers an HTTP request; `response` is None until it has started."""
--- a/plantainwood/clienthandler.py
+++ b/plantainwood/clienthandler.py
@@ -12,6 +12,7 @@
 from plantainwood import web
 from plantainwood.bodyroom import BodyReservation
 from plantainwood.chunkturns import TurnTaker
+from plantainwood.core.endcauses import EndCause
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.lingering import LingeringHandler
 
@@ -51,6 +52,7 @@
         "_max_head_bytes",
         "_awaits_turn",
         "_resumed_bytes",
+        "closed_by",
     )
 
     def __init__(self, manager, guard: "ClientGuard", **kwargs) -> None:
@@ -76,6 +78,8 @@
         """Whether the body comes in tiny chunks and is parsed in turn with others."""
         self._resumed_bytes = 0
         """Bytes of the body that had come when its parsing was last resumed."""
+        self.closed_by: EndCause | None = None
+        """Why this VM closed the connection, if it did so under an answer."""
         limit = 2 * kwargs.get("max_field_size", 0)
         self._max_head_bytes = max(MAX_HEAD_BYTES, limit)
 
@@ -263,11 +267,17 @@
 
     def drop(self) -> None:
         """Close the connection at once."""
+        self.closed_by = EndCause.CLIENT_DROPPED
         transport = self.transport
         self.force_close()
         if transport is not None:
             transport.abort()
 
+    async def shutdown(self, timeout: float | None = 15.0) -> None:
+        """Close the connection because the process ends."""
+        self.closed_by = self.closed_by or EndCause.VM_STOPS
+        await super().shutdown(timeout)
+
     def _end_early(self) -> None:
         """Drop what still comes after the next response, within the guard's bound."""
         if not self.guard.may_linger():
--- a/plantainwood/core/errors.py
+++ b/plantainwood/core/errors.py
@@ -2,6 +2,8 @@
 
 from enum import Enum
 
+from plantainwood.core.endcauses import EndCause
+
 
 class Outcome(Enum):
     """What is known about whether a request was executed."""
@@ -97,12 +99,15 @@
         message: str,
         outcome: Outcome = Outcome.NOT_RUN,
         retry_after_ms: int | None = None,
+        end_cause: EndCause | None = None,
     ) -> None:
         super().__init__(message)
         self.code = code
         self.message = message
         self.outcome = outcome
         self.retry_after_ms = retry_after_ms
+        self.end_cause = end_cause
+        """Why it ends an answer that has begun, if the code doesn't tell."""
 
     @property
     def status(self) -> int:
--- a/plantainwood/core/retries.py
+++ b/plantainwood/core/retries.py
@@ -17,6 +17,10 @@
         self._by_tier: dict[int, float] = {}
         self._total = BURST * 2
 
+    def count_left(self, tier: int) -> float:
+        """Return how many retries there are now."""
+        return min(self._by_tier.get(tier, BURST), self._total)
+
     def earn(self, tier: int) -> None:
         """Count a first attempt."""
         self._by_tier[tier] = min(BURST, self._by_tier.get(tier, BURST) + RATIO)
@@ -53,6 +57,10 @@
         self._slack = slack
         self.set_nodes(self._nodes)
 
+    def count_left(self, tier: int) -> float:
+        """Return how many retries there are now in this node's share."""
+        return self._total
+
     def set_nodes(self, count: int) -> None:
         """Divide the slack equally among `count` nodes."""
         self._nodes = max(1, count)
--- a/plantainwood/core/shutdown.py
+++ b/plantainwood/core/shutdown.py
@@ -4,6 +4,7 @@
 from plantainwood.core.admission import refuse_unservable
 from plantainwood.core.arrivalchecks import RETRY_DRAINING_MS
 from plantainwood.core.dispatcherstate import DispatcherState, find_outcome
+from plantainwood.core.endcauses import EndCause
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.requests import Request
 from plantainwood.core.scheduling import stop_request
@@ -47,4 +48,6 @@
         return RequestError(
             ErrorCode.DRAINING, message, Outcome.NOT_RUN, RETRY_DRAINING_MS
         )
-    return RequestError(ErrorCode.UPSTREAM_TIMEOUT, message, Outcome.UNKNOWN)
+    error = RequestError(ErrorCode.UPSTREAM_TIMEOUT, message, Outcome.UNKNOWN)
+    error.end_cause = EndCause.VM_STOPS
+    return error
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 from typing import Awaitable, TypeVar
 
+from plantainwood.answerends import EndRecorder
 from plantainwood.answerparser import ResponseHead
 from plantainwood.answerreader import EventReader, read_whole_answer
 from plantainwood.attempterrors import (
@@ -73,6 +74,7 @@
         path_prober: PathProber,
         codec: Codec,
         start_observer: StartObserver,
+        end_recorder: EndRecorder,
         spans: Spans,
         node: str,
         secret: str,
@@ -87,6 +89,7 @@
         self.codec = codec
         self.report_recorder = ReportRecorder(broker, codec)
         self.start_observer = start_observer
+        self.end_recorder = end_recorder
 
     async def forward(self, call: Call, sink: Sink, clock: Clock) -> CallSummary:
         """Send the complete answer to the sink, or raise RequestError.
@@ -94,7 +97,14 @@
         The error's outcome never claims more than is proved about whether the
         request ran.
         """
-        return await ForwardedCall(self, call, sink, clock).serve()
+        forwarded = ForwardedCall(self, call, sink, clock)
+        try:
+            return await forwarded.serve()
+        except BaseException as error:
+            self.end_recorder.record(
+                call, forwarded.summary, sink, forwarded.is_via_vm, error
+            )
+            raise
 
 
 class ForwardedCall(AttemptRunner):
@@ -119,6 +129,11 @@
         self._refused_by: set[str] = set()
         """The upstreams that have said that they did not run this call."""
 
+    @property
+    def is_via_vm(self) -> bool:
+        """Return whether another VM serves the running attempt, or served the last."""
+        return self._via_vm
+
     async def serve(self) -> CallSummary:
         """Register the call, follow the decisions on it, end before its deadline."""
         broker = self.broker
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -15,6 +15,7 @@
         "requests",
         "first_token",
         "met_targets",
+        "cut_answers",
         "tokens",
         "wasted_tokens",
         "waiting",
@@ -61,6 +62,9 @@
         self.met_targets = self._make_counter(
             "pw_attained_total", "Requests by class that met their targets."
         )
+        self.cut_answers = self._make_counter(
+            "pw_cut_answers_total", "Begun answers that ended unfinished, by cause."
+        )
         self.tokens = self._make_counter(
             "pw_tokens_total", "Tokens of whole answers, by class."
         )
--- a/plantainwood/vmcalls.py
+++ b/plantainwood/vmcalls.py
@@ -11,6 +11,7 @@
 from plantainwood.calls import Call
 from plantainwood.connections import Connection
 from plantainwood.core.decoding import MalformedError, decode
+from plantainwood.core.endcauses import EndCause
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
 from plantainwood.core.frames import FrameError, seal, unseal
 
@@ -132,7 +133,11 @@
     if refusal.outcome is Outcome.NOT_RUN and refusal.code in TRY_ANOTHER_VM:
         return make_unreached_error(f"the other VM refused: {refusal.code.value}")
     return RequestError(
-        refusal.code, refusal.message, refusal.outcome, refusal.retry_after_ms
+        refusal.code,
+        refusal.message,
+        refusal.outcome,
+        refusal.retry_after_ms,
+        EndCause.REFUSED_BY_VM,
     )
 
 
--- a/tests/playedstreams.py
+++ b/tests/playedstreams.py
@@ -56,10 +56,12 @@
         return self.body.count(b"\n\n") if self.status == 200 else 0
 
     def find_reason(self) -> str:
-        """Return what the log of the VM says of the last failed attempt and the end."""
+        """Return what the log of the VM says of the end, or of what came before it."""
         reasons: list[str] = []
-        for event in ("attempt_failed", "refused"):
+        for event in ("answer_cut", "attempt_failed", "refused"):
             lines = [line for line in self.vm.list_events(event) if self._is_of(line)]
+            if lines and event == "answer_cut":
+                return lines[-1][lines[-1].index(event) :]
             found = [REASON.search(line) for line in lines[-1:]]
             reasons += [f"{event}: {match[1]}" for match in found if match]
         return "; ".join(reasons) or "nothing logged"
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -48,6 +48,7 @@
     assert [r.getMessage() for r in records] == [
         "dispatched",
         "attempt_failed",
+        "answer_cut",
         "refused",
     ]
     assert "estimate" in vars(records[0])
@@ -56,7 +57,13 @@
     assert records[0].upstream == records[1].upstream
     assert not records[1].proved_not_run
     assert records[1].fingerprint
-    assert (records[2].code, records[2].outcome) == ("upstream_failed", "unknown")
+    cut, refused = records[2:]
+    assert (cut.cause, cut.upstream) == ("attempt_failed", records[0].upstream)
+    assert (cut.attempt, cut.of, cut.events, cut.config) == (1, 2, 3, 1)
+    assert cut.last_failure == records[1].reason
+    assert 0 < cut.left_ms < 9_000 and cut.since_event_ms < 3_000
+    assert cut.budget > 0
+    assert (refused.code, refused.outcome) == ("upstream_failed", "unknown")
 
 
 def test_the_log_explains_an_unsafe_call_with_unknown_outcome(caplog):
