Soak: silent runners, configurations in series, releases; no begun stream may be cut

The soak knew neither silence nor releases, its streams lasted 0.6 s, and nothing in it said that a begun stream was cut: a client took it up again. It now has series of silences (1 to 2 s, some or all runners), short standstills of VMs, configurations in quick succession and releases (all runners drain, the old ones are then silent), from a source of their own beside the operator's; chunked bodies; streams of 1.2 s whose route and client allow 6 s; and a check: no begun stream is cut unless its runner broke off, its time was over, or its VM was killed or out of its grace.

The check has a test.

--- a/soak/clients.py
+++ b/soak/clients.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from soak.runners import EVENTS
+from soak.runners import EVENTS, STREAM_MS
 from tests.edgesite import HOST
 from tests.processsite import ProcessSite, VmProcess
 
@@ -14,6 +14,8 @@
 EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: (\w+)\n\n")
 TIMEOUT_S = 8.0
 PAUSE_S = 0.05
+CHUNKED_SHARE = 0.3
+CHUNKS = 3
 SLOW_SHARE = 0.1
 """The part of requests that come in two pieces on a connection of their own."""
 FIRST_PIECE_S = (0.0, 0.6)
@@ -91,7 +93,7 @@
             "Host": HOST,
             "Request-Id": name,
             "Authorization": f"Token {key}",
-            "Deadline-Remaining": "4000",
+            "Deadline-Remaining": str(STREAM_MS if kind == "s" else 4_000),
         }
         return call, headers
 
@@ -125,10 +127,14 @@
         call, headers = self._make_call(kind)
         headers.update(extra)
         method = "GET" if kind == "r" else "POST"
+        is_chunked = method == "POST" and self._source.random() < CHUNKED_SHARE
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 async with self.site.session.request(
-                    method, f"{call.vm.caller_url}/{kind}/x", headers=headers
+                    method,
+                    f"{call.vm.caller_url}/{kind}/x",
+                    headers=headers,
+                    data=_send_chunks() if is_chunked else None,
                 ) as response:
                     async for chunk in response.content.iter_any():
                         call.body += chunk
@@ -160,3 +166,10 @@
                 extra = {"Resumes": begun, "Last-Event-Id": str(last_id)}
         if len(versions) > 1:
             self.mixed_streams.append(f"{begun}: {sorted(versions)!r}")
+
+
+async def _send_chunks():
+    """Yield a body in chunks."""
+    for number in range(CHUNKS):
+        yield b"chunk %d" % number
+        await asyncio.sleep(0)
--- a/soak/disturbances.py
+++ b/soak/disturbances.py
@@ -5,6 +5,8 @@
 
 CONTACT_S = 3.0
 STORE = "store"
+LAST_ANSWERS_S = 6.6
+"""How long after SIGTERM requests that run are not cut: most of the grace time."""
 
 
 class Disturbances:
@@ -14,6 +16,9 @@
         self._spans: dict[str, list[list[float]]] = {}
         self.stops: dict[str, list[tuple[float, float]]] = {}
         """By VM, from SIGTERM to the end of its process, if that came in the grace."""
+        self.terms_s: dict[str, list[float]] = {}
+        """By VM, when it was sent SIGTERM."""
+        self._kills_s: dict[str, list[float]] = {}
 
     def begin(self, name: str) -> None:
         """Record that a disturbance begins, and lasts until its end is recorded."""
@@ -24,6 +29,21 @@
         """Record that the last disturbance that began has ended."""
         self._spans[name][-1][1] = asyncio.get_running_loop().time()
 
+    def record_kill(self, name: str) -> None:
+        """Record that a VM's process is ended at once."""
+        now_s = asyncio.get_running_loop().time()
+        self._kills_s.setdefault(name, []).append(now_s)
+
+    def may_cut(self, name: str, sent_s: float, ended_s: float) -> bool:
+        """Return whether a VM's end excuses that it cut a request of this span."""
+        for killed_s in self._kills_s.get(name, []):
+            if sent_s <= killed_s <= ended_s:
+                return True
+        for term_s in self.terms_s.get(name, []):
+            if sent_s <= term_s + LAST_ANSWERS_S <= ended_s:
+                return True
+        return False
+
     def find_stop(self, name: str, at_s: float) -> tuple[float, float] | None:
         """Return the span of the planned stop that a VM was in at a time, if any."""
         for began_s, ended_s in self.stops.get(name, []):
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,7 +7,7 @@
 import signal
 
 from soak.disturbances import Disturbances
-from soak.runners import Run, SoakRunner
+from soak.runners import STREAM_MS, Run, SoakRunner
 from soak.storefaults import StoreFaults
 from tests.dutyplatform import SERVICE
 from tests.edgesite import make_config, make_entry
@@ -18,6 +18,9 @@
 FAULT_GAP_S = (0.2, 1.2)
 MAX_ODD_ENTRIES = 6
 GRACE_S = 8.0
+FREEZE_S = (0.3, 4.0)
+RELEASED = 4
+"""Runners of the new version in a release."""
 RESTART_S = (0.5, 3.0)
 PATH_DELAY_S = (0.1, 0.65)
 KEYS_IN_USE = 3
@@ -50,16 +53,21 @@
 
     async def set_up(self, runners: int) -> None:
         """Write the first configuration, and start runners."""
-        self._write_config()
+        self.write_config()
         for _ in range(runners):
             await self.add_runner()
 
-    def _write_config(self) -> None:
+    def write_config(self) -> None:
+        """Write the next configuration, with the keys that are not withdrawn."""
         self._version += 1
         live = [key for key in self.keys if key not in self.withdrawn_s]
         tenants = [{"name": key, "apiKeys": [key]} for key in live]
-        config = make_config(version=self._version, tenants=tenants, services=[SERVICE])
-        self.site.store.put("op/config", config)
+        data = make_config(version=self._version, tenants=tenants, services=[SERVICE])
+        config = json.loads(data)
+        for route in config["routes"]:
+            if route["kind"] == "stream":
+                route["timeoutMs"] = STREAM_MS
+        self.site.store.put("op/config", json.dumps(config))
 
     async def add_runner(self) -> None:
         """Start a runner of the newest software version."""
@@ -92,7 +100,7 @@
             self._write_an_odd_entry,
             self._write_an_odd_entry,
             self._change_keys,
-            self._freeze_a_vm,
+            self.freeze_a_vm,
             self._kill_a_vm,
             self._stop_a_vm,
             self._store_faults.disturb,
@@ -112,13 +120,27 @@
         if self._source.random() < 0.3:
             self._software += 1
         await self.add_runner()
-        ready = [name for name in self.runners if name not in self.left_s]
+        ready = self.list_ready()
         if len(ready) < 4 or self.site.store.faults.down:
             return
         name = self._source.choice(ready[:-1])
         self._register(name, "draining")
         self.left_s[name] = asyncio.get_running_loop().time()
 
+    def list_ready(self) -> list[str]:
+        """Return the runners that don't leave."""
+        return [name for name in self.runners if name not in self.left_s]
+
+    async def release(self) -> None:
+        """Let runners of the next version come, and all others drain."""
+        old = self.list_ready()
+        self._software += 1
+        for _ in range(RELEASED):
+            await self.add_runner()
+        for name in old:
+            self._register(name, "draining")
+            self.left_s[name] = asyncio.get_running_loop().time()
+
     async def _remove_a_runner(self) -> None:
         """Remove a runner's entry without a word; it serves on."""
         name = self._take_ready_runner()
@@ -139,7 +161,7 @@
 
     def _take_ready_runner(self) -> str | None:
         """Return a runner that may leave; None if there are too few, or no store."""
-        ready = [name for name in self.runners if name not in self.left_s]
+        ready = self.list_ready()
         if len(ready) < 4 or self.site.store.faults.down:
             return None
         return self._source.choice(ready)
@@ -151,6 +173,8 @@
             return
         self.left_s[name] = math.inf
         await self.runners[name].stop()
+        for run in self.runs:
+            run.broke_off |= run.instance == name
         await asyncio.sleep(self._source.uniform(*RESTART_S))
         self._store_faults.remove(f"servers/{name}")
         await self.add_runner()
@@ -181,7 +205,7 @@
         added = f"key-{self._version + 1}"
         self.keys.append(added)
         self.added_s[added] = now_s
-        self._write_config()
+        self.write_config()
         del self.keys[:-KEYS_IN_USE]
 
     def _take_vm(self) -> VmProcess | None:
@@ -198,12 +222,13 @@
         self.disturbances.end(vm.name)
         self.busy.discard(vm.name)
 
-    async def _freeze_a_vm(self) -> None:
+    async def freeze_a_vm(self, span_s: tuple[float, float] = FREEZE_S) -> None:
+        """Let a VM stand still, unless enough are disturbed."""
         vm = self._take_vm()
         if vm is None:
             return
         vm.signal(signal.SIGSTOP)
-        await asyncio.sleep(self._source.uniform(0.3, 4.0))
+        await asyncio.sleep(self._source.uniform(*span_s))
         vm.signal(signal.SIGCONT)
         self._give_back(vm)
 
@@ -211,6 +236,7 @@
         vm = self._take_vm()
         if vm is None:
             return
+        self.disturbances.record_kill(vm.name)
         await vm.kill()
         await asyncio.sleep(self._source.uniform(0.0, 1.0))
         await vm.start()
@@ -223,12 +249,14 @@
         loop = asyncio.get_running_loop()
         began_s = loop.time()
         vm.signal(signal.SIGTERM)
+        self.disturbances.terms_s.setdefault(vm.name, []).append(began_s)
         try:
             async with asyncio.timeout(GRACE_S):
                 await vm.process.wait()
             stops = self.disturbances.stops.setdefault(vm.name, [])
             stops.append((began_s, loop.time()))
         except TimeoutError:
+            self.disturbances.record_kill(vm.name)
             await vm.kill()
         await vm.start()
         self._give_back(vm)
--- a/soak/main.py
+++ b/soak/main.py
@@ -13,9 +13,11 @@
 import aiohttp
 
 from soak.clients import RETRY_LATER, Call, Client
+from soak.cuts import list_cut
 from soak.excess import MACHINE, ExcessClients, list_large
 from soak.faults import Operator
 from soak.runners import Run
+from soak.streamfaults import StreamFaults
 from standins.ports import find_ports
 from tests.dutyplatform import (
     FakePlatform,
@@ -97,15 +99,18 @@
         stop_faults = asyncio.Event()
         source = random.Random(self._source.random())
         excess = ExcessClients(self.site, source, self.operator.keys)
+        source = random.Random(self._source.random())
+        stream_faults = StreamFaults(self.operator, source)
         async with asyncio.TaskGroup() as group:
             for client in self.clients:
                 group.create_task(client.run(stop_clients))
             group.create_task(excess.run(stop_clients))
             group.create_task(self._watch_ends(stop_clients))
             faults = group.create_task(self.operator.run(stop_faults))
+            others = group.create_task(stream_faults.run(stop_faults))
             await asyncio.sleep(seconds)
             stop_faults.set()
-            await faults
+            await asyncio.wait([faults, others])
             await asyncio.sleep(SETTLE_S)
             stop_clients.set()
 
@@ -127,6 +132,7 @@
         found += self._check_answers(calls)
         found += self._check_stops(calls)
         found += self._check_leaving(by_id)
+        found += list_cut(calls, self.operator)
         duty_calls = self.platform.calls
         for text in find_faults(duty_calls, passes_once=False):
             found.append(f"ONE: {text}")
--- a/soak/runners.py
+++ b/soak/runners.py
@@ -5,15 +5,17 @@
 
 from fakes.runner import FakeRunner, make_response, reset_connection
 
-EVENTS = 12
+EVENTS = 24
 EVENT_S = 0.05
+STREAM_MS = 6_000
+"""The time of a stream, by its route and its client: a silence fits into it."""
 WORK_S = 0.02
 
 
 class Run:
     """A request that a runner ran: by which runner, when, and for which customer."""
 
-    __slots__ = ("request_id", "instance", "at_s", "tenant", "is_resumed")
+    __slots__ = ("request_id", "instance", "at_s", "tenant", "is_resumed", "broke_off")
 
     def __init__(
         self,
@@ -28,6 +30,8 @@
         self.at_s = at_s
         self.tenant = tenant
         self.is_resumed = is_resumed
+        self.broke_off = False
+        """Whether the runner cut the answer off."""
 
 
 class SoakRunner(FakeRunner):
@@ -42,6 +46,8 @@
         self._source = source
         self._runs = runs
         self._last_refusal = b""
+        self.silent_until_s = 0.0
+        """Until when it sends nothing; it runs on."""
         self.says_leaving = False
         """Whether its answers say that it leaves, whatever its entry says."""
 
@@ -55,31 +61,38 @@
             self._last_refusal = refusal
             writer.write(refusal)
             return
-        loop = asyncio.get_running_loop()
-        self._runs.append(
-            Run(
-                request.request_id.decode(),
-                self.instance,
-                loop.time(),
-                request.headers.get(b"tenant", b"").decode(),
-                b"last-event-id" in request.headers,
-            )
+        run = Run(
+            request.request_id.decode(),
+            self.instance,
+            asyncio.get_running_loop().time(),
+            request.headers.get(b"tenant", b"").decode(),
+            b"last-event-id" in request.headers,
         )
+        self._runs.append(run)
         if chance > 0.99:
             writer.write(self._last_refusal)
         if chance > 0.98:
+            run.broke_off = True
             reset_connection(writer)
             return
         if request.line.split()[1].startswith(b"/s/"):
-            await self._stream(request, writer, chance > 0.9)
+            run.broke_off = chance > 0.9
+            await self._stream(request, writer, run.broke_off)
             return
         await asyncio.sleep(WORK_S)
+        await self._wait_until_heard()
         extra = f"Instance: {self.instance}\r\n"
         if self.says_leaving:
             extra += "Server-Leaving: 1\r\n"
         writer.write(make_response(request, request.request_id, extra=extra))
 
+    async def _wait_until_heard(self) -> None:
+        loop = asyncio.get_running_loop()
+        while (left_s := self.silent_until_s - loop.time()) > 0:
+            await asyncio.sleep(left_s)
+
     async def _stream(self, request, writer, breaks_off: bool) -> None:
+        await self._wait_until_heard()
         first = int(request.headers.get(b"last-event-id", b"0")) + 1
         writer.write(
             b"HTTP/1.1 200 OK\r\nRequest-Id: " + request.request_id + b"\r\n"
@@ -87,6 +100,7 @@
             b"Transfer-Encoding: chunked\r\n\r\n"
         )
         for number in range(first, EVENTS + 1):
+            await self._wait_until_heard()
             event = b"id: %d\ndata: %s\n\n" % (number, self.version.encode())
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,9 +5,12 @@
 
 import pytest
 
+from soak.clients import Call
+from soak.cuts import list_cut
 from soak.faults import Operator
 from soak.main import run_seed
-from tests.processsite import ProcessSite
+from soak.runners import Run
+from tests.processsite import ProcessSite, VmProcess
 
 SECONDS = 25
 VMS = 4
@@ -40,3 +43,35 @@
         assert len(store.items) == 1 + 5
 
     asyncio.run(scenario())
+
+
+# Guards against a soak that passes over cut streams, or finds those that may be cut.
+@pytest.mark.parametrize(
+    ("excuse", "found"),
+    [("", 1), ("whole", 0), ("broken", 0), ("killed", 0), ("late", 0), ("stop", 0)],
+)
+def test_a_cut_stream_is_found_unless_something_excuses_it(excuse, found, tmp_path):
+    async def scenario() -> None:
+        site = ProcessSite(tmp_path)
+        site.store.address = "127.0.0.1:1"
+        operator = Operator(site, random.Random(1))
+        now_s = asyncio.get_running_loop().time()
+        vm = VmProcess(site, 0, [1] * 6)
+        call = Call("c0-1", "s", "key-0", vm, now_s - 1.0)
+        call.body = b"id: 1\ndata: v1\n\n"
+        call.ended_s = now_s + 1.0
+        run = Run("c0-1", "i-1", now_s, "key-0", False)
+        operator.runs.append(run)
+        if excuse == "whole":
+            call.status = 200
+        if excuse == "broken":
+            run.broke_off = True
+        if excuse == "killed":
+            operator.disturbances.record_kill(vm.name)
+        if excuse == "late":
+            call.sent_s -= 5.0
+        if excuse == "stop":
+            operator.disturbances.terms_s[vm.name] = [now_s - 6.6]
+        assert len(list_cut([call], operator)) == found
+
+    asyncio.run(scenario())
