A client that reads slowly is not dropped as one that does not read

Callers would see: a client that reads an answer of some MB at 16 KB/s is cut off after 10 s.

Cause: what a client has read was told from this node's own buffer. The kernel's takes more only once much of it is free, so ours stands still for 10 s and more.

Why this works: the bytes in the kernel's queue count. A client must read 8 KB/s of what waits for it in turn, so that a few bytes now and then keep nothing.

--- a/plantainwood/clienthandler.py
+++ b/plantainwood/clienthandler.py
@@ -14,6 +14,7 @@
 from plantainwood.chunkturns import TurnTaker
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.lingering import LingeringHandler
+from plantainwood.sendqueue import count_queued_bytes
 
 if TYPE_CHECKING:
     from plantainwood.clientguard import ClientGuard
@@ -30,6 +31,8 @@
 MAX_DROPPED_BYTES = 4_194_304
 """Bytes that are read and dropped after a response that ends a connection."""
 MAX_HEAD_BYTES = 65_536
+MIN_READ_BYTES_PER_S = 8_192
+"""A client that reads more slowly, while a response waits for it, counts as quiet."""
 UNREAD_QUIET_MS = 750
 """How long a client may read nothing until this node counts as waiting for it."""
 
@@ -219,11 +222,18 @@
 
         It does not count while reading is paused: then the client waits for this node.
         """
-        progress = self.count_body() + self._count_written() - self.count_unread()
-        if progress != self._progress:
+        unread_bytes = self.count_unread()
+        progress = self.count_body() + self._count_written() - unread_bytes
+        least_bytes = 1
+        if unread_bytes:
+            progress -= self._count_queued()
+            least_bytes += MIN_READ_BYTES_PER_S * self.quiet_ms // 1_000
+        moved_bytes = progress - self._progress
+        # It falls with a new request, and once a response begins to wait.
+        if moved_bytes < 0 or moved_bytes >= least_bytes:
             self._progress = progress
             self.quiet_ms = 0
-        if self.count_unread() or not self._is_paused():
+        if unread_bytes or not self._is_paused():
             self.waited_ms += elapsed_ms
             self.quiet_ms += elapsed_ms
 
@@ -231,6 +241,15 @@
         request = self._current_request
         return request.writer.output_size if request is not None else 0
 
+    def _count_queued(self) -> int:
+        """Return the bytes that the kernel holds for the client.
+
+        Its buffer takes more only once much of it is free, which lasts long for a
+        client that reads slowly.
+        """
+        sock = self.transport.get_extra_info("socket") if self.transport else None
+        return count_queued_bytes(sock) if sock is not None else 0
+
     def _is_paused(self) -> bool:
         return self._reading_paused or self._buffer_paused
 
--- a/plantainwood/dutycalls.py
+++ b/plantainwood/dutycalls.py
@@ -6,12 +6,9 @@
 """
 
 import asyncio
-import fcntl
 import socket
 import ssl
 import struct
-import sys
-import termios
 from functools import cache
 from urllib.parse import SplitResult, urlsplit
 
@@ -23,6 +20,7 @@
 from plantainwood.core.clock import Clock
 from plantainwood.core.errors import NotAppliedError, StoreError
 from plantainwood.core.flight import USER_TIMEOUT_MS, compute_flight_ms
+from plantainwood.sendqueue import count_queued_bytes
 
 SEGMENT_BYTES = 1_200
 """A request of at most this size is delivered whole or not at all."""
@@ -76,16 +74,6 @@
     return ssl.create_default_context()
 
 
-def count_queued_bytes(sock: socket.socket) -> int:
-    """Return the bytes in a socket's send queue; 0 where that can't be read."""
-    buffer = bytearray(4)
-    try:
-        fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, buffer)
-    except OSError:
-        return 0
-    return int.from_bytes(buffer, sys.byteorder)
-
-
 class DutyCall:
     """One call, on a connection of its own; `close` gives it up."""
 
--- a/tests/test_client_guard.py
+++ b/tests/test_client_guard.py
@@ -1,7 +1,9 @@
 """Which connections the guard refuses or drops, and which it leaves alone."""
 
 import asyncio
+import socket
 
+import pytest
 from aiohttp import web
 
 from plantainwood.bodyreading import read_whole_body
@@ -265,3 +267,51 @@
         assert room.held_bytes == 0
 
     asyncio.run(scenario())
+
+
+async def read_and_check(site: Site, bytes_per_check: int) -> bool:
+    """Read a long answer at a pace for 2 * UNREAD_MS; return whether it goes on."""
+
+    async def serve(request: web.BaseRequest) -> web.StreamResponse:
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while True:
+            await response.write(b"x" * 16_384)
+
+    server = ClientServer(serve, site.guard, handler_cancellation=True)
+    loop = asyncio.get_running_loop()
+    listener = await loop.create_server(server, "127.0.0.1", 0)
+    client = socket.socket()
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    client.setblocking(False)
+    await loop.sock_connect(client, listener.sockets[0].getsockname())
+    await loop.sock_sendall(client, b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n")
+    await asyncio.sleep(0.5)
+    for _ in range(2 * UNREAD_MS // CHECK_MS):
+        left = bytes_per_check
+        while left and server.connections:
+            left -= len(await loop.sock_recv(client, left))
+        await asyncio.sleep(0.005)
+        site.guard.check()
+    goes_on = bool(server.connections)
+    client.close()
+    listener.close()
+    return goes_on
+
+
+# Guards against a client that reads slowly and is dropped as if it read nothing: the
+# kernel's buffer takes more from this node only once much of it is free.
+def test_a_client_that_reads_slowly_is_not_dropped():
+    async def scenario(site):
+        assert await read_and_check(site, 4_096)
+
+    run(scenario)
+
+
+# Guards against clients that hold an answer for good, for a few bytes now and then.
+@pytest.mark.parametrize("bytes_per_check", [0, 200])
+def test_a_client_that_reads_next_to_nothing_is_dropped(bytes_per_check):
+    async def scenario(site):
+        assert not await read_and_check(site, bytes_per_check)
+
+    run(scenario)
