Ports whose users do not listen yet are not given out again

Cause, of one way to it: find_ports drew among all ports at which nothing listens, also those that it had just given to a fleet whose daemons were still starting. 20 fleets of 18 ports in one process: some shared.

Result: test_ports_whose_users_do_not_listen_yet_are_not_given_again red before, green now; test_ports.py, test_link_listener.py, test_reconnections.py passed.

--- a/standins/ports.py
+++ b/standins/ports.py
@@ -21,16 +21,18 @@
     def __init__(self) -> None:
         self._holders: list[socket.socket] = []
         self._ports: list[int] = []
+        """Those given out last at the end: their users may not listen yet."""
 
     def find(self, count: int) -> list[int]:
         """Return free ports, of further blocks if needed; raise OSError if none is."""
         while True:
-            random.shuffle(self._ports)
             free: list[int] = []
             for port in self._ports:
                 if len(free) < count and is_free(port):
                     free.append(port)
             if len(free) == count:
+                given = set(free)
+                self._ports = [port for port in self._ports if port not in given] + free
                 return free
             self._claim_block()
 
@@ -45,7 +47,9 @@
                 holder.close()
                 continue
             self._holders.append(holder)
-            self._ports += PORTS[first + 1 : first + PORTS_PER_BLOCK]
+            ports = list(PORTS[first + 1 : first + PORTS_PER_BLOCK])
+            random.shuffle(ports)
+            self._ports += ports
             return
         raise OSError("no block of ports is free")
 
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -4,11 +4,13 @@
 import sys
 
 from standins.fleet import ROOT
-from standins.ports import find_ports
+from standins.ports import PortClaims, find_ports
 
 PROCESSES = 3
 PORTS = 100
 MANY_PORTS = 1_000
+FLEETS = 20
+PORTS_PER_FLEET = 18
 SCRIPT = f"""
 import os, sys
 os.getpid = lambda: 7
@@ -44,3 +46,13 @@
 # Guards against a large fleet that finds too few ports in a block.
 def test_a_fleet_finds_more_ports_than_a_block_has():
     assert len(set(find_ports(MANY_PORTS))) == MANY_PORTS
+
+
+# Guards against a daemon whose port is taken at its start (AddressInUse): a second
+# fleet of the same process got ports of the first, whose daemons did not listen yet.
+def test_ports_whose_users_do_not_listen_yet_are_not_given_again():
+    claims = PortClaims()
+    found: list[int] = []
+    for _ in range(FLEETS):
+        found += claims.find(PORTS_PER_FLEET)
+    assert len(set(found)) == FLEETS * PORTS_PER_FLEET
