--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -16,6 +16,7 @@
 from plantainwood.clientguard import ClientGuard
 from plantainwood.connectionpool import ConnectionPool
 from plantainwood.core import events as ev
+from plantainwood.core.awake import make_awake_clock
 from plantainwood.core.catalogue import Catalogue, DiscoveredUpstream
 from plantainwood.core.clock import Clock, make_clock, make_incarnation
 from plantainwood.core.coldshares import ColdBounds
@@ -56,6 +57,7 @@
 from plantainwood.overflowreports import OverflowReporter, make_overflow
 from plantainwood.pathprobe import PathProber
 from plantainwood.procedures import Driver
+from plantainwood.standstills import StandstillRecorder
 from plantainwood.vmweights import VmWeights
 
 FLEET_DUTY = "fleet"
@@ -120,7 +122,10 @@
     def __init__(self, settings: EdgeSettings, clock: Clock, metrics: Metrics) -> None:
         self.settings = settings
         self.clock = clock
+        self.awake_clock = make_awake_clock(clock)
+        """For what judges others; it leaves out the standstills of this process."""
         self.metrics = metrics
+        self.standstills = StandstillRecorder(self.awake_clock, metrics)
         self._evacuation_reporter = EvacuationReporter(metrics)
         self.incarnation = make_incarnation(clock)
         self.state = NodeState.LIVE
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -26,6 +26,7 @@
 from plantainwood.connectionpool import ConnectionPool
 from plantainwood.connections import Connection
 from plantainwood.core import events as ev
+from plantainwood.core.awake import AwakeClock
 from plantainwood.core.catalogue import DiscoveredUpstream
 from plantainwood.core.clock import Clock
 from plantainwood.core.errors import ErrorCode, Outcome, RequestError
@@ -76,6 +77,7 @@
         spans: Spans,
         node: str,
         secret: str,
+        awake_clock: AwakeClock,
     ) -> None:
         self.spans = spans
         self.node = node
@@ -87,6 +89,8 @@
         self.codec = codec
         self.report_recorder = ReportRecorder(broker, codec)
         self.start_observer = start_observer
+        self.awake_clock = awake_clock
+        """For what judges others; it leaves out the standstills of this process."""
 
     async def forward(self, call: Call, sink: Sink, clock: Clock) -> CallSummary:
         """Send the complete answer to the sink, or raise RequestError.
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -45,6 +45,8 @@
         "vm_weight_share",
         "slow_vms",
         "unheard_vms",
+        "standstills",
+        "standstill_time",
     )
 
     def __init__(self) -> None:
@@ -153,6 +155,12 @@
         self.unheard_vms = self._make_gauge(
             "pw_unheard_vms", "Registered VMs that count as live but were not heard."
         )
+        self.standstills = self._make_counter(
+            "pw_standstills_total", "Standstills of this process by cause."
+        )
+        self.standstill_time = self._make_counter(
+            "pw_standstill_seconds_total", "Time of the standstills by cause."
+        )
 
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -8,6 +8,7 @@
 from plantainwood.broker import RequestBroker
 from plantainwood.clientguard import ClientGuard
 from plantainwood.core import events as ev
+from plantainwood.core.awake import AwakeClock, make_awake_clock
 from plantainwood.core.catalogue import Catalogue, Document, merge_document
 from plantainwood.core.clock import Clock, make_clock, make_incarnation
 from plantainwood.core.confirmation import Confirmation
@@ -38,6 +39,7 @@
 from plantainwood.platform import Vm
 from plantainwood.procedures import Driver
 from plantainwood.settings import Settings
+from plantainwood.standstills import StandstillRecorder
 from plantainwood.traces import make_tracer
 
 FULL_LOAD_REQUESTS = 400
@@ -68,6 +70,8 @@
     __slots__ = (
         "settings",
         "clock",
+        "awake_clock",
+        "standstills",
         "incarnation",
         "catalogue",
         "stored_revision",
@@ -99,6 +103,9 @@
     def __init__(self, settings: Settings, clock: Clock, metrics: Metrics) -> None:
         self.settings = settings
         self.clock = clock
+        self.awake_clock: AwakeClock = make_awake_clock(clock)
+        """For what judges others; it leaves out the standstills of this process."""
+        self.standstills = StandstillRecorder(self.awake_clock, metrics)
         self.incarnation = make_incarnation(clock)
         self.catalogue = Catalogue()
         self.stored_revision = 0
--- a/plantainwood/ticker.py
+++ b/plantainwood/ticker.py
@@ -17,7 +17,10 @@
 
 
 class Ticker(Service):
-    """Send ticks to the dispatcher, judge their lateness, do chores."""
+    """Send ticks to the dispatcher, beat the awake clock, do chores.
+
+    The lateness of the ticks shows whether this VM is slow.
+    """
 
     def __init__(self, edge: Edge, **kwargs) -> None:
         self.edge = edge
@@ -33,6 +36,7 @@
             tick_ms = TICK_MS if broker.dispatcher.state.requests else IDLE_TICK_MS
             began_ms = clock.now_ms()
             await asyncio.sleep(tick_ms / 1_000)
+            self.edge.standstills.beat()
             now_ms = clock.now_ms()
             self.edge.weights.record_tick(
                 tick_ms, now_ms - began_ms, broker.event_count, now_ms
