Silent attempts go on until the next one is granted and can start at once

In the log: attempt_failed "no event received within 1500 ms", and 1 to 5 ms later refused upstream_failed, with 10 s and more of the request's time left.

Cause: the shell ended the silent attempt when its limit passed, and only then the core asked whether a further one is allowed: attempts, version, path, quarantine, retry budget. If it was not, the answer ended; if it was and nothing had room, the request waited with its sound attempt gone.

Now the attempt reads on (silence.py watches beside it and cancels nothing) and the core is asked with AttemptSilent, each 0.5 s while the silence lasts. It replaces the attempt only if every condition of a retry holds (core/retryrules.py, the same that a failed attempt needs), another upstream that is not silent itself can take it now, and the budget has a retry, which is spent then and only then. Otherwise nothing changes, and the call's deadline alone ends it. What only was assumed for the question (the version of a stream begun elsewhere, what to avoid) is forgotten if the attempt goes on. The probes of the silent upstream and of the path are as before, once per silence. Silence is measured by the awake clock, and what waits in the sockets is read before it is reported; a wait for this VM's own room is no silence. Another VM may be silent twice as long as an upstream also within a stream: both judged the same silence at once before.

The log has attempt_silent with decision=moved, or kept and why, once per attempt and decision.

Two mutants moved with the text that they replace. No test was changed.

--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -182,8 +182,8 @@
     Mutant(
         10,
         "retry a call that is not repeatable",
-        CORE + "outcomes.py",
-        "    if not request.repeatable and not event.proved_not_run:",
+        CORE + "retryrules.py",
+        "    if not request.repeatable and not proved_not_run:",
         "    if False:",
         PROOFS + "test_requests.py",
     ),
@@ -623,8 +623,8 @@
         0,
         "spend retries on attempts that reached nothing",
         CORE + "outcomes.py",
-        "    if event.reached and not state.budget",
-        "    if not state.budget",
+        "    if obstacle is None and event.reached and not state.budget",
+        "    if obstacle is None and not state.budget",
         "tests/test_unreached_requests.py",
     ),
     Mutant(
--- a/plantainwood/attemptlogs.py
+++ b/plantainwood/attemptlogs.py
@@ -5,6 +5,7 @@
 from plantainwood.core import events as ev
 from plantainwood.core.dispatcherstate import DispatcherState
 from plantainwood.core.loads import UpstreamLoad
+from plantainwood.core.retries import RetryObstacle
 from plantainwood.logs import log_event
 
 MAX_LOGGED_PARTS = 8
@@ -53,3 +54,30 @@
         fingerprint=call.fingerprint or "-",
         parts=call.prompt.format_parts(MAX_LOGGED_PARTS),
     )
+
+
+class SilenceLog:
+    """Log the decisions on a call's silent attempts, each once per attempt."""
+
+    __slots__ = ("_call", "_logged")
+
+    def __init__(self, call: Call) -> None:
+        self._call = call
+        self._logged: set[tuple[int, RetryObstacle | None]] = set()
+
+    def record(self, judged: ev.SilenceJudged) -> None:
+        """Log a decision, unless it repeats one."""
+        obstacle = judged.obstacle
+        if (judged.attempt, obstacle) in self._logged:
+            return
+        self._logged.add((judged.attempt, obstacle))
+        log_event(
+            "attempt_silent",
+            request=self._call.request_id,
+            upstream=judged.upstream,
+            attempt=judged.attempt,
+            silent_ms=judged.silent_ms,
+            begun=judged.begun,
+            decision="moved" if obstacle is None else "kept",
+            why=obstacle.value if obstacle is not None else "-",
+        )
--- a/plantainwood/attempts.py
+++ b/plantainwood/attempts.py
@@ -38,6 +38,9 @@
     def record_failure(self, dispatch: ev.Dispatch, error: AttemptError) -> None:
         """Record a failed attempt; the default does nothing."""
 
+    def record_silence(self, judged: ev.SilenceJudged) -> None:
+        """Record what is done about a silent attempt; the default does nothing."""
+
     async def prepare_refusal(self) -> None:
         """Do what must be done before the caller is refused; by default nothing."""
 
@@ -53,6 +56,9 @@
                 decision = await self.active_request.decisions.get()
                 if isinstance(decision, Finished):
                     return
+                if isinstance(decision, ev.SilenceJudged):
+                    self.record_silence(decision)
+                    continue
                 if attempt is not None:
                     await _cancel(attempt)
                     attempt = None
--- a/plantainwood/core/dispatcher.py
+++ b/plantainwood/core/dispatcher.py
@@ -37,6 +37,7 @@
     handle_stop_planned,
     handle_stopping,
 )
+from plantainwood.core.silentattempts import handle_silent
 from plantainwood.core.stragglers import update_ejections
 
 __all__ = ["Dispatcher", "Options"]
@@ -263,6 +264,7 @@
     ev.Arrival: handle_arrival,
     ev.AttemptStarted: handle_started,
     ev.TokensRelayed: handle_tokens,
+    ev.AttemptSilent: handle_silent,
     ev.AttemptDone: handle_done,
     ev.AttemptFailed: handle_failed,
     ev.CallerLeft: handle_caller_left,
--- a/plantainwood/core/events.py
+++ b/plantainwood/core/events.py
@@ -7,7 +7,7 @@
 from plantainwood.core.partquarantine import PartCrash
 from plantainwood.core.prompts import Prompt
 from plantainwood.core.regions import Regions
-from plantainwood.core.retries import MAX_ATTEMPTS
+from plantainwood.core.retries import MAX_ATTEMPTS, RetryObstacle
 from plantainwood.core.upstreamlimits import LimitReport
 
 FAILED_PAUSE_MS = 2_000
@@ -58,6 +58,17 @@
     count: int
 
 
+class AttemptSilent(msgspec.Struct, frozen=True):
+    """Nothing has come of an attempt for too long; it goes on, unless it is cancelled.
+
+    The event comes again from time to time while the silence lasts.
+    """
+
+    request_id: str
+    attempt: int
+    silent_ms: int
+
+
 class AttemptDone(msgspec.Struct, frozen=True):
     """An attempt completed the answer."""
 
@@ -219,6 +230,7 @@
     Arrival
     | AttemptStarted
     | TokensRelayed
+    | AttemptSilent
     | AttemptDone
     | AttemptFailed
     | CallerLeft
@@ -265,6 +277,21 @@
     """The more urgent request that it is cancelled for, if any."""
 
 
+class SilenceJudged(msgspec.Struct, frozen=True):
+    """What is done about a silent attempt, for the logs.
+
+    If nothing keeps its request from a further one, Cancel and Dispatch follow.
+    """
+
+    request_id: str
+    attempt: int
+    upstream: str
+    silent_ms: int
+    begun: bool
+    """Whether the upstream had begun to answer."""
+    obstacle: RetryObstacle | None
+
+
 class Refuse(msgspec.Struct, frozen=True):
     """End a request with an error."""
 
@@ -315,4 +342,4 @@
 )
 """A decision that concerns other nodes; it does not go to the request's handler."""
 
-Decision = Dispatch | Cancel | Refuse | FleetDecision
+Decision = Dispatch | Cancel | SilenceJudged | Refuse | FleetDecision
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -10,6 +10,9 @@
 TIERS = 10
 SMOOTHING = 0.2
 STALE_MS = 5_000
+SILENCE_LIFETIME_MS = 2_000
+"""How long an upstream counts as silent; longer than the pause between two reports of
+an attempt that is still silent."""
 
 
 class UpstreamLoad:
@@ -35,6 +38,8 @@
         "evacuated",
         "ramp",
         "reported_pace",
+        "_heard_ms",
+        "_silent_ms",
         "_reported",
         "_reported_ms",
         "_own_by_tier",
@@ -72,6 +77,10 @@
         self.ramp: ReturnRamp | None = None
         """Which requests it takes while its failure domain returns to service."""
         self.reported_pace = ReportedPace()
+        self._heard_ms = 0
+        """When anything of an attempt last came from the upstream."""
+        self._silent_ms: int | None = None
+        """When an attempt there was last found silent."""
         self._reported: list[int] | None = None
         self._reported_ms = 0
         self._own_by_tier = [0] * TIERS
@@ -120,6 +129,20 @@
         """Tell whether the upstream counts as out of this node's reach."""
         return now_ms < self.unreached_until_ms
 
+    def record_heard(self, now_ms: int) -> None:
+        """Record that something of an attempt came from the upstream."""
+        self._heard_ms = now_ms
+
+    def record_silence(self, now_ms: int) -> None:
+        """Record that an attempt there was found silent."""
+        self._silent_ms = now_ms
+
+    def is_silent(self, now_ms: int) -> bool:
+        """Tell whether an attempt was found silent and none was heard since."""
+        if self._silent_ms is None or self._silent_ms <= self._heard_ms:
+            return False
+        return now_ms - self._silent_ms < SILENCE_LIFETIME_MS
+
     def admits(self, request_id: str, now_ms: int) -> bool:
         """Tell whether the upstream's failure domain is in service for a request."""
         if self.evacuated:
--- a/plantainwood/core/outcomes.py
+++ b/plantainwood/core/outcomes.py
@@ -3,21 +3,18 @@
 from plantainwood.core import events as ev
 from plantainwood.core.crashes import record_crash
 from plantainwood.core.customershares import WORK_PER_GENERATED_TOKEN
-from plantainwood.core.dispatcherstate import (
-    DispatcherState,
-    find_outcome,
-    make_failed_error,
-)
-from plantainwood.core.errors import ErrorCode, Outcome, RequestError
+from plantainwood.core.dispatcherstate import DispatcherState, find_outcome
+from plantainwood.core.errors import RequestError
 from plantainwood.core.loads import UpstreamLoad
-from plantainwood.core.probation import Verdict
-from plantainwood.core.quarantine import make_blocked_error
 from plantainwood.core.requests import Request
-from plantainwood.core.retries import MAX_ATTEMPTS
-from plantainwood.core.router import can_serve
+from plantainwood.core.retries import RetryObstacle
+from plantainwood.core.retryrules import (
+    avoid_upstream,
+    find_retry_obstacle,
+    make_retry_error,
+)
 from plantainwood.core.scheduling import dispatch_waiting, stop_request
 from plantainwood.core.servingvms import is_serving_vm
-from plantainwood.core.suspects import judge_request
 
 UNREACHED_MS = 2_000
 """How long an upstream counts as out of reach after a failed connection or probe."""
@@ -34,6 +31,7 @@
         return
     request.first_token_ms = now_ms
     load = state.loads[request.upstream]
+    load.record_heard(now_ms)
     load.unstarted_attempts -= 1
     took_ms = now_ms - request.dispatched_ms
     load.record_first_token(took_ms, state.router.find_prefill_tokens(request))
@@ -79,6 +77,7 @@
     request = state.find_running(event.request_id, event.attempt)
     if request is None:
         return
+    state.loads[request.upstream].record_heard(now_ms)
     request.tokens += event.count
     state.pools[request.pool].update_credits(request, event.count)
     state.counters.charge(request.customer, event.count)
@@ -98,6 +97,7 @@
     if request is None:
         return
     load = state.loads[request.upstream]
+    load.record_heard(now_ms)
     if request.first_token_ms and request.tokens > 1:
         took_ms = now_ms - request.first_token_ms
         load.record_between_tokens(took_ms / request.tokens)
@@ -128,6 +128,8 @@
     if event.proved_not_run:
         request.attempts_made -= 1
         request.attempts_not_run += 1
+        if event.reached:
+            load.record_heard(now_ms)
         pause_ms = event.pause_ms
         if load.room is not None and event.reached:
             pause_ms = max(pause_ms, BRITTLE_PAUSE_MS)
@@ -136,12 +138,14 @@
         else:
             load.unreached_until_ms = now_ms + UNREACHED_MS
     state.detach_attempt(request, now_ms, decisions)
-    error = _find_retry_error(state, request, load, event, now_ms)
-    if error is not None:
+    obstacle = find_retry_obstacle(state, request, load, now_ms, event.proved_not_run)
+    if obstacle is None and event.reached and not state.budget.spend(request.tier):
+        obstacle = RetryObstacle.NO_BUDGET
+    if obstacle is not None:
         state.end_request(request)
-        decisions.append(ev.Refuse(request.id, error))
+        decisions.append(ev.Refuse(request.id, make_retry_error(request, obstacle)))
     else:
-        _avoid_failed_upstream(state, request, load)
+        avoid_upstream(state, request, load)
         state.enqueue(request, now_ms, front=True)
     dispatch_waiting(state, state.pools[request.pool], now_ms, decisions)
 
@@ -161,81 +165,6 @@
             dispatch_waiting(state, pool, now_ms, decisions)
 
 
-def _find_retry_error(
-    state: DispatcherState,
-    request: Request,
-    failed: UpstreamLoad,
-    event: ev.AttemptFailed,
-    now_ms: int,
-) -> RequestError | None:
-    """Return the error that ends a failed request, or None to retry it."""
-    if not request.repeatable and not event.proved_not_run:
-        message = "the upstream failed; the call may have run"
-        return RequestError(ErrorCode.UPSTREAM_FAILED, message, Outcome.UNKNOWN)
-    outcome = find_outcome(request)
-    verdict = judge_request(
-        state, request.fingerprint, request.shared_parts, now_ms, request.id
-    )
-    if verdict is Verdict.BLOCK:
-        return make_blocked_error(outcome)
-    if verdict is Verdict.HOLD:
-        return make_failed_error(outcome)
-    pool = state.pools[request.pool]
-    if request.from_vm and state.lacks_path(
-        pool, request.version, now_ms, request.domains
-    ):
-        return make_failed_error(outcome)
-    exhausted = request.attempts_made >= request.max_attempts
-    if request.attempt >= MAX_ATTEMPTS or exhausted:
-        return make_failed_error(outcome)
-    if request.version_unknown and not _learn_version(state, request, now_ms):
-        return make_failed_error(outcome)
-    if request.version and not _has_other_upstream(state, request, failed):
-        return make_failed_error(outcome)
-    if event.reached and not state.budget.spend(request.tier):
-        return make_failed_error(outcome)
-    return None
-
-
-def _learn_version(state: DispatcherState, request: Request, now_ms: int) -> bool:
-    """Set the version of a stream that another VM began; return whether it is known."""
-    versions = state.stream_versions
-    if versions.is_guess(request.stream, request.pool, now_ms):
-        return False
-    version = versions.find(request.stream, request.pool, now_ms)
-    if version is None:
-        return False
-    request.version = version
-    request.version_unknown = False
-    return True
-
-
-def _has_other_upstream(
-    state: DispatcherState, request: Request, failed: UpstreamLoad
-) -> bool:
-    """Tell whether an upstream other than the failed one can continue a stream."""
-    for load in state.pools[request.pool].group:
-        if load.leaving or load is failed:
-            continue
-        if can_serve(request, load):
-            return True
-    return False
-
-
-def _avoid_failed_upstream(
-    state: DispatcherState, request: Request, load: UpstreamLoad
-) -> None:
-    """Keep the next attempt off the failed upstream and, if possible, its domain."""
-    request.avoid_upstream = load.name
-    request.avoid_domain = ""
-    for other in state.pools[request.pool].group:
-        if other.leaving or not can_serve(request, other):
-            continue
-        if other.entry.domain != load.entry.domain:
-            request.avoid_domain = load.entry.domain
-            return
-
-
 def handle_caller_left(
     state: DispatcherState, event: ev.CallerLeft, now_ms: int, decisions: list
 ) -> None:
--- a/plantainwood/core/retries.py
+++ b/plantainwood/core/retries.py
@@ -1,10 +1,33 @@
 """Retry budgets: retries stay a bounded share of the traffic."""
 
+from enum import Enum
+
 MAX_ATTEMPTS = 4
 RATIO = 0.2
 BURST = 20.0
 
 
+class RetryObstacle(Enum):
+    """Why a request gets no further attempt."""
+
+    NOT_REPEATABLE = "not_repeatable"
+    """It may have run, and may run once only."""
+    BLOCKED = "blocked"
+    """What it has in common with others crashed upstreams."""
+    SUSPECT = "suspect"
+    """It is not known yet whether requests like it crash upstreams."""
+    NO_PATH = "path"
+    """Another VM sent it, and this node reaches none of its upstreams."""
+    NO_ATTEMPTS_LEFT = "attempts"
+    VERSION_UNKNOWN = "version_unknown"
+    """Its stream began elsewhere, with a software version that is not known here."""
+    NO_OTHER_OF_VERSION = "version"
+    """No other upstream has the software version that began its stream."""
+    NO_BUDGET = "no_budget"
+    NO_UPSTREAM = "no_upstream"
+    """No other upstream could take it at once."""
+
+
 class RetryBudget:
     """Allow retries as a share of first attempts, for a tier and in total.
 
@@ -22,12 +45,15 @@
         self._by_tier[tier] = min(BURST, self._by_tier.get(tier, BURST) + RATIO)
         self._total = min(BURST * 2, self._total + RATIO)
 
+    def has_left(self, tier: int) -> bool:
+        """Tell whether there is a retry in the budget."""
+        return self._by_tier.get(tier, BURST) >= 1.0 and self._total >= 1.0
+
     def spend(self, tier: int) -> bool:
         """Take one retry out of the budget; return whether there was one."""
-        left = self._by_tier.get(tier, BURST)
-        if left < 1.0 or self._total < 1.0:
+        if not self.has_left(tier):
             return False
-        self._by_tier[tier] = left - 1.0
+        self._by_tier[tier] = self._by_tier.get(tier, BURST) - 1.0
         self._total -= 1.0
         return True
 
@@ -63,9 +89,13 @@
         """Count a first attempt."""
         self._total = min(self._burst, self._total + self._ratio)
 
+    def has_left(self, tier: int) -> bool:
+        """Tell whether there is a retry in this node's share."""
+        return self._total >= 1.0
+
     def spend(self, tier: int) -> bool:
         """Take one retry out of this node's share; return whether there was one."""
-        if self._total < 1.0:
+        if not self.has_left(tier):
             return False
         self._total -= 1.0
         return True
@@ -76,6 +106,10 @@
 
     __slots__ = ()
 
+    def has_left(self, tier: int) -> bool:
+        """Return True: there is always a retry."""
+        return True
+
     def spend(self, tier: int) -> bool:
         """Return True: every retry is allowed."""
         return True
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -109,6 +109,24 @@
     return state.router.choose(request, group, now_ms)
 
 
+def choose_elsewhere(
+    state: DispatcherState, request: Request, now_ms: int
+) -> UpstreamLoad | None:
+    """Return what can take a running request now, other than what runs it, or None.
+
+    What is silent towards this node is no better.
+    """
+    pool = state.pools[request.pool]
+    vms = list_vms_instead(state, pool, request, now_ms)
+    others: list[UpstreamLoad] = []
+    for load in vms or pool.group:
+        if load.name != request.upstream and not load.is_silent(now_ms):
+            others.append(load)
+    if vms:
+        return choose_serving_vm(request, others, now_ms)
+    return state.router.choose(request, others, now_ms)
+
+
 def list_vms_instead(
     state: DispatcherState, pool: Pool, request: Request, now_ms: int
 ) -> list[UpstreamLoad]:
--- /dev/null
+++ b/plantainwood/core/silentattempts.py
@@ -0,0 +1,84 @@
+"""Silent attempts: one is given up only when the next one can start at once."""
+
+from plantainwood.core import events as ev
+from plantainwood.core.dispatcherstate import DispatcherState
+from plantainwood.core.loads import UpstreamLoad
+from plantainwood.core.requests import Request
+from plantainwood.core.retries import RetryObstacle
+from plantainwood.core.retryrules import avoid_upstream, find_retry_obstacle
+from plantainwood.core.scheduling import choose_elsewhere, dispatch, dispatch_waiting
+
+
+class _Constraints:
+    """What a request had to keep to before a further attempt was considered."""
+
+    __slots__ = ("_upstream", "_domain", "_version", "_version_unknown")
+
+    def __init__(self, request: Request) -> None:
+        self._upstream = request.avoid_upstream
+        self._domain = request.avoid_domain
+        self._version = request.version
+        self._version_unknown = request.version_unknown
+
+    def restore(self, request: Request) -> None:
+        """Let them hold again: what is known now may be no longer true later."""
+        request.avoid_upstream = self._upstream
+        request.avoid_domain = self._domain
+        request.version = self._version
+        request.version_unknown = self._version_unknown
+
+
+def handle_silent(
+    state: DispatcherState, event: ev.AttemptSilent, now_ms: int, decisions: list
+) -> None:
+    """Replace a silent attempt if the next one is granted and can start at once.
+
+    Otherwise it goes on: its upstream may be sound, and it may be the last attempt that
+    the request gets.
+    """
+    request = state.find_running(event.request_id, event.attempt)
+    if request is None:
+        return
+    silent = state.loads[request.upstream]
+    silent.record_silence(now_ms)
+    before = _Constraints(request)
+    found = _find_replacement(state, request, silent, now_ms)
+    obstacle = found if isinstance(found, RetryObstacle) else None
+    begun = request.first_token_ms > 0
+    decisions.append(
+        ev.SilenceJudged(
+            request.id,
+            request.attempt,
+            silent.name,
+            event.silent_ms,
+            begun,
+            obstacle,
+        )
+    )
+    if isinstance(found, RetryObstacle):
+        before.restore(request)
+        return
+    pool = state.pools[request.pool]
+    state.budget.spend(request.tier)
+    state.cancel_attempt(request, now_ms, decisions)
+    dispatch(state, pool, request, found, now_ms, decisions)
+    dispatch_waiting(state, pool, now_ms, decisions)
+
+
+def _find_replacement(
+    state: DispatcherState, request: Request, silent: UpstreamLoad, now_ms: int
+) -> UpstreamLoad | RetryObstacle:
+    """Return the upstream that takes a request now, or why the silent one keeps it.
+
+    Sets the constraints under which the request would go there.
+    """
+    obstacle = find_retry_obstacle(state, request, silent, now_ms)
+    if obstacle is not None:
+        return obstacle
+    # It would have to wait for a reservation of its next upstream.
+    if state.is_suspect(request, now_ms):
+        return RetryObstacle.SUSPECT
+    if not state.budget.has_left(request.tier):
+        return RetryObstacle.NO_BUDGET
+    avoid_upstream(state, request, silent)
+    return choose_elsewhere(state, request, now_ms) or RetryObstacle.NO_UPSTREAM
--- a/plantainwood/core/stalls.py
+++ b/plantainwood/core/stalls.py
@@ -14,10 +14,10 @@
 
 
 def compute_first_byte_stall_ms(route: Route, attempts: int) -> int:
-    """Return how long to wait for the start of a response before a new attempt.
+    """Return how long the start of a response may take before the attempt is silent.
 
     Returns NO_STALL_LIMIT_MS if the request may not be sent again, because then
-    abandoning the attempt gains nothing.
+    giving the attempt up gains nothing.
     """
     if not may_retry(route, attempts):
         return NO_STALL_LIMIT_MS
@@ -28,7 +28,7 @@
 
 
 def compute_gap_stall_ms(route: Route, attempts: int) -> int:
-    """Return the gap between events after which an attempt is abandoned.
+    """Return the gap between events after which an attempt is silent.
 
     Returns NO_STALL_LIMIT_MS if the stream can't be resumed by another attempt.
     """
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -10,7 +10,7 @@
     make_not_run_error,
     make_unreached_error,
 )
-from plantainwood.attemptlogs import log_dispatch, log_failure
+from plantainwood.attemptlogs import SilenceLog, log_dispatch, log_failure
 from plantainwood.attempts import AttemptRunner
 from plantainwood.broker import ActiveRequest, RequestBroker
 from plantainwood.calls import (
@@ -35,12 +35,12 @@
 from plantainwood.core.routes import RetrySafety
 from plantainwood.core.servingvms import is_serving_vm
 from plantainwood.core.stalls import (
-    NO_STALL_LIMIT_MS,
     compute_first_byte_stall_ms,
     compute_gap_stall_ms,
     may_retry,
 )
 from plantainwood.pathprobe import PathProber
+from plantainwood.silence import SilenceObserver, SilenceWatch
 from plantainwood.spans import Spans
 from plantainwood.upstreamreports import ReportRecorder
 from plantainwood.vmcalls import (
@@ -59,7 +59,7 @@
 """How long before a call's deadline the timeout error is returned."""
 STREAM_STATUS = 200
 VM_STALL_FACTOR = 2
-"""How much longer the answer of another VM may take than that of an upstream."""
+"""How much longer another VM may be silent than an upstream: that VM acts first."""
 
 Result = TypeVar("Result")
 
@@ -101,7 +101,17 @@
         return await ForwardedCall(self, call, sink, clock).serve()
 
 
-class ForwardedCall(AttemptRunner):
+class RunningAttempt:
+    """The attempt that a call waits for."""
+
+    __slots__ = ("dispatch", "address")
+
+    def __init__(self, dispatch: ev.Dispatch, address: str) -> None:
+        self.dispatch = dispatch
+        self.address = address
+
+
+class ForwardedCall(AttemptRunner, SilenceObserver):
     """One call from its arrival to its answer."""
 
     def __init__(
@@ -122,6 +132,10 @@
         """Whether another VM serves the running attempt."""
         self._refused_by: set[str] = set()
         """The upstreams that have said that they did not run this call."""
+        self._running: RunningAttempt
+        self._silence_watch: SilenceWatch
+        """Watches the running attempt."""
+        self._silences = SilenceLog(call)
 
     async def serve(self) -> CallSummary:
         """Register the call, follow the decisions on it, end before its deadline."""
@@ -174,6 +188,27 @@
         if not error.proved_not_run:
             self._may_have_run = True
 
+    async def examine_silence(self) -> None:
+        """Find out whether an upstream or the path to all of them is out of reach."""
+        if self._via_vm:
+            return
+        prober = self.forwarder.path_prober
+        prober.check_silent(self._running.address)
+        await prober.has_path(self._running.address)
+
+    def report_silence(self, silent_ms: int) -> None:
+        """Let the dispatcher decide whether the silent attempt goes on."""
+        dispatch = self._running.dispatch
+        self.broker.feed(
+            ev.AttemptSilent(dispatch.request_id, dispatch.attempt, silent_ms)
+        )
+
+    def record_silence(self, judged: ev.SilenceJudged) -> None:
+        """Log what is done about a silent attempt; note one that is given up."""
+        self._silences.record(judged)
+        if judged.obstacle is None:
+            self.summary.reasons.append(f"silent for {judged.silent_ms} ms")
+
     def find_outcome(self) -> Outcome:
         """Return whether the call may have run: not before an attempt was sent."""
         return Outcome.UNKNOWN if self._may_have_run else Outcome.NOT_RUN
@@ -189,6 +224,8 @@
     ) -> None:
         """Send an attempt on a connection and relay its answer."""
         connection = await self._connect(dispatch.upstream, entry.address)
+        self._running = RunningAttempt(dispatch, connection.address)
+        self._silence_watch = SilenceWatch(self.forwarder.awake_clock, self)
         succeeded = False
         may_have_run_before = self._may_have_run
         try:
@@ -219,6 +256,7 @@
                 error.code = ErrorCode.UPSTREAM_FAILED
             raise
         finally:
+            self._silence_watch.close()
             if succeeded:
                 self.forwarder.connection_pool.release(connection)
             else:
@@ -257,12 +295,7 @@
         Raise AttemptError if a further VM may serve the call, else RequestError.
         """
         stall_ms = compute_first_byte_stall_ms(self.call.route, self.summary.attempts)
-        response = await self._read_within(
-            connection.read_head(),
-            connection,
-            VM_STALL_FACTOR * stall_ms,
-            "no answer of the other VM",
-        )
+        response = await self._read(connection.read_head(), connection, stall_ms)
         upstream = take_served_upstream(response)
         if not upstream:
             raise await read_refusal(connection)
@@ -301,9 +334,7 @@
         """Return the head to relay; raise AttemptError if the attempt failed."""
         route = self.call.route
         stall_ms = compute_first_byte_stall_ms(route, self.summary.attempts)
-        response = await self._read_within(
-            connection.read_head(), connection, stall_ms, "no response began"
-        )
+        response = await self._read(connection.read_head(), connection, stall_ms)
         result = self.forwarder.report_recorder.record(
             dispatch.upstream, self.call.request_id, response
         )
@@ -322,27 +353,19 @@
             raise AttemptError(f"status {response.status}", False, False)
         return response
 
-    async def _read_within(
-        self,
-        reading: Awaitable[Result],
-        connection: Connection,
-        stall_ms: int,
-        timeout_reason: str,
+    async def _read(
+        self, reading: Awaitable[Result], connection: Connection, stall_ms: int
     ) -> Result:
-        """Return what is read; raise AttemptError if it fails or takes too long.
+        """Return what is read; raise AttemptError if that fails.
 
-        If `stall_ms` is NO_STALL_LIMIT_MS, only the call's deadline limits the wait.
+        A silence of more than `stall_ms` is reported, but only the call's deadline
+        ends the wait here.
         """
-        timeout_s = stall_ms / 1_000 if stall_ms != NO_STALL_LIMIT_MS else None
+        if self._via_vm:
+            stall_ms *= VM_STALL_FACTOR
         try:
-            async with asyncio.timeout(timeout_s):
+            with self._silence_watch.watch(stall_ms):
                 return await reading
-        except TimeoutError as error:
-            reason = f"{timeout_reason} within {stall_ms} ms"
-            if not self._via_vm:
-                self.forwarder.path_prober.check_silent(connection.address)
-                await self.forwarder.path_prober.has_path(connection.address)
-            raise AttemptError(reason, False, proved_not_run=False) from error
         except AttemptError as error:
             prober = self.forwarder.path_prober
             lost = error.crashed and not connection.timed_out
@@ -365,19 +388,22 @@
         self.summary.status = response.status
         await self.sink.send_answer(response, body)
 
+    async def _reserve(self, size_bytes: int) -> None:
+        """Wait for room for a large event; the upstream is not read meanwhile."""
+        with self._silence_watch.suspend():
+            await self.sink.reserve(size_bytes)
+
     async def _relay_stream(
         self, connection: Connection, response: ResponseHead, dispatch: ev.Dispatch
     ) -> None:
         """Relay complete events only; a failed attempt leaves no partial event."""
-        events = EventReader(connection, self.splitter, self.sink.reserve)
+        events = EventReader(connection, self.splitter, self._reserve)
         self.summary.status = response.status
         stall_ms = compute_gap_stall_ms(self.call.route, self.summary.attempts)
         is_first = True
         while True:
             events_before = self.splitter.event_count
-            complete_events = await self._read_within(
-                events.read(), connection, stall_ms, "no event received"
-            )
+            complete_events = await self._read(events.read(), connection, stall_ms)
             if not complete_events:
                 break
             if not self.sink.started:
