An update counts as having waited no longer than this VM has just stood still

Mends, before any caller saw it: two VMs whose clocks differ, and which no third one corrects, would have taken each update of the other for old, so that a mirror was never confirmed, denials became 503 and each VM read the store all the time.

How long an update waited here is now bounded by the standstill that has just ended (core/awake.py); without one it counts as just sent, as before.

--- a/plantainwood/core/awake.py
+++ b/plantainwood/core/awake.py
@@ -4,6 +4,7 @@
 
 MAX_STEP_MS = 150
 """Longer than the pause between two beats of an idle process."""
+RECENT_MS = 1_000
 
 
 class AwakeClock(Clock):
@@ -18,7 +19,14 @@
     others, such as leases and deadlines, which end in real time.
     """
 
-    __slots__ = ("_clock", "_counted_ms", "_left_out_ms", "_beat_ms")
+    __slots__ = (
+        "_clock",
+        "_counted_ms",
+        "_left_out_ms",
+        "_recently_left_out_ms",
+        "_ended_ms",
+        "_beat_ms",
+    )
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
@@ -26,6 +34,9 @@
         self._counted_ms = self._beat_ms
         """The time of this clock at the last beat."""
         self._left_out_ms = 0
+        self._recently_left_out_ms = 0
+        self._ended_ms = self._counted_ms
+        """When the last standstill ended, by this clock."""
 
     def now_ms(self) -> int:
         """Return the counted time since an arbitrary origin; it never goes back."""
@@ -35,6 +46,17 @@
         """Return the ms that this clock has left out since it was made."""
         return self._left_out_ms + max(0, self._measure_step() - MAX_STEP_MS)
 
+    def count_recently_left_out_ms(self) -> int:
+        """Return the ms left out by a standstill whose end is at most RECENT_MS ago.
+
+        What came meanwhile may still wait to be read. Standstills that follow each
+        other within that time add up.
+        """
+        current_ms = max(0, self._measure_step() - MAX_STEP_MS)
+        if self.now_ms() - self._ended_ms > RECENT_MS:
+            return current_ms
+        return self._recently_left_out_ms + current_ms
+
     def wall_ms(self) -> int:
         """Return Unix time in milliseconds, standstills included."""
         return self._clock.wall_ms()
@@ -43,8 +65,12 @@
         """Record that the loop runs; return the real ms since the last beat."""
         step_ms = self._measure_step()
         counted_ms = min(step_ms, MAX_STEP_MS)
+        left_out_ms = step_ms - counted_ms
+        if left_out_ms:
+            self._recently_left_out_ms = self.count_recently_left_out_ms()
+            self._ended_ms = self._counted_ms + counted_ms
         self._counted_ms += counted_ms
-        self._left_out_ms += step_ms - counted_ms
+        self._left_out_ms += left_out_ms
         self._beat_ms += step_ms
         return step_ms
 
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -49,6 +49,7 @@
 from plantainwood.core.slowvms import SlowVm
 from plantainwood.core.storecopies import SecondRead
 from plantainwood.core.vms import (
+    MAX_CLOCK_ERROR_MS,
     AgreedTime,
     VmTable,
     compute_liveness_timeout_ms,
@@ -350,11 +351,20 @@
     def compute_waited_ms(self, sent_ms: int) -> int:
         """Return for how long a message, sent at an agreed time, was not read here.
 
-        This VM may have stood still. The agreed times of two VMs may differ by as much
-        as MAX_CLOCK_ERROR_MS.
+        This VM may have stood still.
         """
         return max(0, self.agreed_time.now(self.clock.now_ms()) - sent_ms)
 
+    def compute_overslept_ms(self, sent_ms: int) -> int:
+        """Return for how long a message waited here because this VM stood still.
+
+        It is 0 at least, and at most the time of a standstill that has just ended,
+        however much the agreed times of two VMs differ.
+        """
+        waited_ms = self.compute_waited_ms(sent_ms) - MAX_CLOCK_ERROR_MS
+        stood_still_ms = self.awake_clock.count_recently_left_out_ms()
+        return max(0, min(waited_ms, stood_still_ms))
+
     def note_update(self, sent_ms: int, age_ms: int) -> None:
         """Record another VM's read, sent at an agreed time, when it was `age_ms` old.
 
--- a/plantainwood/mirrorlinks.py
+++ b/plantainwood/mirrorlinks.py
@@ -12,7 +12,6 @@
 from plantainwood.core.storecopies import compute_second_read_delay_ms, keep_kept_items
 from plantainwood.core.storeeras import get_era
 from plantainwood.core.storereaders import find_rank
-from plantainwood.core.vms import MAX_CLOCK_ERROR_MS
 from plantainwood.edge import Edge
 from plantainwood.reader import MirrorPublisher
 
@@ -57,8 +56,7 @@
             return
         read_ms = edge.clock.now_ms() - update.age_ms
         if update.sent_ms:
-            waited_ms = edge.compute_waited_ms(update.sent_ms)
-            read_ms -= max(0, waited_ms - MAX_CLOCK_ERROR_MS)
+            read_ms -= edge.compute_overslept_ms(update.sent_ms)
         edge.mirror.confirm(update.revision, read_ms)
         self._on_items(changed_items)
         if update.sent_ms:
--- a/tests/test_awake.py
+++ b/tests/test_awake.py
@@ -8,7 +8,7 @@
 import pytest
 
 from plantainwood.awakewaits import limit_awake, wait_awake
-from plantainwood.core.awake import MAX_STEP_MS, make_awake_clock
+from plantainwood.core.awake import MAX_STEP_MS, RECENT_MS, make_awake_clock
 from plantainwood.core.clock import VirtualClock, make_clock
 from plantainwood.metrics import Metrics
 from plantainwood.standstills import (
@@ -64,6 +64,25 @@
             awake_clock.record_beat()
 
 
+# What waited in a socket is older by no more than the standstill that has just ended.
+def test_what_was_left_out_lately_is_known_until_it_is_long_ago(clock):
+    awake_clock = make_awake_clock(clock)
+    clock.advance(2_000)
+    assert awake_clock.count_recently_left_out_ms() == 2_000 - MAX_STEP_MS
+    awake_clock.record_beat()
+    assert awake_clock.count_recently_left_out_ms() == 2_000 - MAX_STEP_MS
+    clock.advance(1_000)
+    awake_clock.record_beat()
+    assert awake_clock.count_recently_left_out_ms() == 3_000 - 2 * MAX_STEP_MS
+    assert awake_clock.count_left_out_ms() == 3_000 - 2 * MAX_STEP_MS
+    for _ in range(RECENT_MS // 100 + 1):
+        clock.advance(100)
+        awake_clock.record_beat()
+    assert awake_clock.count_recently_left_out_ms() == 0
+    clock.advance(500)
+    assert awake_clock.count_recently_left_out_ms() == 500 - MAX_STEP_MS
+
+
 def test_idle_processes_beat_within_a_step():
     assert IDLE_TICK_MS < MAX_STEP_MS
     assert BEAT_INTERVAL_MS < MAX_STEP_MS
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -175,18 +175,33 @@
 # Guards against a denial by a configuration that is older than its confirmation says:
 # the update waited in a socket while this VM stood still.
 def test_an_update_that_waited_in_a_standstill_confirms_when_it_was_sent():
-    edge = Edge(SETTINGS, VirtualClock(100_000), Metrics())
+    clock = VirtualClock(100_000)
+    edge = Edge(SETTINGS, clock, Metrics())
     links = MirrorLinks(
         edge, lambda items: None, lambda names, message: 0, lambda message: None
     )
-    now_ms = edge.clock.now_ms()
-    sent_ms = edge.agreed_time.now(now_ms - 2_200)
+    sent_ms = edge.agreed_time.now(clock.now_ms())
+    now_ms = clock.advance(STOP_MS)
     links.apply_update(StoreUpdate("peer-0", 0, 1, 100, [], sent_ms))
-    assert edge.mirror.compute_age_ms(now_ms) == 2_300 - MAX_CLOCK_ERROR_MS
+    waited_ms = STOP_MS - MAX_CLOCK_ERROR_MS
+    assert edge.mirror.compute_age_ms(now_ms) == waited_ms + 100
     links.apply_update(StoreUpdate("peer-0", 1, 2, 100, []))
     assert edge.mirror.compute_age_ms(now_ms) == 100
 
 
+# Guards against a mirror that never counts as confirmed since the clocks of two VMs,
+# which can't agree on a time, differ.
+def test_an_update_of_a_vm_with_another_time_confirms_now_without_a_standstill():
+    clock = VirtualClock(100_000)
+    edge = Edge(SETTINGS, clock, Metrics())
+    links = MirrorLinks(
+        edge, lambda items: None, lambda names, message: 0, lambda message: None
+    )
+    sent_ms = edge.agreed_time.now(clock.now_ms()) - 3_600_000
+    links.apply_update(StoreUpdate("peer-0", 0, 1, 100, [], sent_ms))
+    assert edge.mirror.compute_age_ms(clock.now_ms()) == 100
+
+
 class TakenUp:
     """What is looked at of a call that takes up a stream."""
 
