Heartbeats that waited in a standstill make no peak of demand

Upstreams were ordered that nobody needed after the holder of the duties had stood still: the demand of two seconds, which it read in one moment, counted together with what came after it.

A heartbeat's demand now counts from when it was made, as far as the VM has just stood still.

--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -226,11 +226,11 @@
         """Return the record of a service's peak demand over the whole fleet."""
         return self.demand_peaks.setdefault(service, DemandPeak())
 
-    def record_demand(self, demand: dict[str, int]) -> None:
+    def record_demand(self, demand: dict[str, int], age_ms: int) -> None:
         """Record, by service, the tokens to prefill that a VM sent in one interval."""
-        now_ms = self.clock.now_ms()
+        made_ms = self.clock.now_ms() - age_ms
         for service, tokens in demand.items():
-            self.get_demand_peak(service).record(tokens, now_ms)
+            self.get_demand_peak(service).record(tokens, made_ms)
 
     def record_domain_demand(
         self, domain: str, demand: dict[str, int], age_ms: int
@@ -274,7 +274,7 @@
         self._heartbeat_sequence += 1
         sent, self.router.sent_tokens = self.router.sent_tokens, {}
         demand = {pool.removeprefix(SERVICE_POOL_PREFIX): sent[pool] for pool in sent}
-        self.record_demand(demand)
+        self.record_demand(demand, 0)
         self.record_domain_demand(self.settings.domain, demand, 0)
         customer_work: dict[str, int] = {}
         if state.shares is not None:
--- a/plantainwood/fleet.py
+++ b/plantainwood/fleet.py
@@ -277,7 +277,8 @@
         edge.agreed_time.record(
             heartbeat.sender, heartbeat.agreed_ms + age_ms, now_ms, awake_ms
         )
-        edge.record_demand(heartbeat.demand)
+        overslept_ms = edge.compute_overslept_ms(heartbeat.agreed_ms)
+        edge.record_demand(heartbeat.demand, overslept_ms)
         if heartbeat.demand or heartbeat.begun_streams:
             edge.has_heard_demand = True
         edge.record_domain_demand(heartbeat.domain, heartbeat.demand, age_ms)
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -13,6 +13,7 @@
 from bridge.directory import find_addresses
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.fleetmessages import StoreUpdate, VmHeartbeat
+from plantainwood.core.sizing import BUCKET_MS
 from plantainwood.core.vms import (
     MAX_CLOCK_ERROR_MS,
     MIN_LIVENESS_TIMEOUT_MS,
@@ -285,6 +286,29 @@
         assert edge.agreed_time.now(0) == before_ms
 
 
+# Guards against upstreams that are ordered since what came while this VM stood still
+# counts as the demand of one moment.
+def test_heartbeats_that_waited_in_a_standstill_make_no_peak_of_demand():
+    clock = VirtualClock(100_000, epoch_ms=1_700_000_000_000)
+    edge = Edge(SETTINGS, clock, Metrics())
+    links = FleetLinks(edge, lambda items: None)
+    make_peers_known(edge, 1)
+    demand = {"pool": 10_000}
+    waiting = make_waiting_heartbeats(edge, 0)
+    clock.advance(STOP_MS)
+    for heartbeat in waiting:
+        links.handle_message(msgspec.structs.replace(heartbeat, demand=demand))
+    for heartbeat in make_waiting_heartbeats(edge, 0):
+        clock.advance(PEER_INTERVAL_MS)
+        sequence = heartbeat.sequence + len(waiting)
+        links.handle_message(
+            msgspec.structs.replace(heartbeat, sequence=sequence, demand=demand)
+        )
+    rate = edge.get_demand_peak("pool").compute_rate_per_s(clock.now_ms())
+    usual = demand["pool"] * 1_000 / PEER_INTERVAL_MS
+    assert usual <= rate <= usual * (1 + MAX_CLOCK_ERROR_MS / BUCKET_MS)
+
+
 def test_another_agreed_time_that_stays_behind_counts_in_the_end():
     agreed = AgreedTime(wall_ms=1_000_000, now_ms=0)
     for now_ms in range(0, 6_000, 100):
