Two VMs of different times know that the registry is current

Mends: whether most VMs are heard, and the registry is thus current while the store is down, was told by when the heartbeats were sent. Two VMs can't agree on a time, so if their clocks differed by more than a second, one of them never counted the registry as current while the store was down, and took new upstreams for warm and refused streams that are taken up.

With fewer than two other VMs liveness by the awake clock tells it, except for a second after a standstill.

--- a/plantainwood/core/vms.py
+++ b/plantainwood/core/vms.py
@@ -23,6 +23,8 @@
 FORGET_MS = 60_000
 MAX_CLOCK_ERROR_MS = 400
 OFFSET_PERIOD_MS = 1_000
+MIN_OTHER_TIMES = 2
+"""How many other VMs it takes to tell whose time is wrong."""
 MIN_HEARTBEAT_INTERVAL_MS = 100
 HEARTBEAT_INTERVAL_MS_PER_VM = 15
 
@@ -272,12 +274,12 @@
     def correct_offset(self, live: set[str]) -> None:
         """Correct the offset by the median of the live VMs and this one.
 
-        Needs the times of at least two other VMs.
+        Needs the times of MIN_OTHER_TIMES other VMs.
         """
         for name in list(self._others):
             if name not in live:
                 del self._others[name]
-        if len(self._others) < 2:
+        if len(self._others) < MIN_OTHER_TIMES:
             return
         offsets_ms = [heard.offset_ms for heard in self._others.values()]
         median_offset_ms = round(median([*offsets_ms, self._offset_ms]))
--- a/plantainwood/edge.py
+++ b/plantainwood/edge.py
@@ -50,6 +50,7 @@
 from plantainwood.core.storecopies import SecondRead
 from plantainwood.core.vms import (
     MAX_CLOCK_ERROR_MS,
+    MIN_OTHER_TIMES,
     AgreedTime,
     VmTable,
     compute_liveness_timeout_ms,
@@ -337,11 +338,21 @@
         age_ms = self.mirror.compute_age_ms(now_ms)
         if age_ms is not None and age_ms <= MAX_CONFIRM_AGE_MS:
             return True
-        # In real time: what came while this process stood still is not read yet.
         known = len(self.vms.list_addresses())
+        return hears_quorum(self._count_heard(known, now_ms), known)
+
+    def _count_heard(self, known: int, now_ms: int) -> int:
+        """Return how many VMs have been heard lately in real time.
+
+        What came while this process stood still is not read yet, so liveness doesn't
+        tell. Too few VMs to agree on a time tell nothing until that is long ago.
+        """
+        if known < MIN_OTHER_TIMES:
+            if self.awake_clock.count_recently_left_out_ms():
+                return 0
+            return len(self.vms.list_live(self.awake_clock.now_ms()))
         since_ms = now_ms - compute_liveness_timeout_ms(known)
-        heard = self.vms.count_heard_since(self.agreed_time.now(since_ms))
-        return hears_quorum(heard, known)
+        return self.vms.count_heard_since(self.agreed_time.now(since_ms))
 
     def note_registry_read(self, began_ms: int) -> None:
         """Record that a read of the store that began at a time is applied here."""
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -173,6 +173,25 @@
     assert edge.is_registry_current()
 
 
+# Guards against a registry that never counts as current while the store is down, since
+# the clocks of two VMs, which can't agree on a time, differ.
+def test_two_vms_of_different_times_know_that_the_registry_is_current():
+    clock = VirtualClock(100_000)
+    edge = Edge(SETTINGS, clock, Metrics())
+    heartbeat = make_heartbeat("peer-0", 100)
+    for sequence in range(2, 5):
+        advance_awake(clock, [edge], 200)
+        heard = msgspec.structs.replace(
+            heartbeat, sequence=sequence, agreed_ms=-(10**6)
+        )
+        edge.vms.record(heard, edge.awake_clock.now_ms())
+    assert edge.is_registry_current()
+    clock.advance(STOP_MS)
+    assert not edge.is_registry_current()
+    edge.awake_clock.record_beat()
+    assert not edge.is_registry_current()
+
+
 # Guards against a denial by a configuration that is older than its confirmation says:
 # the update waited in a socket while this VM stood still.
 def test_an_update_that_waited_in_a_standstill_confirms_when_it_was_sent():
