A standstill just after the start ends no expectation of the other VMs

A VM that starts together with all others, as after a loss of all, and then stands still for the 1.5 s in which it expects registered VMs to be heard, took the whole of the fleet's retries, rates and slots as it went on, and its directory named it for the full lifetime, until the others' heartbeats were read from its sockets.

The times of core/returning.py are now those of the awake clock.

The new test failed before (0 unheard VMs in place of 3), and passes now.

--- a/plantainwood/core/returning.py
+++ b/plantainwood/core/returning.py
@@ -4,7 +4,8 @@
 heard none would take the whole of what the fleet shares, and the first VM that listens
 would get all clients for as long as they use an address. So the VMs that are registered
 in the store, which outlasts them, count as if they ran, for a bounded time: many may
-never return.
+never return. Times are those of an awake clock (core/awake.py): a VM that stands still
+just after its start hears the others later.
 """
 
 from plantainwood.core.hashing import HASH_RANGE, compute_rank
--- a/plantainwood/fleetshares.py
+++ b/plantainwood/fleetshares.py
@@ -19,7 +19,7 @@
         edge = self._edge
         if edge.view.routes is None:
             return
-        edge.returning.begin(edge.clock.now_ms())
+        edge.returning.begin(edge.awake_clock.now_ms())
         self.update()
 
     def update(self) -> None:
@@ -30,7 +30,7 @@
         live = edge.vms.list_live(awake_ms)
         names = {heartbeat.sender for heartbeat in live}
         known = edge.vms.list_current_names(awake_ms)
-        unheard = edge.returning.find_unheard(names, known, now_ms)
+        unheard = edge.returning.find_unheard(names, known, awake_ms)
         edge.retry_budget.set_nodes(len(names) + len(unheard) + 1)
         dispatcher = edge.broker.dispatcher
         dispatcher.set_nodes(names, now_ms, frozenset(known), unheard)
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -10,9 +10,11 @@
 import msgspec
 
 from bridge.callers import CONFIRM_WAIT_MS, MAX_CONFIRM_AGE_FOR_DENIAL_MS
-from bridge.directory import find_addresses
+from bridge.directory import compute_lifetime_ms, find_addresses
 from plantainwood.core.clock import VirtualClock
 from plantainwood.core.fleetmessages import StoreUpdate, VmHeartbeat
+from plantainwood.core.returning import HEARING_MS
+from plantainwood.core.routes import RouteTable
 from plantainwood.core.sizing import BUCKET_MS
 from plantainwood.core.vms import (
     MAX_CLOCK_ERROR_MS,
@@ -151,6 +153,26 @@
     assert len(edge.find_weights()) == 1
 
 
+# Guards against a VM that takes the whole of what the fleet shares since it stood still
+# just after its start, and hears the others a moment later.
+def test_a_standstill_after_the_start_ends_no_expectation_of_others():
+    clock = VirtualClock(100_000)
+    edge = Edge(SETTINGS, clock, Metrics())
+    edge.view.routes = RouteTable(version=1)
+    for number in range(3):
+        edge.vms.learn_address(f"peer-{number}", f"tcp://peer-{number}:1")
+    shares = FleetShares(edge)
+    shares.begin_serving()
+    assert edge.metrics.unheard_vms.get({}) == 3
+    clock.advance(5_000)
+    shares.update()
+    assert edge.metrics.unheard_vms.get({}) == 3
+    assert compute_lifetime_ms(edge) < edge.settings.drain.address_lifetime_ms
+    advance_awake(clock, [edge], HEARING_MS)
+    shares.update()
+    assert edge.metrics.unheard_vms.get({}) == 0
+
+
 # Guards against a registry that counts as current though changes wait to be read.
 def test_a_standstill_makes_no_registry_current():
     clock = VirtualClock(100_000)
