--- a/tests/streamplay.py
+++ b/tests/streamplay.py
@@ -40,6 +40,8 @@
         self.streams: list[Stream] = []
         self.silent: dict[bytes, float] = {}
         """By runner, until when it sends nothing."""
+        self.full: dict[bytes, float] = {}
+        """By runner, until when it takes no stream that was begun elsewhere."""
         self.versions: dict[bytes, bytes] = {}
         self._config_version = 1
 
@@ -53,6 +55,10 @@
             keep = "Keep-Alive: timeout=60\r\n"
             writer.write(make_response(request, b"x", extra=keep))
             return
+        now_s = asyncio.get_running_loop().time()
+        if first > 1 and self.full.get(instance, 0.0) > now_s:
+            writer.write(make_response(request, b"", 503, "Not-Executed: 1\r\n"))
+            return
         await self._wait_until_heard(instance)
         writer.write(
             b"HTTP/1.1 200 OK\r\nRequest-Id: " + request.request_id + b"\r\n"
@@ -78,6 +84,12 @@
         for number in numbers:
             self.silent[b"i-%d" % number] = until_s
 
+    def fill(self, numbers: list[int], seconds: float) -> None:
+        """Let runners refuse to go on with streams for a time."""
+        until_s = asyncio.get_running_loop().time() + seconds
+        for number in numbers:
+            self.full[b"i-%d" % number] = until_s
+
     def register(self, number: int, state: str = "ready", version: str = "v1") -> None:
         """Write a runner's entry."""
         self.versions[b"i-%d" % number] = version.encode()
--- a/tests/test_streams_in_silence.py
+++ b/tests/test_streams_in_silence.py
@@ -1,5 +1,7 @@
 """Streams whose runners fall silent, or whose VM stood still, are answered whole."""
 
+import asyncio
+
 import pytest
 
 from tests.streamdisruptions import (
@@ -11,7 +13,7 @@
     stop_vms,
     trouble_store,
 )
-from tests.streamplay import Plan, run_play
+from tests.streamplay import Plan, StreamPlay, run_play
 
 SHORT = {"seconds": 1.0, "events": 24, "event_s": 0.1}
 SMALL_BUDGET = "retries:\n  ratio: 0.0\n  slack: 4.0\n"
@@ -54,6 +56,26 @@
     check_whole(play)
 
 
+# Guards against streams that leave a silent runner for one that refuses them, and end
+# though they have time left: since the silent one leaves, or all are full (LOST).
+@pytest.mark.parametrize("how", ["draining", "removed", "full for a while"])
+def test_silent_streams_that_are_refused_elsewhere_end_whole(how, tmp_path):
+    async def disturb(play: StreamPlay) -> None:
+        for number in (2, 3):
+            play.register(number, version="v2")
+        await asyncio.sleep(0.6)
+        if how == "draining":
+            play.register(0, "draining")
+        if how == "removed":
+            play.site.store.remove("servers/i-0")
+        await asyncio.sleep(0.6)
+        play.silence([0], 1.7)
+        play.fill([0, 1], 3.0 if how == "full for a while" else 9.0)
+
+    play = run_play(Plan(**{**SHORT, "events": 40}), disturb, tmp_path, runners=RUNNERS)
+    check_whole(play)
+
+
 # Guards against a VM that stood still and takes all its runners for silent, though
 # their events wait in its sockets: their streams are closed or begun anew (LOST).
 def test_streams_of_a_vm_that_stood_still_end_whole(tmp_path):
