answer_cut names what kept a further attempt away

The error that ends a request carries its RetryObstacle, for the log only. test_the_log_explains_a_stream_cut_in_the_middle asks for it.

--- a/plantainwood/answerends.py
+++ b/plantainwood/answerends.py
@@ -39,6 +39,11 @@
     return EndCause.ROUTER_FAILED
 
 
+def find_obstacle(error: BaseException) -> str:
+    """Return what kept a further attempt away; empty if nothing did."""
+    return error.obstacle if isinstance(error, RequestError) else ""
+
+
 def record_end(metrics: Metrics, cause: EndCause, **fields: Any) -> None:
     """Log and count a begun answer that ends unfinished."""
     metrics.cut_answers.inc({"cause": cause.value})
@@ -79,6 +84,7 @@
             via_vm=via_vm,
             attempt=summary.attempts,
             of=call.route.attempts,
+            why=find_obstacle(error) or "-",
             last_failure=summary.reasons[-1] if summary.reasons else "-",
             events=summary.events,
             since_event_ms=now_ms - (sink.last_event_ms or now_ms),
--- a/plantainwood/core/errors.py
+++ b/plantainwood/core/errors.py
@@ -108,6 +108,8 @@
         self.retry_after_ms = retry_after_ms
         self.end_cause = end_cause
         """Why it ends an answer that has begun, if the code doesn't tell."""
+        self.obstacle = ""
+        """What kept a further attempt away, for the log; empty if nothing did."""
 
     @property
     def status(self) -> int:
--- a/plantainwood/core/retryrules.py
+++ b/plantainwood/core/retryrules.py
@@ -52,7 +52,13 @@
 
 
 def make_retry_error(request: Request, obstacle: RetryObstacle) -> RequestError:
-    """Return the error that ends a failed request."""
+    """Return the error that ends a failed request, with the obstacle for the log."""
+    error = _make_error(request, obstacle)
+    error.obstacle = obstacle.value
+    return error
+
+
+def _make_error(request: Request, obstacle: RetryObstacle) -> RequestError:
     if obstacle is RetryObstacle.NOT_REPEATABLE:
         message = "the upstream failed; the call may have run"
         return RequestError(ErrorCode.UPSTREAM_FAILED, message, Outcome.UNKNOWN)
--- a/tests/test_explanations.py
+++ b/tests/test_explanations.py
@@ -60,7 +60,7 @@
     cut, refused = records[2:]
     assert (cut.cause, cut.upstream) == ("attempt_failed", records[0].upstream)
     assert (cut.attempt, cut.of, cut.events, cut.config) == (1, 2, 3, 1)
-    assert cut.last_failure == records[1].reason
+    assert (cut.why, cut.last_failure) == ("not_repeatable", records[1].reason)
     assert 0 < cut.left_ms < 9_000 and cut.since_event_ms < 3_000
     assert cut.budget > 0
     assert (refused.code, refused.outcome) == ("upstream_failed", "unknown")
