An attempt that is heard in the turn in which it is found silent goes on

What callers saw: nothing yet; found in review. A stream could be made of two software versions. Its first bytes come in the turn of the loop in which the attempt's silence is reported: the attempt is then no longer the running one, so the dispatcher learns neither that it began nor its version, but its task is woken before the cancellation, relays the first events and so moves the point from which the stream is resumed. The next attempt, at an upstream of any version, goes on from there.

Evidence: test_silence_races.py delivers bytes on the connection just before the report; "resumed at another version" without the change. The six other cases (events lost or doubled around the cancellation) passed before and pass now.

Why it works: the report is made only while the reader's future is pending. If it is, bytes that come later in the same turn wake the attempt after the cancellation, which ends it before it looks at them.

--- a/plantainwood/connections.py
+++ b/plantainwood/connections.py
@@ -134,6 +134,11 @@
         """Return whether the body has neither a length nor chunks."""
         return self._parser.ends_with_connection
 
+    @property
+    def is_waited_for(self) -> bool:
+        """Return whether a reader waits, and nothing has come that wakes it."""
+        return self._waiter is not None and not self._waiter.done()
+
     @property
     def lost_reason(self) -> str | None:
         """Return why the connection was lost; None while it is open."""
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -114,11 +114,11 @@
 class RunningAttempt:
     """The attempt that a call waits for."""
 
-    __slots__ = ("dispatch", "address")
+    __slots__ = ("dispatch", "connection")
 
-    def __init__(self, dispatch: ev.Dispatch, address: str) -> None:
+    def __init__(self, dispatch: ev.Dispatch, connection: Connection) -> None:
         self.dispatch = dispatch
-        self.address = address
+        self.connection = connection
 
 
 class ForwardedCall(AttemptRunner, SilenceObserver):
@@ -208,11 +208,15 @@
         if self._via_vm:
             return
         prober = self.forwarder.path_prober
-        prober.check_silent(self._running.address)
-        await prober.has_path(self._running.address)
+        address = self._running.connection.address
+        prober.check_silent(address)
+        await prober.has_path(address)
 
     def report_silence(self, silent_ms: int) -> None:
         """Let the dispatcher decide whether the silent attempt goes on."""
+        # What has come would still be relayed once the attempt is given up.
+        if not self._running.connection.is_waited_for:
+            return
         dispatch = self._running.dispatch
         self.broker.feed(
             ev.AttemptSilent(dispatch.request_id, dispatch.attempt, silent_ms)
@@ -239,7 +243,7 @@
     ) -> None:
         """Send an attempt on a connection and relay its answer."""
         connection = await self._connect(dispatch.upstream, entry.address)
-        self._running = RunningAttempt(dispatch, connection.address)
+        self._running = RunningAttempt(dispatch, connection)
         self._silence_watch = SilenceWatch(self.forwarder.awake_clock, self)
         succeeded = False
         may_have_run_before = self._may_have_run
