A sound upstream may read a large call late

What callers saw: 502 for a call with a large body whose runner did not read for more than 1.5 s, also where it may run once only and where no retry is left; its runner would have answered.

Cause: TCP_USER_TIMEOUT also counts while the receiver's window is full (tcp(7)). A runner that stands still takes what its kernel buffers; the rest stays unsent, and after USER_TIMEOUT_MS our kernel ends the connection: an attempt given up for silence before another one is granted, below the place that mended.

A request of more than 32 KiB is sent without the user timeout; it holds again before the connection is used for another one. Smaller ones fit into any receive buffer, so that silence can't look like loss. A path that loses a large request is found by the limits on silence where the call may be sent again; where it may not, only its deadline ends it.

--- a/plantainwood/connections.py
+++ b/plantainwood/connections.py
@@ -16,6 +16,10 @@
 DEFAULT_IDLE_MS = 4_000
 IDLE_MARGIN_MS = 600
 USER_TIMEOUT_MS = 1_500
+NO_USER_TIMEOUT_MS = 0
+SURELY_TAKEN_BYTES = 32_768
+"""A request of this size is acknowledged even if no process reads it; more may fill the
+upstream's receive buffer, and the kernel counts that as unacknowledged."""
 HIGH_WATER_BYTES = 32_768
 """Bytes of a body that wait to be relayed; above this the upstream is not read."""
 READ_BYTES = 32_768
@@ -37,6 +41,8 @@
         self._transport: asyncio.Transport
         self._parser = AnswerParser()
         self._awaiting_response = False
+        self._is_large = False
+        """Whether the current request may be more than the upstream's kernel takes."""
         self._lost_reason: str | None = None
         self._waiter: asyncio.Future | None = None
 
@@ -45,11 +51,12 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.max_size = READ_BYTES
-        sock = transport.get_extra_info("socket")
+        self._set_user_timeout(USER_TIMEOUT_MS)
+
+    def _set_user_timeout(self, timeout_ms: int) -> None:
+        sock = self._transport.get_extra_info("socket")
         if sock is not None and hasattr(socket, "TCP_USER_TIMEOUT"):
-            sock.setsockopt(
-                socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS
-            )
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; unsolicited ones close the connection.
@@ -95,8 +102,12 @@
         """Write a request; from here on it may have run unless proved otherwise.
 
         With `may_omit_id`, a response without an id always counts as the request's; if
-        it `is_bodiless`, its head is all of it.
+        it `is_bodiless`, its head is all of it. An upstream that doesn't read a large
+        request for a while loses no connection by that.
         """
+        self._is_large = len(data) > SURELY_TAKEN_BYTES
+        if self._is_large:
+            self._set_user_timeout(NO_USER_TIMEOUT_MS)
         self._awaiting_response = True
         self._parser.expect(request_id, id_header, may_omit_id, is_bodiless)
         self.request_written = True
@@ -152,6 +163,8 @@
         if not self.usable:
             self.close()
             return
+        if self._is_large:
+            self._set_user_timeout(USER_TIMEOUT_MS)
         self.idle_until_ms = self._clock.now_ms() + self._compute_idle_ms()
 
     def _compute_idle_ms(self) -> int:
