--- a/tests/test_silent_attempts.py
+++ b/tests/test_silent_attempts.py
@@ -322,3 +322,14 @@
     vm.dispatcher.set_versions({POOL: {"v1", "v2"}}, SILENT_AT_MS)
     (judged,) = vm.report()
     assert judged.obstacle is RetryObstacle.VERSION_UNKNOWN
+
+
+# Guards against a stream that is given up in silence for an attempt that its upstream
+# then refuses, with no retry left for another one (LOST).
+def test_a_refusal_of_the_next_attempt_ends_no_answer_that_was_given_up_in_silence():
+    vm = Vm()
+    vm.state.budget._total = 1.0
+    assert isinstance(vm.report()[-1], ev.Dispatch)
+    at_capacity = ev.AttemptFailed(REQUEST, 2, False, proved_not_run=True, pause_ms=150)
+    decisions = vm.dispatcher.decide(at_capacity, SILENT_AT_MS + 5)
+    assert not [each for each in decisions if isinstance(each, ev.Refuse)]
