Clients that do not read keep their slots while a pool has spare ones

What callers saw: nothing yet; found in review. A client whose link or process stood still for 0.75 s under a large answer was dropped for a request that waits for no slot: each check dropped as many as waited, though nobody could run in their place, since the upstreams had pauses (the same holds for a version, a share or a rate). The request had been read and ran.

Cause: a pool counted as short of slots by the time that something waits in it, alone.

Evidence: test_a_pool_with_spare_slots_is_not_short[8-False] failed without the change: a pool with 35 free slots of 40 was short. Its other case, all slots taken, passed before.

Why it works: dropping a client frees a slot of one upstream; if some upstream has a slot to spare already, that is not what the request waits for. Where all are taken or the shares of connections are used up, clients give way as before (test_client_limits, hold_all_slots).

--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -97,9 +97,17 @@
             self.shares.set_weights(weights)
 
     def list_short_pools(self, wait_ms: int, now_ms: int) -> list[Pool]:
-        """Return the pools in which a request has been queued for longer."""
-        pools = self.pools.values()
-        return [pool for pool in pools if pool.compute_wait_ms(now_ms) > wait_ms]
+        """Return the pools in which a request has been queued for longer, for a slot.
+
+        While a slot is spare, it waits for something else, such as the end of a pause.
+        """
+        found: list[Pool] = []
+        for pool in self.pools.values():
+            if pool.compute_wait_ms(now_ms) <= wait_ms:
+                continue
+            if not pool.has_spare_slot(now_ms):
+                found.append(pool)
+        return found
 
     def is_judging_due(self, now_ms: int) -> bool:
         """Tell, once in each JUDGING_INTERVAL_MS, that stragglers are to be found."""
--- a/plantainwood/core/loads.py
+++ b/plantainwood/core/loads.py
@@ -164,6 +164,12 @@
         """Return the slots that a request of a tier may use; below 0 if overbooked."""
         return self.entry.slots - self.estimate_in_flight(tier, now_ms)
 
+    def has_spare_slot(self, now_ms: int) -> bool:
+        """Tell whether no slot here is what a request of any tier waits for."""
+        if self.is_at_connection_limit() or self.has_no_room():
+            return False
+        return self.count_free_slots(TIERS - 1, now_ms) > 0
+
     @property
     def scaled_first_token_ms(self) -> float:
         """Return the time to first token, scaled to a cost of BASE_PREFILL_TOKENS."""
--- a/plantainwood/core/pools.py
+++ b/plantainwood/core/pools.py
@@ -138,6 +138,11 @@
         since_ms = [request.queued_ms for request in oldest if request is not None]
         return now_ms - min(since_ms) if since_ms else 0
 
+    def has_spare_slot(self, now_ms: int) -> bool:
+        """Tell whether an upstream that stays has a slot that nobody waits for."""
+        staying = [load for load in self.group if not load.leaving]
+        return any(load.has_spare_slot(now_ms) for load in staying)
+
     def add_tier(self, tier_queue: TierQueue) -> None:
         """Add a tier, keeping the tiers in order of urgency."""
         self.tiers[tier_queue.tier] = tier_queue
--- a/tests/test_client_guard.py
+++ b/tests/test_client_guard.py
@@ -29,6 +29,7 @@
 from plantainwood.core.pools import Pool, TierQueue
 from plantainwood.core.requests import Request
 from plantainwood.metrics import Metrics
+from tests.catalogues import ENGINES, make_catalogue
 from tests.test_listener import MemoryTransport
 
 HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
@@ -346,6 +347,22 @@
     assert state.list_short_pools(SLOT_WAIT_MS, 1_001 + SLOT_WAIT_MS) == [pool]
 
 
+# Guards against clients that are dropped, since they do not read for a moment, for a
+# request that waits for no slot: the upstreams have pauses (LOST).
+@pytest.mark.parametrize(("slots", "is_short"), [(8, False), (1, True)])
+def test_a_pool_with_spare_slots_is_not_short(slots, is_short):
+    dispatcher = Dispatcher("vm-1", 1, Options())
+    dispatcher.apply_catalogue(make_catalogue(slots))
+    for number in range(len(ENGINES)):
+        arrival = Arrival(f"r{number}", "norte", "hint", "model/rounds")
+        dispatcher.decide(arrival, 1_000)
+    for load in dispatcher.state.loads.values():
+        load.paused_until_ms = 10_000
+    dispatcher.decide(Arrival("waits", "sur", "hint", "model/rounds"), 1_000)
+    short = dispatcher.state.list_short_pools(SLOT_WAIT_MS, 2_000)
+    assert bool(short) is is_short
+
+
 async def read_and_check(site: Site, bytes_per_check: int) -> bool:
     """Read a long answer at a pace for 2 * UNREAD_MS; return whether it goes on."""
 
