Attempts that are silent at the same time share the probe of their upstream

What callers saw: nothing that is shown. An upstream that is silent for a while got one connection more for each attempt that waits there, at the moment when it can take none, beyond the share of its connections that this VM may use; and since attempts go on in silence, again for each gap.

Cause: each silent attempt probed its upstream by itself, though failures at the same time share the probe of the path.

Now an upstream is probed once in RESULT_LIFETIME_MS.

--- a/plantainwood/pathprobe.py
+++ b/plantainwood/pathprobe.py
@@ -46,6 +46,8 @@
         self._probed_ms = -RESULT_LIFETIME_MS
         self._has_path = True
         self._checks: set[asyncio.Task[bool]] = set()
+        self._checked_ms: dict[str, int] = {}
+        """When a silent upstream was last probed, by address."""
         self.found_lost = asyncio.Event()
         """Set when the path is found to be lost."""
 
@@ -129,7 +131,17 @@
         return reached
 
     def check_silent(self, address: str) -> None:
-        """Find out in the background whether a silent upstream accepts connections."""
+        """Find out in the background whether a silent upstream accepts connections.
+
+        Attempts that are silent at the same time share one probe.
+        """
+        now_ms = self._clock.now_ms()
+        for checked, checked_ms in list(self._checked_ms.items()):
+            if now_ms - checked_ms >= RESULT_LIFETIME_MS:
+                del self._checked_ms[checked]
+        if address in self._checked_ms:
+            return
+        self._checked_ms[address] = now_ms
         for load in self._broker.dispatcher.state.loads.values():
             if load.entry.address != address or load.leaving:
                 continue
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -23,6 +23,9 @@
 EVENTS = [event + b"\n\n" for event in STREAM.split(b"\n\n") if event]
 BEGUN = 2
 """The events of a stream before its upstream falls silent."""
+CROWD = 40
+MAX_PROBES = 5
+"""Of an upstream in the time of a silence; failures share a result for 0.2 s."""
 KINDS = {
     "stream": ("POST", "/s/x"),
     "stream-once": ("POST", "/n/x"),
@@ -281,3 +284,30 @@
 
     run_fleet(scenario, script, runners=2, vms=2)
     assert list_silences(caplog) == [("moved", "-")]
+
+
+# Guards against more connections than an upstream takes, one more for each attempt that
+# is silent there (LOST).
+def test_many_silent_attempts_bring_few_probes():
+    reached: Counter[bytes] = Counter()
+
+    async def pause(request, writer) -> None:
+        reached[request.request_id] += 1
+        await asyncio.sleep(SILENCE_S)
+        await answer_stream(request, writer)
+
+    async def scenario(site: Site) -> None:
+        (runner,) = site.runners
+        site.store.put("servers/i-0", make_entry(runner, slots=64, sequence=2))
+        loads = site.daemon.edge.broker.dispatcher.state.loads
+        await site.wait_until(
+            lambda: any(load.entry.slots == 64 for load in loads.values())
+        )
+        names = [f"s-{number}" for number in range(CROWD)]
+        calls = [site.call("POST", "/s/x", b"b", Request_Id=name) for name in names]
+        for status, _, body in await asyncio.gather(*calls):
+            check_whole("stream", status, body)
+        assert set(reached.values()) == {1}
+        assert runner.connections <= CROWD + MAX_PROBES
+
+    run(scenario, pause)
