A silent attempt goes on while this VM has lost its path and no other VM serves

Cause: with a lost path and no VM that may serve, the question which upstream could take the request now fell back to this VM's own, which refuse at once.

Such an attempt is kept (why=path), as one that another VM sent already was. The new test fails before, and passes now.

--- a/plantainwood/core/retries.py
+++ b/plantainwood/core/retries.py
@@ -17,7 +17,7 @@
     SUSPECT = "suspect"
     """It is not known yet whether requests like it crash upstreams."""
     NO_PATH = "path"
-    """Another VM sent it, and this node reaches none of its upstreams."""
+    """This node reaches none of its upstreams, and no other VM may serve it instead."""
     NO_ATTEMPTS_LEFT = "attempts"
     VERSION_UNKNOWN = "version_unknown"
     """Its stream began elsewhere, with a software version that is not known here."""
--- a/plantainwood/core/silentattempts.py
+++ b/plantainwood/core/silentattempts.py
@@ -7,6 +7,7 @@
 from plantainwood.core.retries import RetryObstacle
 from plantainwood.core.retryrules import avoid_upstream, find_retry_obstacle
 from plantainwood.core.scheduling import choose_elsewhere, dispatch, dispatch_waiting
+from plantainwood.core.servingvms import is_serving_vm
 
 
 class _Constraints:
@@ -81,4 +82,9 @@
     if not state.budget.has_left(request.tier):
         return RetryObstacle.NO_BUDGET
     avoid_upstream(state, request, silent)
-    return choose_elsewhere(state, request, now_ms) or RetryObstacle.NO_UPSTREAM
+    found = choose_elsewhere(state, request, now_ms)
+    if found is None:
+        return RetryObstacle.NO_UPSTREAM
+    if state.path_lost and not is_serving_vm(found):
+        return RetryObstacle.NO_PATH
+    return found
--- a/tests/test_silent_attempts.py
+++ b/tests/test_silent_attempts.py
@@ -264,6 +264,14 @@
     check_kept(vm, vm.report(), RetryObstacle.NO_PATH)
 
 
+# Guards against a sound attempt given up for one at an upstream that this VM has
+# just found out of reach (LOST).
+def test_a_silent_attempt_goes_on_while_the_path_is_lost_and_no_vm_serves():
+    vm = Vm()
+    vm.dispatcher.decide(ev.PathProbed(lost=True), SILENT_AT_MS)
+    check_kept(vm, vm.report(), RetryObstacle.NO_PATH)
+
+
 class VmWithoutPath(Vm):
     """A VM for whose request others serve."""
 
