A silent attempt is not given up for upstreams that this VM can't reach

What callers saw: a begun stream stood still until its deadline, though its upstream went on half a second later; found in review. While the upstreams accept no connections, the look at a silence finds the path lost. If no other VM may serve in this one's place, the attempt was still given up, for an upstream of whose kind this VM had just found none within reach.

Evidence: test_a_silence_ends_no_stream_while_upstreams_accept_no_connections[1] got half of the stream without the change ("moved", then "no path"); the attempt is kept and the stream whole with it.

Why it works: what counts as room elsewhere leaves out direct upstreams while the path to them is lost.

--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -114,10 +114,12 @@
 ) -> UpstreamLoad | None:
     """Return what can take a running request now, other than what runs it, or None.
 
-    What is silent towards this node is no better.
+    What is silent towards this node is no better, and without a path it reaches none.
     """
     pool = state.pools[request.pool]
     vms = list_vms_instead(state, pool, request, now_ms)
+    if not vms and state.lacks_path(pool, request.version, now_ms, request.domains):
+        return None
     others: list[UpstreamLoad] = []
     for load in vms or pool.group:
         if load.name != request.upstream and not load.is_silent(now_ms):
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -21,6 +21,8 @@
 """Longer than any limit of the tests' routes, and shorter than their time."""
 FOREVER_S = 60.0
 EVENTS = [event + b"\n\n" for event in STREAM.split(b"\n\n") if event]
+BEGINNING_S = 0.3
+"""How long a stream takes until its upstream falls silent, at least."""
 BEGUN = 2
 """The events of a stream before its upstream falls silent."""
 KINDS = {
@@ -281,3 +283,29 @@
 
     run_fleet(scenario, script, runners=2, vms=2)
     assert list_silences(caplog) == [("moved", "-")]
+
+
+async def accept_no_connections(site: FleetSite) -> None:
+    """Let no VM open a further connection to a runner; those that are open live on."""
+    for vm, path in enumerate(site.paths):
+        path._connections.clear()
+        site.lose_path(vm, LostPath.RESET)
+
+
+# Guards against a stream that is given up in silence for an upstream that its VM knows
+# to be out of reach (LOST).
+@pytest.mark.parametrize("vms", [1])
+def test_a_silence_ends_no_stream_while_upstreams_accept_no_connections(vms, caplog):
+    caplog.set_level("INFO", "plantainwood")
+    script = SilentOnce(SILENCE_S, within=True)
+
+    async def scenario(site: FleetSite) -> None:
+        calling = asyncio.create_task(site.call(0, *KINDS["stream"]))
+        await site.wait_until(lambda: script.reached)
+        await asyncio.sleep(BEGINNING_S)
+        await accept_no_connections(site)
+        status, _, body = await calling
+        check_whole("stream", status, body)
+
+    run_fleet(scenario, script, runners=2, vms=vms)
+    assert list_silences(caplog) == [("kept", "no_upstream")]
