--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -293,8 +293,8 @@
 
 
 # Guards against a stream that is given up in silence for an upstream that its VM knows
-# to be out of reach (LOST).
-@pytest.mark.parametrize("vms", [1])
+# to be out of reach, or for other VMs that reach none either (LOST).
+@pytest.mark.parametrize("vms", [1, 5])
 def test_a_silence_ends_no_stream_while_upstreams_accept_no_connections(vms, caplog):
     caplog.set_level("INFO", "plantainwood")
     script = SilentOnce(SILENCE_S, within=True)
