--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -21,6 +21,8 @@
 """Longer than any limit of the tests' routes, and shorter than their time."""
 FOREVER_S = 60.0
 EVENTS = [event + b"\n\n" for event in STREAM.split(b"\n\n") if event]
+BEGINNING_S = 0.3
+"""How long a stream takes until its upstream falls silent, at least."""
 BEGUN = 2
 """The events of a stream before its upstream falls silent."""
 CROWD = 40
@@ -311,3 +313,33 @@
         assert runner.connections <= CROWD + MAX_PROBES
 
     run(scenario, pause)
+
+
+async def accept_no_connections(site: FleetSite) -> None:
+    """Let no VM open a further connection to a runner; those that are open live on."""
+    for vm, path in enumerate(site.paths):
+        path._connections.clear()
+        site.lose_path(vm, LostPath.RESET)
+
+
+# Guards against a stream that is given up in silence for an upstream that its VM knows
+# to be out of reach, or for other VMs that reach none either (LOST).
+@pytest.mark.parametrize(
+    ("vms", "decision"), [(1, ("kept", "path")), (5, ("moved", "-"))]
+)
+def test_a_silence_ends_no_stream_while_upstreams_accept_no_connections(
+    vms, decision, caplog
+):
+    caplog.set_level("INFO", "plantainwood")
+    script = SilentOnce(SILENCE_S, within=True)
+
+    async def scenario(site: FleetSite) -> None:
+        calling = asyncio.create_task(site.call(0, *KINDS["stream"]))
+        await site.wait_until(lambda: script.reached)
+        await asyncio.sleep(BEGINNING_S)
+        await accept_no_connections(site)
+        status, _, body = await calling
+        check_whole("stream", status, body)
+
+    run_fleet(scenario, script, runners=2, vms=vms)
+    assert list_silences(caplog)[0] == decision
