--- a/tests/test_client_guard.py
+++ b/tests/test_client_guard.py
@@ -17,13 +17,14 @@
     SLOT_WAIT_MS,
     UNREAD_MS,
     ClientGuard,
+    make_refusal,
 )
 from plantainwood.clienthandler import ClientServer
 from plantainwood.core.catalogue import ServiceClass
 from plantainwood.core.clientlimits import compute_client_limits
 from plantainwood.core.dispatcher import Dispatcher
 from plantainwood.core.dispatcheroptions import Options
-from plantainwood.core.errors import RequestError
+from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.core.events import Arrival
 from plantainwood.core.fairness import FifoQueue
 from plantainwood.core.pools import Pool, TierQueue
@@ -277,6 +278,24 @@
     asyncio.run(scenario())
 
 
+# Guards against a client that is refused while its body waits for room, and learns it
+# only once the room is free.
+def test_a_body_that_is_refused_while_it_waits_for_room_is_answered_at_once():
+    async def scenario(site):
+        room = site.guard.body_room
+        await room.take(room.capacity)
+        handler, transport = site.connect()
+        handler.data_received(HEAD % LARGE_BYTES + b"x" * 20_000)
+        await asyncio.sleep(0.02)
+        assert room.compute_wait_s() > 0 and not transport.written
+        handler.refuse_body(make_refusal(ErrorCode.OVERLOADED))
+        await asyncio.sleep(0.02)
+        assert transport.written.startswith(b"HTTP/1.1 503")
+        assert room.compute_wait_s() == 0 and site.served == 0
+
+    run(scenario)
+
+
 class ShortPool:
     """A pool whose slots are all taken while requests wait."""
 
