Tests run side by side, a file as the unit; those of crowds after them, one by one

The one test process mostly waited.

Cause: one test after the other, though most wait for bounds, starts and streams.

Files that start daemons wait until there is room for their processes (3 for each core), so that a daemon still listens within its bound.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,8 @@
-"""Hypothesis profiles of the property tests, and the fixture of a running fleet."""
+"""Hypothesis profiles of the property tests, and the fixture of a running fleet.
+
+In a worker of a run side by side, also the order of the files and a bound on their
+processes.
+"""
 
 import os
 
@@ -6,6 +10,8 @@
 from hypothesis import HealthCheck, Phase, settings
 
 from standins.fleet import Fleet
+from tests.fileweights import PROCESSES, count_cores, count_processes, find_place
+from tests.processbudget import ProcessBudget
 
 COMMON_SETTINGS = dict(
     deadline=None,
@@ -35,6 +41,25 @@
         config.option.hypothesis_seed = seed
 
 
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Let the files that take longest begin first in a run side by side."""
+    if "PYTEST_XDIST_WORKER" in os.environ:
+        items.sort(key=lambda item: find_place(item.path.stem))
+
+
+@pytest.fixture(scope="module", autouse=True)
+def room_for_processes(request, tmp_path_factory):
+    """Hold room for the processes of a file while it runs beside others."""
+    count = PROCESSES.get(request.path.stem, 0)
+    if count == 0 or "PYTEST_XDIST_WORKER" not in os.environ:
+        yield
+        return
+    # The folder of the whole run, which its workers share.
+    folder = tmp_path_factory.getbasetemp().parent / "processes"
+    with ProcessBudget(folder, count_processes(count_cores())).take(count):
+        yield
+
+
 @pytest.fixture(scope="module")
 def fleet():
     """Run a fleet of three daemons with a catalogue; stop it afterwards."""
