Tests: wait until VMs have a configuration in force (test_odd_entries)

ProcessSite.wait_for_config waits for the fact that a second's sleep stood for: each VM has logged config_in_force with that version. The VM logs it in the turn of its loop that puts all items of that reading into force. The bound is the sleep's, 1 s, and is now also checked. Assertions are unchanged; the second sleep stays, since no log line tells that an entry that can't be read was passed over.

--- a/tests/processsite.py
+++ b/tests/processsite.py
@@ -17,6 +17,7 @@
 PORTS_PER_VM = 6
 START_TIMEOUT_S = 20
 SCENARIO_TIMEOUT_S = 60
+POLL_S = 0.02
 
 
 class VmProcess:
@@ -108,6 +109,10 @@
         lines = self._read_log().splitlines()
         return [line for line in lines if f" event={event} " in f"{line} "]
 
+    def has_logged(self, event: str, field: str) -> bool:
+        """Return whether the log has an event with a field, written as name=value."""
+        return any(f" {field} " in f"{line} " for line in self.list_events(event))
+
     def list_lines(self, request_id: str) -> list[str]:
         """Return the log lines of a caller's request."""
         lines = self._read_log().splitlines()
@@ -170,6 +175,17 @@
         ) as response:
             return response.status, response.headers, await response.read()
 
+    async def wait_for_config(self, version: int, timeout_s: float) -> None:
+        """Wait until each VM has a version of the configuration in force.
+
+        What was written to the store before it is in force too. Raise TimeoutError
+        after `timeout_s`.
+        """
+        async with asyncio.timeout(timeout_s):
+            for vm in self.vms:
+                while not vm.has_logged("config_in_force", f"version={version}"):
+                    await asyncio.sleep(POLL_S)
+
     def list_ended(self) -> list[str]:
         """Return the VMs whose process has ended."""
         return [vm.name for vm in self.vms if vm.process.returncode is not None]
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -12,6 +12,7 @@
 
 DRAIN_S = 2.0
 CONFIG_APPLY_S = 2.0
+CONFIG_S = 1.0
 ROUNDS = 8
 DEEP_LEVELS = 100_000
 ENTRY = {
@@ -77,7 +78,7 @@
 async def write_odd_entries(site: ProcessSite, entries: list[bytes]) -> None:
     """Let a second key be in force, then write the entries."""
     site.store.put("op/config", make_config(version=2, tenants=make_tenants("key-2")))
-    await asyncio.sleep(1.0)
+    await site.wait_for_config(2, CONFIG_S)
     for number, entry in enumerate(entries):
         site.store.put(f"servers/i-odd-{number}", entry)
     await asyncio.sleep(1.0)
