Tests: wait until VMs have a configuration in force (test_streams_of_lost_vms)

As in test_odd_entries, with its own bound of 1.5 s. The entries that give the upstreams their versions are written before the configuration, so they are in force too. test_failures_through_vms.py uses the same set-up. Assertions are unchanged.

--- a/tests/test_streams_of_lost_vms.py
+++ b/tests/test_streams_of_lost_vms.py
@@ -14,6 +14,7 @@
 EVENTS = 70
 EVENT_S = 0.1
 WARMING = 36
+CONFIG_S = 1.5
 VERSIONS = ["v1", "v2", "v1", "v2"]
 TRIES = 12
 TRY_PAUSE_S = 0.3
@@ -123,7 +124,7 @@
         {**route, "name": "r3", "prefix": "/r/", "kind": "safe"},
     ]
     site.store.put("op/config", make_config(version=2, routes=routes))
-    await asyncio.sleep(1.5)
+    await site.wait_for_config(2, CONFIG_S)
     calls = []
     for vm in site.vms[1:]:
         for number in range(WARMING):
