--- a/tests/test_body_memory.py
+++ b/tests/test_body_memory.py
@@ -22,6 +22,7 @@
 BODY_BYTES = 4_194_304
 BODIES = 30
 WORK_S = 0.3
+CONFIG_S = 1.0
 MAX_MEMORY_MB = 150
 """The memory of the users' smallest VM."""
 
@@ -62,7 +63,7 @@
         routes = [{**route, "name": "r2", "prefix": "/u/", "kind": "unsafe"}]
         limits = {"headerBytes": 16_384, "bodyBytes": BODY_BYTES}
         site.store.put("op/config", make_config(2, routes=routes, limits=limits))
-        await asyncio.sleep(1.0)
+        await site.wait_for_config(2, CONFIG_S)
 
         async def send(number: int) -> tuple[int, bytes]:
             headers = {"Host": HOST, "Request-Id": f"b-{number}"}
