Tests: wait until VMs have a configuration in force (test_chunk_turns)

As in test_odd_entries, with its own bound of 1 s. The second sleep, after the crowd has left, stands for no fact that the VM tells, and stays. Assertions are unchanged.

--- a/tests/test_chunk_turns.py
+++ b/tests/test_chunk_turns.py
@@ -14,6 +14,7 @@
 CHUNKS = 64_000
 PRESS_S = 6.0
 PAUSE_S = 0.3
+CONFIG_S = 1.0
 DEADLINE_S = 2.5
 """An ordinary caller's deadline, and 1 s more."""
 SERVED_SHARE = 0.5
@@ -83,7 +84,7 @@
         ]
         limits = {"headerBytes": 16_384, "bodyBytes": 4_194_304}
         site.store.put("op/config", make_config(2, routes=routes, limits=limits))
-        await asyncio.sleep(1.0)
+        await site.wait_for_config(2, CONFIG_S)
         address = vm.caller_url.removeprefix("http://")
         served: list[bool] = []
 
