Tests: wait until VMs have a configuration in force (test_unrelated_crashes)

As in test_odd_entries, with its own bound of 1 s. The other sleeps are the play itself: 5 s of sending, an upstream that is away for 2 s. Assertions are unchanged.

--- a/tests/test_unrelated_crashes.py
+++ b/tests/test_unrelated_crashes.py
@@ -16,6 +16,7 @@
 BUSY_PAUSE_S = 0.01
 BUSY_TIMEOUT_S = 2.0
 BACK_S = 2.0
+CONFIG_S = 1.0
 CONTACT_S = 3.0
 LATER = 20
 MAX_DENIED = 5
@@ -67,7 +68,7 @@
             {**base, "name": "r3", "prefix": "/r/", "kind": "safe"},
         ]
         self.site.store.put("op/config", make_config(version=2, routes=routes))
-        await asyncio.sleep(1.0)
+        await self.site.wait_for_config(2, CONFIG_S)
 
     async def send(self, number: int) -> None:
         """Send a request, on a stream's route with a prompt that shares a part."""
