--- a/tests/test_late_requests.py
+++ b/tests/test_late_requests.py
@@ -20,6 +20,7 @@
 SENDING_S = 4.0
 GAP_S = 0.1
 PAUSE_S = 0.3
+CONFIG_S = 1.0
 EXCUSED_S = 3.0
 """Only of requests sent earlier may the upstream outlast the grace period."""
 SLOTS = 64
@@ -57,7 +58,7 @@
     for number, runner in enumerate(site.runners):
         site.store.put(f"servers/i-{number}", make_entry(runner, slots=SLOTS))
     site.store.put("op/config", make_long_config())
-    await asyncio.sleep(1.0)
+    await site.wait_for_config(2, CONFIG_S)
 
 
 class LateCall:
