--- a/tests/test_client_limits.py
+++ b/tests/test_client_limits.py
@@ -34,6 +34,8 @@
 BODY_BYTES = 4_194_304
 TRIES = 30
 WAIT_S = 20
+CONFIG_S = 1.0
+CONFIG_VERSION = 2
 ORDINARY_BYTES = 100_000
 REFUSED_CLIENTS = 150
 REFUSALS_S = 8.0
@@ -154,7 +156,7 @@
     }
     services = [{"name": "pool"}, {"name": "slow"}]
     changes = {"routes": routes, "limits": limits, "services": services}
-    site.store.put("op/config", make_config(2, **changes))
+    site.store.put("op/config", make_config(CONFIG_VERSION, **changes))
 
 
 def state_machine() -> str:
@@ -198,7 +200,7 @@
 
     async def configured(site: ProcessSite) -> None:
         await configure(site)
-        await asyncio.sleep(1.0)
+        await site.wait_for_config(CONFIG_VERSION, CONFIG_S)
         await scenario(site, site.vms[0])
 
     run_processes(configured, answer, folder, 4, 1, more_settings=state_machine())
