--- a/tests/test_other_input.py
+++ b/tests/test_other_input.py
@@ -1,6 +1,5 @@
 """Input that is no HTTP, on all addresses that clients can reach."""
 
-import asyncio
 import random
 from functools import partial
 
@@ -16,6 +15,8 @@
 )
 from tests.processsite import ProcessSite, run_processes
 from tests.test_client_limits import (
+    CONFIG_S,
+    CONFIG_VERSION,
     answer,
     check_process,
     configure,
@@ -52,7 +53,7 @@
 def test_input_that_is_no_http_holds_nothing_for_long(tmp_path, kind):
     async def scenario(site: ProcessSite) -> None:
         await configure(site)
-        await asyncio.sleep(1.0)
+        await site.wait_for_config(CONFIG_VERSION, CONFIG_S)
         vm = site.vms[0]
         descriptors = count_descriptors(vm.process.pid)
         for name, port in PORTS.items():
