--- a/tests/fileweights.py
+++ b/tests/fileweights.py
@@ -46,14 +46,25 @@
 """The most processes that a file has at a time, of the files that start daemons."""
 
 LONGEST_FILES = (
+    "test_customer_shares",
     "test_unrelated_crashes",
     "test_faults",
     "test_late_requests",
-    "test_customer_shares",
+    "test_cold_upstreams",
     "test_two_builds",
+    "test_engine_pace",
+    "test_other_input",
+    "test_domain_overflow",
+    "test_sealed_answers",
     "test_streams_of_lost_vms",
-    "test_lost_paths",
+    "test_odd_entries",
+    "test_brittle_upstreams",
     "test_link_strangers",
+    "test_lost_paths",
+    "test_http_clients",
+    "test_failures_through_vms",
+    "test_duties",
+    "test_evacuation",
 )
 """The files that take longest, in the order in which they begin."""
 
