--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -182,8 +182,8 @@
     Mutant(
         10,
         "retry a call that is not repeatable",
-        CORE + "outcomes.py",
-        "    if not request.repeatable and not event.proved_not_run:",
+        CORE + "retryrules.py",
+        "    if not request.repeatable and not proved_not_run:",
         "    if False:",
         PROOFS + "test_requests.py",
     ),
@@ -400,6 +400,14 @@
         "                self._due_ms = at_ms + REWRITE_GRACE_MS\n",
         "tests/test_store_copies.py",
     ),
+    Mutant(
+        4,
+        "a thawed VM counts the writers' time from its thaw",
+        CORE + "storecopies.py",
+        "        heard_ms = now_ms - max(0, passed_ms)\n",
+        "        heard_ms = now_ms\n",
+        "tests/test_store_copies.py",
+    ),
     Mutant(
         4,
         "a second read of the store's copy puts it in force",
@@ -623,8 +631,8 @@
         0,
         "spend retries on attempts that reached nothing",
         CORE + "outcomes.py",
-        "    if event.reached and not state.budget",
-        "    if not state.budget",
+        "    if obstacle is None and event.reached and not state.budget",
+        "    if obstacle is None and not state.budget",
         "tests/test_unreached_requests.py",
     ),
     Mutant(
--- a/plantainwood/clienthandler.py
+++ b/plantainwood/clienthandler.py
@@ -12,8 +12,10 @@
 from plantainwood import web
 from plantainwood.bodyroom import BodyReservation
 from plantainwood.chunkturns import TurnTaker
+from plantainwood.core.endcauses import EndCause
 from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.lingering import LingeringHandler
+from plantainwood.sendqueue import count_queued_bytes
 
 if TYPE_CHECKING:
     from plantainwood.clientguard import ClientGuard
@@ -30,6 +32,8 @@
 MAX_DROPPED_BYTES = 4_194_304
 """Bytes that are read and dropped after a response that ends a connection."""
 MAX_HEAD_BYTES = 65_536
+MIN_READ_BYTES_PER_S = 8_192
+"""A client that reads more slowly, while a response waits for it, counts as quiet."""
 UNREAD_QUIET_MS = 750
 """How long a client may read nothing until this node counts as waiting for it."""
 
@@ -51,6 +55,8 @@
         "_max_head_bytes",
         "_awaits_turn",
         "_resumed_bytes",
+        "closed_by",
+        "call_id",
     )
 
     def __init__(self, manager, guard: "ClientGuard", **kwargs) -> None:
@@ -76,6 +82,10 @@
         """Whether the body comes in tiny chunks and is parsed in turn with others."""
         self._resumed_bytes = 0
         """Bytes of the body that had come when its parsing was last resumed."""
+        self.closed_by: EndCause | None = None
+        """Why this VM closed the connection, if it did so under an answer."""
+        self.call_id = ""
+        """The dispatcher's id of the request that is served; empty if it has none."""
         limit = 2 * kwargs.get("max_field_size", 0)
         self._max_head_bytes = max(MAX_HEAD_BYTES, limit)
 
@@ -219,11 +229,18 @@
 
         It does not count while reading is paused: then the client waits for this node.
         """
-        progress = self.count_body() + self._count_written() - self.count_unread()
-        if progress != self._progress:
+        unread_bytes = self.count_unread()
+        progress = self.count_body() + self._count_written() - unread_bytes
+        least_bytes = 1
+        if unread_bytes:
+            progress -= self._count_queued()
+            least_bytes += MIN_READ_BYTES_PER_S * self.quiet_ms // 1_000
+        moved_bytes = progress - self._progress
+        # It falls with a new request, and once a response begins to wait.
+        if moved_bytes < 0 or moved_bytes >= least_bytes:
             self._progress = progress
             self.quiet_ms = 0
-        if self.count_unread() or not self._is_paused():
+        if unread_bytes or not self._is_paused():
             self.waited_ms += elapsed_ms
             self.quiet_ms += elapsed_ms
 
@@ -231,6 +248,15 @@
         request = self._current_request
         return request.writer.output_size if request is not None else 0
 
+    def _count_queued(self) -> int:
+        """Return the bytes that the kernel holds for the client.
+
+        Its buffer takes more only once much of it is free, which lasts long for a
+        client that reads slowly.
+        """
+        sock = self.transport.get_extra_info("socket") if self.transport else None
+        return count_queued_bytes(sock) if sock is not None else 0
+
     def _is_paused(self) -> bool:
         return self._reading_paused or self._buffer_paused
 
@@ -263,11 +289,17 @@
 
     def drop(self) -> None:
         """Close the connection at once."""
+        self.closed_by = EndCause.CLIENT_DROPPED
         transport = self.transport
         self.force_close()
         if transport is not None:
             transport.abort()
 
+    async def shutdown(self, timeout: float | None = 15.0) -> None:
+        """Close the connection because the process ends."""
+        self.closed_by = self.closed_by or EndCause.VM_STOPS
+        await super().shutdown(timeout)
+
     def _end_early(self) -> None:
         """Drop what still comes after the next response, within the guard's bound."""
         if not self.guard.may_linger():
@@ -285,6 +317,7 @@
         finished = await super().finish_response(request, resp, start_time)
         if self._is_ending and not is_complete:
             request.content.feed_eof()
+        self.call_id = ""
         self._start_waiting()
         return finished
 
--- a/plantainwood/core/dispatcherstate.py
+++ b/plantainwood/core/dispatcherstate.py
@@ -48,6 +48,7 @@
         "counters",
         "shares",
         "least_urgent_tiers",
+        "stood_still_ms",
         "_judging_due_ms",
         "uses_regions",
     )
@@ -78,6 +79,8 @@
         """None while customers have no shares over the fleet."""
         self.least_urgent_tiers: dict[str, int] = {}
         """The least urgent tier that the configuration has for each pool."""
+        self.stood_still_ms = 0
+        """How long this process has stood still in all, as its awake clock counts."""
         self._judging_due_ms = 0
         self.uses_regions = False
         """Whether any request was bound to some failure domains."""
@@ -93,6 +96,11 @@
             weights = {name: item.weight for name, item in catalogue.customers.items()}
             self.shares.set_weights(weights)
 
+    def list_short_pools(self, wait_ms: int, now_ms: int) -> list[Pool]:
+        """Return the pools in which a request has been queued for longer."""
+        pools = self.pools.values()
+        return [pool for pool in pools if pool.compute_wait_ms(now_ms) > wait_ms]
+
     def is_judging_due(self, now_ms: int) -> bool:
         """Tell, once in each JUDGING_INTERVAL_MS, that stragglers are to be found."""
         if now_ms < self._judging_due_ms:
--- a/plantainwood/core/scheduling.py
+++ b/plantainwood/core/scheduling.py
@@ -109,6 +109,24 @@
     return state.router.choose(request, group, now_ms)
 
 
+def choose_elsewhere(
+    state: DispatcherState, request: Request, now_ms: int
+) -> UpstreamLoad | None:
+    """Return what can take a running request now, other than what runs it, or None.
+
+    What is silent towards this node is no better.
+    """
+    pool = state.pools[request.pool]
+    vms = list_vms_instead(state, pool, request, now_ms)
+    others: list[UpstreamLoad] = []
+    for load in vms or pool.group:
+        if load.name != request.upstream and not load.is_silent(now_ms):
+            others.append(load)
+    if vms:
+        return choose_serving_vm(request, others, now_ms)
+    return state.router.choose(request, others, now_ms)
+
+
 def list_vms_instead(
     state: DispatcherState, pool: Pool, request: Request, now_ms: int
 ) -> list[UpstreamLoad]:
@@ -158,6 +176,7 @@
     request.upstream = load.name
     request.dispatched_ms = now_ms
     request.first_token_ms = 0
+    request.stood_still_ms = state.stood_still_ms
     load.record_dispatch(request.priority, now_ms)
     state.cold_upstreams.record_sent(load.entry.address, now_ms)
     load.unstarted_attempts += 1
@@ -223,7 +242,9 @@
         ):
             continue
         typical_ms = state.loads[request.upstream].first_token_ms
-        if now_ms - request.dispatched_ms < max(MIN_MOVE_MS, 2 * typical_ms):
+        waited_ms = now_ms - request.dispatched_ms
+        waited_ms -= state.stood_still_ms - request.stood_still_ms
+        if waited_ms < max(MIN_MOVE_MS, 2 * typical_ms):
             continue
         others = [load for load in pool.group if load.name != request.upstream]
         load = _choose(state, others, request, now_ms)
--- a/plantainwood/metrics.py
+++ b/plantainwood/metrics.py
@@ -15,6 +15,7 @@
         "requests",
         "first_token",
         "met_targets",
+        "cut_answers",
         "tokens",
         "wasted_tokens",
         "waiting",
@@ -45,6 +46,8 @@
         "vm_weight_share",
         "slow_vms",
         "unheard_vms",
+        "standstills",
+        "standstill_time",
     )
 
     def __init__(self) -> None:
@@ -61,6 +64,9 @@
         self.met_targets = self._make_counter(
             "pw_attained_total", "Requests by class that met their targets."
         )
+        self.cut_answers = self._make_counter(
+            "pw_cut_answers_total", "Begun answers that ended unfinished, by cause."
+        )
         self.tokens = self._make_counter(
             "pw_tokens_total", "Tokens of whole answers, by class."
         )
@@ -153,6 +159,12 @@
         self.unheard_vms = self._make_gauge(
             "pw_unheard_vms", "Registered VMs that count as live but were not heard."
         )
+        self.standstills = self._make_counter(
+            "pw_standstills_total", "Standstills of this process by cause."
+        )
+        self.standstill_time = self._make_counter(
+            "pw_standstill_seconds_total", "Time of the standstills by cause."
+        )
 
     def _make_counter(self, name: str, doc: str) -> Counter:
         return Counter(name, doc, registry=self.registry)
--- a/plantainwood/node.py
+++ b/plantainwood/node.py
@@ -8,6 +8,7 @@
 from plantainwood.broker import RequestBroker
 from plantainwood.clientguard import ClientGuard
 from plantainwood.core import events as ev
+from plantainwood.core.awake import AwakeClock, make_awake_clock
 from plantainwood.core.catalogue import Catalogue, Document, merge_document
 from plantainwood.core.clock import Clock, make_clock, make_incarnation
 from plantainwood.core.confirmation import Confirmation
@@ -38,6 +39,7 @@
 from plantainwood.platform import Vm
 from plantainwood.procedures import Driver
 from plantainwood.settings import Settings
+from plantainwood.standstills import StandstillRecorder
 from plantainwood.traces import make_tracer
 
 FULL_LOAD_REQUESTS = 400
@@ -68,6 +70,8 @@
     __slots__ = (
         "settings",
         "clock",
+        "awake_clock",
+        "standstills",
         "incarnation",
         "catalogue",
         "stored_revision",
@@ -99,12 +103,17 @@
     def __init__(self, settings: Settings, clock: Clock, metrics: Metrics) -> None:
         self.settings = settings
         self.clock = clock
+        self.awake_clock: AwakeClock = make_awake_clock(clock)
+        """For what judges others; it leaves out the standstills of this process."""
+        self.standstills = StandstillRecorder(self.awake_clock, metrics)
         self.incarnation = make_incarnation(clock)
         self.catalogue = Catalogue()
         self.stored_revision = 0
         """Key-value revision of the catalogue that was last read."""
         dispatcher = Dispatcher(settings.node, secrets.randbits(32), Options())
-        self.broker = RequestBroker(dispatcher, clock, self._apply_fleet_decision)
+        self.broker = RequestBroker(
+            dispatcher, clock, self.awake_clock, self._apply_fleet_decision
+        )
         self.members = Members(settings.node)
         self.gossip_table = GossipTable()
         self.confirmation = Confirmation()
@@ -135,6 +144,7 @@
         self.client_guard = ClientGuard(
             settings.machine.memory_mb, settings.machine.file_descriptors, metrics
         )
+        self.client_guard.list_short_pools = self.broker.list_short_pools
         self.tracer: Tracer = make_tracer(settings.node, settings.traces.exporter)
         self.clients: Clients
         self.state = NodeState.LIVE
