A run of the tests that was started with SIGINT ignored can be interrupted

Seen: test_an_interrupted_run_ends_its_processes_and_fails failed in a whole run side by side (its run had not ended 10 s after SIGTERM), and passed alone.

Cause: pytest-xdist's workers ignore SIGINT, as a shell's jobs in the background do, and a process passes that on to those that it starts. So pytest never saw the interrupt that SIGTERM to the command turns into, and the command waited for it.

Now the command catches the signals before it starts pytest. What a process catches has its default in one that it starts. Signals that it was told to ignore it still passes over.

--- a/tests/fileweights.py
+++ b/tests/fileweights.py
@@ -38,6 +38,8 @@
     "test_sealed_answers": 3,
     "test_server_entries": 3,
     "test_store_copies": 4,
+    "test_silence_watch": 1,
+    "test_streams_in_silence": 2,
     "test_streams_of_lost_vms": 3,
     "test_two_builds": 3,
     "test_two_node_builds": 10,
--- a/tests/run.py
+++ b/tests/run.py
@@ -27,7 +27,15 @@
 class Phase:
     """One run of pytest over a part of the files, and what came of it."""
 
-    __slots__ = ("name", "arguments", "code", "passed", "failed", "is_interrupted")
+    __slots__ = (
+        "name",
+        "arguments",
+        "code",
+        "passed",
+        "failed",
+        "is_interrupted",
+        "_pid",
+    )
 
     def __init__(self, name: str, arguments: list[str]) -> None:
         self.name = name
@@ -36,6 +44,7 @@
         self.passed = 0
         self.failed = 0
         self.is_interrupted = False
+        self._pid: int | None = None
 
     def run(self, folder: Path, more: list[str]) -> None:
         """Run pytest in a session of its own and count how its tests ended.
@@ -47,10 +56,13 @@
         report.unlink(missing_ok=True)
         command = [sys.executable, "-m", "pytest", f"--junitxml={report}"]
         print(f"tests, {self.name}", flush=True)
-        process = subprocess.Popen(
-            [*command, *self.arguments, *more], cwd=ROOT, start_new_session=True
-        )
-        with self._pass_on_signals(process.pid):
+        with self._catch_signals():
+            process = subprocess.Popen(
+                [*command, *self.arguments, *more], cwd=ROOT, start_new_session=True
+            )
+            self._pid = process.pid
+            if self.is_interrupted:
+                self._interrupt()
             os.waitid(os.P_PID, process.pid, os.WEXITED | os.WNOWAIT)
         if self.is_interrupted:
             os.killpg(process.pid, signal.SIGKILL)
@@ -59,22 +71,36 @@
             self.passed, self.failed = count_tests(report.read_text())
 
     @contextlib.contextmanager
-    def _pass_on_signals(self, pid: int) -> Iterator[None]:
-        """Let the signals that end this process interrupt pytest instead."""
-
-        def interrupt(signum: int, frame) -> None:
-            self.is_interrupted = True
-            os.kill(pid, signal.SIGINT)
+    def _catch_signals(self) -> Iterator[None]:
+        """Let the signals that end this process interrupt pytest instead.
 
+        Signals that this process ignores are caught too, and nothing is done: a process
+        that is started meanwhile does not ignore them. A shell's job in the background
+        and a worker of pytest-xdist ignore SIGINT.
+        """
         previous = {}
         for signum in ENDING_SIGNALS:
-            previous[signum] = signal.signal(signum, interrupt)
+            is_ignored = signal.getsignal(signum) is signal.SIG_IGN
+            handler = pass_over if is_ignored else self._handle_signal
+            previous[signum] = signal.signal(signum, handler)
         try:
             yield
         finally:
             for signum, handler in previous.items():
                 signal.signal(signum, handler)
 
+    def _handle_signal(self, signum: int, frame) -> None:
+        self.is_interrupted = True
+        if self._pid is not None:
+            self._interrupt()
+
+    def _interrupt(self) -> None:
+        os.kill(self._pid, signal.SIGINT)
+
+
+def pass_over(signum: int, frame) -> None:
+    """Do nothing about a signal."""
+
 
 def count_tests(report: str) -> tuple[int, int]:
     """Return how many tests passed and how many failed, by pytest's XML report."""
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -200,11 +200,15 @@
     assert run_phases([phase], options, tmp_path) == 0
 
 
-# Guards against processes of a phase that live on after the run was interrupted.
-def test_an_interrupted_run_ends_its_processes_and_fails(tmp_path):
+# Guards against processes of a phase that live on after the run was interrupted, and
+# against one that can't be, since a shell's job in the background ignores SIGINT.
+@pytest.mark.parametrize("signals", ["-", "''"], ids=["heeded", "ignored"])
+def test_an_interrupted_run_ends_its_processes_and_fails(signals, tmp_path):
     phase = make_phase(tmp_path, "hanging", HANGING)
+    start = f'trap {signals} INT; exec "$@"'
+    arguments = ["-c", RUN_ONE, phase.arguments[0], str(tmp_path)]
     run = subprocess.Popen(
-        [sys.executable, "-c", RUN_ONE, phase.arguments[0], str(tmp_path)],
+        ["bash", "-c", start, "bash", sys.executable, *arguments],
         cwd=ROOT,
         stdout=subprocess.PIPE,
         text=True,
