--- a/tests/test_client_guard.py
+++ b/tests/test_client_guard.py
@@ -17,18 +17,20 @@
     SLOT_WAIT_MS,
     UNREAD_MS,
     ClientGuard,
+    make_refusal,
 )
 from plantainwood.clienthandler import ClientServer
 from plantainwood.core.catalogue import ServiceClass
 from plantainwood.core.clientlimits import compute_client_limits
 from plantainwood.core.dispatcher import Dispatcher
 from plantainwood.core.dispatcheroptions import Options
-from plantainwood.core.errors import RequestError
+from plantainwood.core.errors import ErrorCode, RequestError
 from plantainwood.core.events import Arrival
 from plantainwood.core.fairness import FifoQueue
 from plantainwood.core.pools import Pool, TierQueue
 from plantainwood.core.requests import Request
 from plantainwood.metrics import Metrics
+from tests.catalogues import ENGINES, make_catalogue
 from tests.test_listener import MemoryTransport
 
 HEAD = b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n"
@@ -277,6 +279,24 @@
     asyncio.run(scenario())
 
 
+# Guards against a client that is refused while its body waits for room, and learns it
+# only once the room is free.
+def test_a_body_that_is_refused_while_it_waits_for_room_is_answered_at_once():
+    async def scenario(site):
+        room = site.guard.body_room
+        await room.take(room.capacity)
+        handler, transport = site.connect()
+        handler.data_received(HEAD % LARGE_BYTES + b"x" * 20_000)
+        await asyncio.sleep(0.02)
+        assert room.compute_wait_s() > 0 and not transport.written
+        handler.refuse_body(make_refusal(ErrorCode.OVERLOADED))
+        await asyncio.sleep(0.02)
+        assert transport.written.startswith(b"HTTP/1.1 503")
+        assert room.compute_wait_s() == 0 and site.served == 0
+
+    run(scenario)
+
+
 class ShortPool:
     """A pool whose slots are all taken while requests wait."""
 
@@ -346,6 +366,22 @@
     assert state.list_short_pools(SLOT_WAIT_MS, 1_001 + SLOT_WAIT_MS) == [pool]
 
 
+# Guards against clients that are dropped, since they do not read for a moment, for a
+# request that waits for no slot: the upstreams have pauses (LOST).
+@pytest.mark.parametrize(("slots", "is_short"), [(8, False), (1, True)])
+def test_a_pool_with_spare_slots_is_not_short(slots, is_short):
+    dispatcher = Dispatcher("vm-1", 1, Options())
+    dispatcher.apply_catalogue(make_catalogue(slots))
+    for number in range(len(ENGINES)):
+        arrival = Arrival(f"r{number}", "norte", "hint", "model/rounds")
+        dispatcher.decide(arrival, 1_000)
+    for load in dispatcher.state.loads.values():
+        load.paused_until_ms = 10_000
+    dispatcher.decide(Arrival("waits", "sur", "hint", "model/rounds"), 1_000)
+    short = dispatcher.state.list_short_pools(SLOT_WAIT_MS, 2_000)
+    assert bool(short) is is_short
+
+
 async def read_and_check(site: Site, bytes_per_check: int) -> bool:
     """Read a long answer at a pace for 2 * UNREAD_MS; return whether it goes on."""
 
--- a/tests/test_silences.py
+++ b/tests/test_silences.py
@@ -21,8 +21,13 @@
 """Longer than any limit of the tests' routes, and shorter than their time."""
 FOREVER_S = 60.0
 EVENTS = [event + b"\n\n" for event in STREAM.split(b"\n\n") if event]
+BEGINNING_S = 0.3
+"""How long a stream takes until its upstream falls silent, at least."""
 BEGUN = 2
 """The events of a stream before its upstream falls silent."""
+CROWD = 40
+MAX_PROBES = 5
+"""Of an upstream in the time of a silence; failures share a result for 0.2 s."""
 KINDS = {
     "stream": ("POST", "/s/x"),
     "stream-once": ("POST", "/n/x"),
@@ -281,3 +286,60 @@
 
     run_fleet(scenario, script, runners=2, vms=2)
     assert list_silences(caplog) == [("moved", "-")]
+
+
+# Guards against more connections than an upstream takes, one more for each attempt that
+# is silent there (LOST).
+def test_many_silent_attempts_bring_few_probes():
+    reached: Counter[bytes] = Counter()
+
+    async def pause(request, writer) -> None:
+        reached[request.request_id] += 1
+        await asyncio.sleep(SILENCE_S)
+        await answer_stream(request, writer)
+
+    async def scenario(site: Site) -> None:
+        (runner,) = site.runners
+        site.store.put("servers/i-0", make_entry(runner, slots=64, sequence=2))
+        loads = site.daemon.edge.broker.dispatcher.state.loads
+        await site.wait_until(
+            lambda: any(load.entry.slots == 64 for load in loads.values())
+        )
+        names = [f"s-{number}" for number in range(CROWD)]
+        calls = [site.call("POST", "/s/x", b"b", Request_Id=name) for name in names]
+        for status, _, body in await asyncio.gather(*calls):
+            check_whole("stream", status, body)
+        assert set(reached.values()) == {1}
+        assert runner.connections <= CROWD + MAX_PROBES
+
+    run(scenario, pause)
+
+
+async def accept_no_connections(site: FleetSite) -> None:
+    """Let no VM open a further connection to a runner; those that are open live on."""
+    for vm, path in enumerate(site.paths):
+        path._connections.clear()
+        site.lose_path(vm, LostPath.RESET)
+
+
+# Guards against a stream that is given up in silence for an upstream that its VM knows
+# to be out of reach, or for other VMs that reach none either (LOST).
+@pytest.mark.parametrize(
+    ("vms", "decision"), [(1, ("kept", "path")), (5, ("moved", "-"))]
+)
+def test_a_silence_ends_no_stream_while_upstreams_accept_no_connections(
+    vms, decision, caplog
+):
+    caplog.set_level("INFO", "plantainwood")
+    script = SilentOnce(SILENCE_S, within=True)
+
+    async def scenario(site: FleetSite) -> None:
+        calling = asyncio.create_task(site.call(0, *KINDS["stream"]))
+        await site.wait_until(lambda: script.reached)
+        await asyncio.sleep(BEGINNING_S)
+        await accept_no_connections(site)
+        status, _, body = await calling
+        check_whole("stream", status, body)
+
+    run_fleet(scenario, script, runners=2, vms=vms)
+    assert list_silences(caplog)[0] == decision
