Attempts: what stops the hold's timer and what tells a held attempt are two things

One function did both, and its name told neither. No change in what happens: test_held_attempts, test_silences, test_silence_races and test_layout pass.

--- a/plantainwood/attempts.py
+++ b/plantainwood/attempts.py
@@ -95,7 +95,8 @@
         """Cancel what runs or is held, and wait until it has stopped writing."""
         attempts = (self._attempt, self._held)
         self._attempt = None
-        if self._keep_held():
+        self._stop_hold_timer()
+        if self._held is not None:
             self._held = None
             self.end_hold()
         for attempt in attempts:
@@ -117,7 +118,8 @@
 
     def give_up_held(self) -> None:
         """Cancel the held attempt, which closes its connection; it writes nothing."""
-        if self._keep_held():
+        self._stop_hold_timer()
+        if self._held is not None:
             self._held.cancel()
             self._held = None
             self.end_hold()
@@ -128,6 +130,7 @@
             await self.perform_attempt(dispatch)
         except AttemptError as error:
             self.record_failure(dispatch, error)
+            self._stop_hold_timer()
             self.broker.feed(
                 ev.AttemptFailed(
                     dispatch.request_id,
@@ -137,12 +140,13 @@
                     error.pause_ms,
                     error.reached,
                     error.broken,
-                    self._keep_held(),
+                    holds_earlier=self._held is not None,
                 )
             )
             return
         except RequestError as error:
-            if self._keep_held():
+            if self._held is not None:
+                self._stop_hold_timer()
                 self._report_refused(dispatch, error)
                 return
             self._put_refusal(dispatch, error)
@@ -163,12 +167,11 @@
         self.broker.feed(ev.AttemptDone(dispatch.request_id, dispatch.attempt))
         self.active_request.decisions.put_nowait(Finished())
 
-    def _keep_held(self) -> bool:
-        """Return whether an attempt is held; no timer ends this any more."""
+    def _stop_hold_timer(self) -> None:
+        """Hold an attempt until the next decision, however long that takes."""
         if self._hold_timer is not None:
             self._hold_timer.cancel()
             self._hold_timer = None
-        return self._held is not None
 
     def _report_refused(self, dispatch: ev.Dispatch, error: RequestError) -> None:
         """Report an attempt that another VM has refused while one is held."""
