--- a/tests/processsite.py
+++ b/tests/processsite.py
@@ -1,6 +1,7 @@
 """VMs as processes of their own; the store and the runners run in the test's."""
 
 import asyncio
+import contextlib
 import os
 import signal
 import sys
@@ -17,6 +18,7 @@
 PORTS_PER_VM = 6
 START_TIMEOUT_S = 20
 SCENARIO_TIMEOUT_S = 60
+POLL_S = 0.02
 
 
 class VmProcess:
@@ -108,6 +110,10 @@
         lines = self._read_log().splitlines()
         return [line for line in lines if f" event={event} " in f"{line} "]
 
+    def has_logged(self, event: str, field: str) -> bool:
+        """Return whether the log has an event with a field, written as name=value."""
+        return any(f" {field} " in f"{line} " for line in self.list_events(event))
+
     def list_lines(self, request_id: str) -> list[str]:
         """Return the log lines of a caller's request."""
         lines = self._read_log().splitlines()
@@ -170,6 +176,23 @@
         ) as response:
             return response.status, response.headers, await response.read()
 
+    async def wait_for_config(self, version: int, at_most_s: float) -> None:
+        """Wait until each VM has a version of the configuration in force.
+
+        What was written to the store before it is in force too. Go on after
+        `at_most_s`: what the test then sees is for its assertions to judge.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(at_most_s):
+                await self._poll_for_config(version)
+                return
+        print(f"configuration {version} not in force everywhere in {at_most_s} s")
+
+    async def _poll_for_config(self, version: int) -> None:
+        for vm in self.vms:
+            while not vm.has_logged("config_in_force", f"version={version}"):
+                await asyncio.sleep(POLL_S)
+
     def list_ended(self) -> list[str]:
         """Return the VMs whose process has ended."""
         return [vm.name for vm in self.vms if vm.process.returncode is not None]
