A failure of the attempt that replaces a silent one is no end of the stream

What callers saw: nothing yet; found in the read-through. If the next attempt is answered with a failure (500) and is the route's last one, its head was taken as the beginning of the answer: the held attempt was given up, and the stream ended with 'status 500 in place of the rest of a stream'.

While an attempt is held, a failure of the next one counts as a failed attempt, directly and through another VM, and the held one goes on.

Evidence: test_a_silent_attempt_goes_on_if_the_next_one_is_refused[500] red before, green now; test_silences, test_failures_through_vms and test_failed_continuations pass.

--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -344,7 +344,10 @@
         if not upstream:
             raise await read_refusal(connection)
         # The other VM may be of an earlier build, which passes on what does not count.
-        _check_reliable(self.forwarder.codec.classify_response(response), response)
+        result = self.forwarder.codec.classify_response(response)
+        _check_reliable(result, response)
+        if result is AttemptResult.FAILED and self._held is not None:
+            raise AttemptError(f"status {response.status}", False, False)
         self.summary.upstream = upstream
         self.sink.upstream = upstream
         self.forwarder.report_recorder.record_elsewhere(
@@ -393,7 +396,10 @@
             raise make_not_run_error(
                 "another process listens at the address", WRONG_INSTANCE_PAUSE_MS
             )
-        if result is AttemptResult.FAILED and may_retry(route, self.summary.attempts):
+        is_replaceable = self._held is not None or may_retry(
+            route, self.summary.attempts
+        )
+        if result is AttemptResult.FAILED and is_replaceable:
             raise AttemptError(f"status {response.status}", False, False)
         return response
 
--- a/tests/test_held_attempts.py
+++ b/tests/test_held_attempts.py
@@ -12,6 +12,8 @@
 """How long two upstreams may work on one request; of the rule TWICE."""
 REFUSAL_S = 0.15
 LATE_HEAD_S = 0.7
+NOT_RUN = 503
+FAILED = 500
 
 
 class Replaced:
@@ -20,9 +22,10 @@
     The first attempt goes on once the next one has come, if `wakes`.
     """
 
-    def __init__(self, wakes: bool, refuses: bool, next_s: float) -> None:
+    def __init__(self, wakes: bool, refusal: int, next_s: float) -> None:
         self._wakes = wakes
-        self._refuses = refuses
+        self._refusal = refusal
+        """The status of the next attempt; 0: it is answered."""
         self._next_s = next_s
         """How long after it has come the next attempt is answered."""
         self._next_came = asyncio.Event()
@@ -39,9 +42,9 @@
         self._next_came_s = asyncio.get_running_loop().time()
         self._next_came.set()
         await asyncio.sleep(self._next_s)
-        if self._refuses:
-            refusal = make_response(request, b"", 503, "Not-Executed: 1\r\n")
-            writer.write(refusal)
+        if self._refusal:
+            extra = "Not-Executed: 1\r\n" if self._refusal == NOT_RUN else ""
+            writer.write(make_response(request, b"", self._refusal, extra))
             return
         await answer_stream(request, writer)
 
@@ -69,9 +72,10 @@
 
 
 # Guards against a stream that ends because its silent attempt is given up for one that
-# is refused then (LOST); what the silent one has sent meanwhile is relayed once.
-def test_a_silent_attempt_goes_on_if_the_next_one_is_refused():
-    script = Replaced(wakes=True, refuses=True, next_s=REFUSAL_S)
+# is refused or fails then (LOST); what the silent one has sent is relayed once.
+@pytest.mark.parametrize("refusal", [NOT_RUN, FAILED])
+def test_a_silent_attempt_goes_on_if_the_next_one_is_refused(refusal):
+    script = Replaced(wakes=True, refusal=refusal, next_s=REFUSAL_S)
 
     async def scenario(site: Site) -> None:
         status, _, received = await site.call("POST", "/s/x", b"whole")
@@ -86,7 +90,7 @@
 # stream that has events of both (ORDER).
 @pytest.mark.parametrize("next_s", [0.0, LATE_HEAD_S])
 def test_a_held_attempt_is_given_up_once_the_next_one_has_begun_or_soon(next_s):
-    script = Replaced(wakes=False, refuses=False, next_s=next_s)
+    script = Replaced(wakes=False, refusal=0, next_s=next_s)
 
     async def scenario(site: Site) -> None:
         status, _, received = await site.call("POST", "/s/x", b"whole")
@@ -101,7 +105,7 @@
 # Guards against connections and counts that stay behind when a caller leaves while an
 # attempt is held (GONE).
 def test_a_caller_that_leaves_ends_the_held_attempt_too():
-    script = Replaced(wakes=False, refuses=False, next_s=FOREVER_S)
+    script = Replaced(wakes=False, refusal=0, next_s=FOREVER_S)
 
     async def scenario(site: Site) -> None:
         call = asyncio.create_task(site.call("POST", "/s/x", b"whole"))
