--- a/experiments/mutantcases.py
+++ b/experiments/mutantcases.py
@@ -315,8 +315,8 @@
         8,
         "what another VM passes on counts as an answer",
         "plantainwood/forwarding.py",
-        "_check_reliable(self.forwarder.codec.classify_response(response), response)",
-        "pass",
+        "_check_reliable(result, response)\n        if result is AttemptResult.F",
+        "if result is AttemptResult.F",
         "tests/test_sealed_answers.py",
     ),
     Mutant(
--- a/plantainwood/forwarding.py
+++ b/plantainwood/forwarding.py
@@ -114,22 +114,26 @@
 class SentAttempt(SilenceObserver):
     """An attempt on its connection, and the watch over its silence."""
 
-    __slots__ = ("dispatch", "connection", "via_vm", "watch", "_call")
+    __slots__ = ("dispatch", "connection", "via_vm", "watch", "_forwarder")
 
     def __init__(
-        self, call: "ForwardedCall", dispatch: ev.Dispatch, connection: Connection
+        self,
+        forwarder: Forwarder,
+        dispatch: ev.Dispatch,
+        connection: Connection,
+        via_vm: bool,
     ) -> None:
-        self._call = call
+        self._forwarder = forwarder
         self.dispatch = dispatch
         self.connection = connection
-        self.via_vm = call.is_via_vm
-        self.watch = SilenceWatch(call.forwarder.awake_clock, self)
+        self.via_vm = via_vm
+        self.watch = SilenceWatch(forwarder.awake_clock, self)
 
     async def examine_silence(self) -> None:
         """Find out whether an upstream or the path to all of them is out of reach."""
         if self.via_vm:
             return
-        prober = self._call.forwarder.path_prober
+        prober = self._forwarder.path_prober
         prober.check_silent(self.connection.address)
         await prober.has_path(self.connection.address)
 
@@ -138,7 +142,7 @@
         # What has come would still be relayed once the attempt is replaced.
         if not self.connection.is_waited_for:
             return
-        broker = self._call.broker
+        broker = self._forwarder.broker
         dispatch = self.dispatch
         state = broker.dispatcher.state
         if state.find_running(dispatch.request_id, dispatch.attempt) is None:
@@ -267,7 +271,8 @@
     ) -> None:
         """Send an attempt on a connection and relay its answer."""
         connection = await self._connect(dispatch.upstream, entry.address)
-        sent = self._sent = SentAttempt(self, dispatch, connection)
+        sent = SentAttempt(self.forwarder, dispatch, connection, self._via_vm)
+        self._sent = sent
         succeeded = False
         may_have_run_before = self._may_have_run
         try:
